--- a/include/yuccamoor/protocol/json.h
+++ b/include/yuccamoor/protocol/json.h
@@ -4,6 +4,7 @@
 #ifndef YUCCAMOOR_PROTOCOL_JSON_H_
 #define YUCCAMOOR_PROTOCOL_JSON_H_
 
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -16,6 +17,12 @@
 
 using Json = nlohmann::json;
 
+/// Returns the whole number. Throws Json::exception for anything else, negative
+/// numbers included, which the library's own conversion would wrap.
+std::uint64_t GetUnsigned(const Json& json);
+/// The same, within 32 bits.
+std::uint32_t GetUnsigned32(const Json& json);
+
 template <class Tag>
 void to_json(Json& json, const StringId<Tag>& id) {
   json = id.str();
@@ -33,7 +40,7 @@
 
 template <class Tag>
 void from_json(const Json& json, NumberId<Tag>& id) {
-  id = NumberId<Tag>(json.get<std::uint64_t>());
+  id = NumberId<Tag>(GetUnsigned(json));
 }
 
 void to_json(Json& json, const DurationMs& duration);
--- a/include/yuccamoor/state/residency.h
+++ b/include/yuccamoor/state/residency.h
@@ -44,6 +44,8 @@
 /// Gateway to leader. Sent when wants change and at each renewal interval.
 struct ResidencySync {
   NodeId gateway;
+  /// Where the gateway takes unasked updates, as "ip:port".
+  std::string reply_to;
   Incarnation incarnation;
   CellId cell;
   /// The leader's epoch that the gateway knows.
--- a/lib/protocol/json.cc
+++ b/lib/protocol/json.cc
@@ -4,6 +4,7 @@
 #include "yuccamoor/protocol/json.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace yuccamoor {
 namespace {
@@ -25,6 +26,21 @@
 
 }  // namespace
 
+std::uint64_t GetUnsigned(const Json& json) {
+  if (!json.is_number_unsigned()) {
+    throw Json::type_error::create(302, "whole number expected", &json);
+  }
+  return json.get<std::uint64_t>();
+}
+
+std::uint32_t GetUnsigned32(const Json& json) {
+  const std::uint64_t value = GetUnsigned(json);
+  if (value > std::numeric_limits<std::uint32_t>::max()) {
+    throw Json::out_of_range::create(401, "number out of range", &json);
+  }
+  return static_cast<std::uint32_t>(value);
+}
+
 void to_json(Json& json, const DurationMs& duration) { json = duration.ms(); }
 
 void from_json(const Json& json, DurationMs& duration) {
