--- a/lib/protocol/chat_api.cc
+++ b/lib/protocol/chat_api.cc
@@ -3,6 +3,7 @@
 
 #include "yuccamoor/protocol/chat_api.h"
 
+#include "yuccamoor/protocol/field_reader.h"
 #include "yuccamoor/protocol/json.h"
 
 namespace yuccamoor {
@@ -11,63 +12,6 @@
 constexpr std::uint32_t kMaxTokens = 32'768;
 constexpr const char* kSource = "request";
 
-/// Reads fields of a JSON object and collects what is wrong with them.
-class FieldReader {
- public:
-  FieldReader(const Json& object, std::string pointer, Findings& findings)
-      : m_object(object), m_pointer(std::move(pointer)), m_findings(findings) {}
-
-  void RequiredString(const char* name, std::string& out) {
-    const auto it = m_object.find(name);
-    if (it == m_object.end()) {
-      Report(name, "is missing", "give a string");
-      return;
-    }
-    ReadString(name, *it, out);
-    if (it->is_string() && out.empty()) Report(name, "is empty", "");
-  }
-
-  void OptionalString(const char* name, std::string& out) {
-    const auto it = m_object.find(name);
-    if (it != m_object.end()) ReadString(name, *it, out);
-  }
-
-  void OptionalBool(const char* name, bool& out) {
-    const auto it = m_object.find(name);
-    if (it == m_object.end()) return;
-    if (!it->is_boolean()) return Report(name, "is not true or false", "");
-    out = it->get<bool>();
-  }
-
-  void OptionalCount(const char* name, std::uint32_t max, std::uint32_t& out) {
-    const auto it = m_object.find(name);
-    if (it == m_object.end()) return;
-    const bool in_range = it->is_number_unsigned() &&
-                          it->get<std::uint64_t>() >= 1 &&
-                          it->get<std::uint64_t>() <= max;
-    if (!in_range) {
-      return Report(name, "is not a whole number in range",
-                    "give 1 to " + std::to_string(max));
-    }
-    out = it->get<std::uint32_t>();
-  }
-
- private:
-  void ReadString(const char* name, const Json& value, std::string& out) {
-    if (!value.is_string()) return Report(name, "is not a string", "");
-    out = value.get<std::string>();
-  }
-
-  void Report(const char* name, std::string message, std::string hint) {
-    m_findings.Add(Place{kSource, m_pointer + "/" + name, 0, 0},
-                   std::move(message), std::move(hint));
-  }
-
-  const Json& m_object;
-  std::string m_pointer;
-  Findings& m_findings;
-};
-
 void ReadMessages(const Json& root, Findings& findings,
                   std::vector<ChatMessage>& messages) {
   const auto it = root.find("messages");
@@ -84,7 +28,7 @@
       continue;
     }
     ChatMessage message;
-    FieldReader reader(entry, pointer, findings);
+    FieldReader reader(entry, kSource, pointer, findings);
     reader.RequiredString("role", message.role);
     reader.RequiredString("content", message.content);
     messages.push_back(std::move(message));
@@ -108,10 +52,12 @@
   }
   ChatRequest request;
   Findings findings;
-  FieldReader reader(root, "", findings);
+  FieldReader reader(root, kSource, "", findings);
   reader.RequiredString("model", request.model);
   reader.OptionalBool("stream", request.stream);
-  reader.OptionalCount("max_tokens", kMaxTokens, request.max_tokens);
+  std::uint64_t max_tokens = request.max_tokens;
+  reader.OptionalCount("max_tokens", 1, kMaxTokens, max_tokens);
+  request.max_tokens = static_cast<std::uint32_t>(max_tokens);
   reader.OptionalString("user", request.user);
   ReadMessages(root, findings, request.messages);
   if (!findings.empty()) return findings;
