--- a/include/yuccamoor/protocol/json.h
+++ b/include/yuccamoor/protocol/json.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -53,6 +54,28 @@
 /// \p source.
 Result<Json> ParseJson(std::string_view text, const std::string& source);
 
+/// Parses and converts one message. The finding of a failure says which field
+/// was wrong.
+template <class Message>
+Result<Message> DecodeMessage(std::string_view text,
+                              const std::string& source) {
+  auto json = ParseJson(text, source);
+  if (!json) return json.error();
+  try {
+    return json.value().template get<Message>();
+  } catch (const Json::exception& error) {
+    return Findings(Finding{Place{source, "", 0, 0}, error.what(), ""});
+  }
+}
+
+/// The same for a caller that does not report why.
+template <class Message>
+std::optional<Message> DecodeJson(std::string_view text) {
+  auto message = DecodeMessage<Message>(text, "");
+  if (!message) return std::nullopt;
+  return std::move(message).value();
+}
+
 }  // namespace yuccamoor
 
 #endif  // YUCCAMOOR_PROTOCOL_JSON_H_
--- /dev/null
+++ b/include/yuccamoor/transport/gateway/chat_service.h
@@ -0,0 +1,82 @@
+/// \file
+/// \brief Answers chat requests: resolves the target, waits for a worker that
+/// holds it, and passes the engine's answer on, whole or not at all.
+
+#ifndef YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
+#define YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "yuccamoor/protocol/chat_api.h"
+#include "yuccamoor/state/clock.h"
+#include "yuccamoor/state/config_snapshot.h"
+#include "yuccamoor/state/ids.h"
+#include "yuccamoor/transport/asio.h"
+
+namespace yuccamoor {
+
+class CellSession;
+class HttpClient;
+class HttpExchange;
+class WorkerPool;
+
+/// Finds what a request needs. Safe to use from several threads.
+class ChatDirectory {
+ public:
+  virtual ~ChatDirectory() = default;
+
+  /// The configuration in force, or null while there is none.
+  virtual std::shared_ptr<const ConfigSnapshot> Config() const = 0;
+  /// The session with the cell's leader, or null if the cell is unknown.
+  virtual std::shared_ptr<CellSession> Session(const CellId& cell) const = 0;
+};
+
+/// What the service uses. All of it must outlive the service.
+struct ChatServices {
+  WorkerPool& pool;
+  HttpClient& client;
+  const Clock& clock;
+  const ChatDirectory& directory;
+};
+
+/// The service's limits.
+struct ChatOptions {
+  DurationMs default_deadline{60'000};
+  std::size_t max_requests = 10'000;
+};
+
+/// What a request is, once it has been found valid.
+struct ChatJob {
+  RequestId id;
+  ChatRequest request;
+  AdapterVersion target;
+  Priority priority = Priority::kNormal;
+  std::shared_ptr<CellSession> session;
+  TimeMs deadline;
+};
+
+/// The chat service.
+class ChatService {
+ public:
+  ChatService(ChatServices services, ChatOptions options);
+
+  /// Answers one POST /v1/chat/completions. \p id names the request in every
+  /// hop.
+  Awaitable<void> Handle(HttpExchange& exchange, RequestId id);
+
+  std::size_t active() const { return m_active; }
+
+ private:
+  Awaitable<void> HandleAdmitted(HttpExchange& exchange, RequestId id);
+
+  ChatServices m_services;
+  ChatOptions m_options;
+  std::atomic<std::size_t> m_active{0};
+};
+
+}  // namespace yuccamoor
+
+#endif  // YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
--- /dev/null
+++ b/include/yuccamoor/transport/gateway/gateway.h
@@ -0,0 +1,64 @@
+/// \file
+/// \brief The gateway: takes callers' requests and has them answered.
+
+#ifndef YUCCAMOOR_TRANSPORT_GATEWAY_GATEWAY_H_
+#define YUCCAMOOR_TRANSPORT_GATEWAY_GATEWAY_H_
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <shared_mutex>
+
+#include "yuccamoor/protocol/daemon_settings.h"
+#include "yuccamoor/state/result.h"
+#include "yuccamoor/transport/daemon/daemon.h"
+#include "yuccamoor/transport/gateway/chat_service.h"
+
+namespace yuccamoor {
+
+/// One gateway process.
+class Gateway final : public ChatDirectory {
+ public:
+  /// Binds every listener. All findings are reported together.
+  static Result<std::unique_ptr<Gateway>> Create(GatewaySettings settings);
+  ~Gateway() override;
+
+  void Start();
+  /// Turns unready, lets every request in flight end, hands back what it
+  /// holds, and stops. Returns whether all of them ended within the grace.
+  bool Shutdown();
+
+  std::uint16_t port() const { return m_server->port(); }
+  Daemon& daemon() { return *m_daemon; }
+
+  std::shared_ptr<const ConfigSnapshot> Config() const override;
+  std::shared_ptr<CellSession> Session(const CellId& cell) const override;
+
+ private:
+  Gateway(GatewaySettings settings, std::unique_ptr<Daemon> daemon);
+
+  Findings Listen();
+  void AddPeerMethods();
+  void AddOperatorPaths();
+  Awaitable<void> Handle(HttpExchange& exchange);
+  void Tick();
+  /// Opens a session for each cell of the configuration.
+  void OpenSessions();
+  RequestId NewRequestId(const HttpRequest& request);
+
+  GatewaySettings m_settings;
+  std::unique_ptr<Daemon> m_daemon;
+  std::unique_ptr<ChatService> m_chat;
+  std::unique_ptr<HttpServer> m_server;
+  std::uint64_t m_request_salt;
+  std::atomic<std::uint64_t> m_request_counter{0};
+
+  /// Guards the sessions; taken before a session's own mutex.
+  mutable std::shared_mutex m_sessions_mutex;
+  std::map<CellId, std::shared_ptr<CellSession>> m_sessions;
+};
+
+}  // namespace yuccamoor
+
+#endif  // YUCCAMOOR_TRANSPORT_GATEWAY_GATEWAY_H_
--- a/lib/protocol/residency_codec.cc
+++ b/lib/protocol/residency_codec.cc
@@ -92,19 +92,6 @@
   if (it != json.end()) it->get_to(list);
 }
 
-template <class Message, class Fill>
-Result<Message> Decode(std::string_view text, const char* source, Fill fill) {
-  auto json = ParseJson(text, source);
-  if (!json) return json.error();
-  try {
-    Message message;
-    fill(json.value(), message);
-    return message;
-  } catch (const Json::exception& error) {
-    return Findings(Finding{Place{source, "", 0, 0}, error.what(), ""});
-  }
-}
-
 }  // namespace
 
 std::string EncodeResidencySync(const ResidencySync& sync) {
@@ -129,36 +116,38 @@
   return json.dump();
 }
 
+static void from_json(const Json& json, ResidencySync& sync) {
+  json.at("gateway").get_to(sync.gateway);
+  json.at("reply_to").get_to(sync.reply_to);
+  json.at("inc").get_to(sync.incarnation);
+  json.at("cell").get_to(sync.cell);
+  json.at("epoch").get_to(sync.epoch);
+  json.at("seq").get_to(sync.sequence);
+  sync.full = json.value("full", false);
+  GetList(json, "wants", sync.wants);
+  GetList(json, "holdings", sync.holdings);
+  GetList(json, "returns", sync.returns);
+}
+
+static void from_json(const Json& json, ResidencyUpdate& update) {
+  json.at("cell").get_to(update.cell);
+  json.at("epoch").get_to(update.epoch);
+  json.at("gateway").get_to(update.gateway);
+  json.at("inc").get_to(update.incarnation);
+  json.at("ack").get_to(update.acknowledged);
+  json.at("ttl").get_to(update.session_ttl);
+  update.resync = json.value("resync", false);
+  GetList(json, "grants", update.grants);
+  GetList(json, "recalls", update.recalls);
+  GetList(json, "refusals", update.refusals);
+}
+
 Result<ResidencySync> DecodeResidencySync(std::string_view text) {
-  return Decode<ResidencySync>(text, "residency sync",
-                               [](const Json& json, ResidencySync& sync) {
-                                 json.at("gateway").get_to(sync.gateway);
-                                 json.at("reply_to").get_to(sync.reply_to);
-                                 json.at("inc").get_to(sync.incarnation);
-                                 json.at("cell").get_to(sync.cell);
-                                 json.at("epoch").get_to(sync.epoch);
-                                 json.at("seq").get_to(sync.sequence);
-                                 sync.full = json.value("full", false);
-                                 GetList(json, "wants", sync.wants);
-                                 GetList(json, "holdings", sync.holdings);
-                                 GetList(json, "returns", sync.returns);
-                               });
+  return DecodeMessage<ResidencySync>(text, "residency sync");
 }
 
 Result<ResidencyUpdate> DecodeResidencyUpdate(std::string_view text) {
-  return Decode<ResidencyUpdate>(text, "residency update",
-                                 [](const Json& json, ResidencyUpdate& update) {
-                                   json.at("cell").get_to(update.cell);
-                                   json.at("epoch").get_to(update.epoch);
-                                   json.at("gateway").get_to(update.gateway);
-                                   json.at("inc").get_to(update.incarnation);
-                                   json.at("ack").get_to(update.acknowledged);
-                                   json.at("ttl").get_to(update.session_ttl);
-                                   update.resync = json.value("resync", false);
-                                   GetList(json, "grants", update.grants);
-                                   GetList(json, "recalls", update.recalls);
-                                   GetList(json, "refusals", update.refusals);
-                                 });
+  return DecodeMessage<ResidencyUpdate>(text, "residency update");
 }
 
 }  // namespace yuccamoor
--- /dev/null
+++ b/lib/transport/gateway/chat_run.cc
@@ -0,0 +1,209 @@
+/// \file
+/// \brief Implementation of one chat request's attempts.
+
+#include "chat_run.h"
+
+#include <glog/logging.h>
+
+#include "yuccamoor/protocol/engine_stream_codec.h"
+#include "yuccamoor/protocol/sse.h"
+#include "yuccamoor/transport/gateway/cell_session.h"
+#include "yuccamoor/transport/http_client.h"
+#include "yuccamoor/transport/worker_pool.h"
+
+namespace yuccamoor {
+namespace {
+
+constexpr std::size_t kMaxHeldFrames = 256;
+constexpr DurationMs kPauseBetweenAttempts(20);
+/// The longest time between two frames of a stream.
+constexpr DurationMs kFrameTimeout(30'000);
+constexpr DurationMs kHeaderTimeout(5'000);
+constexpr DurationMs kCancelTimeout(1'000);
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kServiceUnavailable = 503;
+
+/// Releases a dispatch at the end of its scope.
+class DispatchGuard {
+ public:
+  DispatchGuard(CellSession& session, DispatchId dispatch)
+      : m_session(session), m_dispatch(dispatch) {}
+  ~DispatchGuard() { m_session.Release(m_dispatch); }
+  DispatchGuard(const DispatchGuard&) = delete;
+  DispatchGuard& operator=(const DispatchGuard&) = delete;
+
+ private:
+  CellSession& m_session;
+  DispatchId m_dispatch;
+};
+
+/// Hashes the beginning of the prompt, so that requests that share it prefer
+/// the worker that has it cached.
+std::uint64_t PrefixKey(const std::string& prompt) {
+  constexpr std::size_t kPrefixBytes = 256;
+  return std::hash<std::string_view>()(
+      std::string_view(prompt).substr(0, kPrefixBytes));
+}
+
+}  // namespace
+
+ChatRun::ChatRun(const ChatServices& services, const ChatJob& job,
+                 TokenSink& sink)
+    : m_services(services),
+      m_job(job),
+      m_sink(sink),
+      m_assembler(job.id, job.target, kMaxHeldFrames) {}
+
+Awaitable<std::optional<ApiError>> ChatRun::Execute() {
+  const std::uint64_t prefix_key = PrefixKey(BuildPrompt(m_job.request));
+  for (;;) {
+    const AcquireResult acquired = co_await m_job.session->Acquire(
+        m_job.target, m_job.priority, m_job.deadline, prefix_key,
+        [this] { return m_sink.CallerGone(); });
+    if (!acquired.placement) co_return FailureOf(acquired);
+    const AttemptEnd end = co_await TryOn(*acquired.placement);
+    if (end == AttemptEnd::kWhole) co_return std::nullopt;
+    if (end == AttemptEnd::kVoid) co_return Cut();
+    if (m_services.clock.Now() >= m_job.deadline) {
+      co_return FailureOf(AcquireResult());
+    }
+    co_await SleepFor(kPauseBetweenAttempts);
+  }
+}
+
+bool ChatRun::PrepareAssembler(const InstanceId& instance) {
+  if (m_assembler.CanAttempt(instance)) return true;
+  if (m_sink.Committed()) return false;
+  // Another engine may word the answer differently: begin anew.
+  m_sink.Reset();
+  m_assembler = StreamAssembler(m_job.id, m_job.target, kMaxHeldFrames);
+  return true;
+}
+
+Awaitable<ChatRun::AttemptEnd> ChatRun::TryOn(const Placement& placement) {
+  const DispatchGuard guard(*m_job.session, placement.dispatch);
+  if (!PrepareAssembler(placement.instance)) co_return AttemptEnd::kVoid;
+  m_attempt = m_attempt.Next();
+  GenerateRequest generate;
+  generate.request = m_job.id;
+  generate.attempt = m_attempt;
+  generate.target = m_job.target;
+  generate.prompt = BuildPrompt(m_job.request);
+  generate.max_tokens = m_job.request.max_tokens;
+  generate.priority = m_job.priority;
+  generate.resume_from =
+      m_assembler.StartAttempt(m_attempt, placement.instance);
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/generate";
+  request.body = EncodeGenerateRequest(generate);
+  HttpCallOptions options;
+  options.timeout = kHeaderTimeout;
+  options.may_send = [this, dispatch = placement.dispatch] {
+    return m_job.session->MaySend(dispatch);
+  };
+  const auto stream = co_await m_services.client.Open(
+      placement.address, std::move(request), std::move(options));
+  if (stream->progress() != HttpProgress::kAnswered) {
+    m_dispatched |= stream->progress() == HttpProgress::kNoAnswer;
+    VLOG(1) << "event=attempt_failed request=" << m_job.id
+            << " worker=" << placement.worker << " error=\"" << stream->error()
+            << '"';
+    co_return AttemptEnd::kRetry;
+  }
+  const int status = stream->head().status;
+  if (status == kConflict) m_job.session->OnNotResident(placement.dispatch);
+  if (status == kServiceUnavailable) {
+    m_job.session->OnWorkerLost(placement.worker);
+  }
+  if (status != kOk) co_return AttemptEnd::kRetry;
+  m_dispatched = true;
+  if (!m_job.session->ConfirmAccepted(placement.dispatch)) {
+    CancelAt(placement.address);
+    co_return AttemptEnd::kRetry;
+  }
+  co_return co_await ReadAnswer(placement, *stream);
+}
+
+Awaitable<ChatRun::AttemptEnd> ChatRun::ReadAnswer(const Placement& placement,
+                                                   HttpResponseStream& stream) {
+  SseParser parser;
+  try {
+    for (;;) {
+      std::optional<std::string> piece = co_await stream.Read(kFrameTimeout);
+      if (!piece) break;
+      if (!co_await TakeFrames(std::move(*piece), parser)) {
+        co_return AttemptEnd::kVoid;
+      }
+      if (m_assembler.Whole()) co_return AttemptEnd::kWhole;
+      if (m_services.clock.Now() >= m_job.deadline) break;
+    }
+  } catch (...) {
+    CancelAt(placement.address);
+    throw;
+  }
+  if (m_services.clock.Now() >= m_job.deadline) CancelAt(placement.address);
+  co_return AttemptEnd::kRetry;
+}
+
+Awaitable<bool> ChatRun::TakeFrames(std::string piece, SseParser& parser) {
+  for (const SseEvent& event : parser.Feed(piece)) {
+    const auto frame = DecodeTokenFrame(event.data);
+    if (!frame) continue;
+    const FrameVerdict verdict = m_assembler.OnFrame(*frame);
+    if (verdict == FrameVerdict::kMismatch || verdict == FrameVerdict::kVoid) {
+      LOG(ERROR) << "event=answer_mismatch request=" << m_job.id
+                 << " wanted=" << m_job.target << " got=" << frame->target;
+      co_return false;
+    }
+    std::uint64_t index = m_assembler.next().value();
+    const std::vector<std::string> tokens = m_assembler.Take();
+    for (const std::string& token : tokens) {
+      co_await m_sink.OnToken(token, TokenIndex(index));
+      ++index;
+    }
+  }
+  co_return true;
+}
+
+void ChatRun::CancelAt(const std::string& address) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/cancel";
+  request.body = EncodeCancelRequest(m_job.id);
+  HttpCallOptions options;
+  options.timeout = kCancelTimeout;
+  m_services.pool.Spawn([&client = m_services.client, address,
+                         request = std::move(request),
+                         options]() -> Awaitable<void> {
+    co_await client.Call(address, request, options);
+  });
+}
+
+ApiError ChatRun::FailureOf(const AcquireResult& result) const {
+  ApiError error;
+  error.outcome = m_dispatched ? Outcome::kUnknown : Outcome::kNotRun;
+  if (result.refusal) {
+    error.status = kServiceUnavailable;
+    error.type = "overloaded";
+    error.message = "the adapter cannot be served in time";
+    error.retry_after = result.refusal->retry_after;
+    return error;
+  }
+  error.status = 504;
+  error.type = "deadline_exceeded";
+  error.message = "the request's time limit has passed";
+  return error;
+}
+
+ApiError ChatRun::Cut() const {
+  ApiError error;
+  error.status = 502;
+  error.type = "answer_cut";
+  error.message = "the answer was lost before it was whole";
+  error.outcome = Outcome::kUnknown;
+  return error;
+}
+
+}  // namespace yuccamoor
--- /dev/null
+++ b/lib/transport/gateway/chat_run.h
@@ -0,0 +1,74 @@
+/// \file
+/// \brief One chat request on its way through attempts at workers.
+
+#ifndef YUCCAMOOR_LIB_TRANSPORT_GATEWAY_CHAT_RUN_H_
+#define YUCCAMOOR_LIB_TRANSPORT_GATEWAY_CHAT_RUN_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "yuccamoor/coordination/request/stream_assembler.h"
+#include "yuccamoor/coordination/residency/residency_client.h"
+#include "yuccamoor/protocol/api_error.h"
+#include "yuccamoor/transport/gateway/chat_service.h"
+
+namespace yuccamoor {
+
+class HttpResponseStream;
+
+/// Takes the tokens of one answer.
+class TokenSink {
+ public:
+  virtual ~TokenSink() = default;
+
+  /// Takes the next token. Throws when the caller has gone.
+  virtual Awaitable<void> OnToken(const std::string& token,
+                                  TokenIndex index) = 0;
+  /// Whether tokens have left the process, so that the answer cannot begin
+  /// anew.
+  virtual bool Committed() const = 0;
+  /// Forgets the tokens so far; only if not committed.
+  virtual void Reset() = 0;
+  /// Whether the caller has gone.
+  virtual bool CallerGone() = 0;
+};
+
+/// Runs one request until its answer is whole or it has failed.
+class ChatRun {
+ public:
+  ChatRun(const ChatServices& services, const ChatJob& job, TokenSink& sink);
+
+  /// Returns nothing when the answer is whole, else the failure. Throws what
+  /// the sink throws; the engine's stream is then cancelled.
+  Awaitable<std::optional<ApiError>> Execute();
+
+  std::uint32_t tokens() const {
+    return static_cast<std::uint32_t>(m_assembler.next().value());
+  }
+
+ private:
+  /// How an attempt ended.
+  enum class AttemptEnd : std::uint8_t { kWhole, kRetry, kVoid };
+
+  Awaitable<AttemptEnd> TryOn(const Placement& placement);
+  Awaitable<AttemptEnd> ReadAnswer(const Placement& placement,
+                                   HttpResponseStream& stream);
+  Awaitable<bool> TakeFrames(std::string piece, class SseParser& parser);
+  bool PrepareAssembler(const InstanceId& instance);
+  void CancelAt(const std::string& address);
+  ApiError FailureOf(const AcquireResult& result) const;
+  ApiError Cut() const;
+
+  const ChatServices& m_services;
+  const ChatJob& m_job;
+  TokenSink& m_sink;
+  StreamAssembler m_assembler;
+  AttemptNumber m_attempt;
+  /// Some engine has accepted the request.
+  bool m_dispatched = false;
+};
+
+}  // namespace yuccamoor
+
+#endif  // YUCCAMOOR_LIB_TRANSPORT_GATEWAY_CHAT_RUN_H_
--- /dev/null
+++ b/lib/transport/scheduler/cell_host.cc
@@ -0,0 +1,301 @@
+/// \file
+/// \brief Implementation of the cell host.
+
+#include "yuccamoor/transport/scheduler/cell_host.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+#include <variant>
+
+#include "yuccamoor/coordination/engine_client.h"
+#include "yuccamoor/coordination/key_value_service.h"
+#include "yuccamoor/coordination/peer_channel.h"
+#include "yuccamoor/protocol/residency_codec.h"
+
+namespace yuccamoor {
+namespace {
+
+constexpr DurationMs kKvTimeout(500);
+constexpr DurationMs kPeerTimeout(500);
+constexpr DurationMs kReportTimeout(500);
+/// Reports are read often while a worker loads, drains or evicts.
+constexpr DurationMs kBusyReportInterval(100);
+constexpr DurationMs kIdleReportInterval(1'000);
+
+/// Lets std::visit take one lambda per alternative.
+template <class... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+template <class Action>
+void Append(std::vector<Action>& to, std::vector<Action> from) {
+  std::move(from.begin(), from.end(), std::back_inserter(to));
+}
+
+bool IsBusy(const CellState& state, const WorkerId& id) {
+  for (const WorkerState& worker : state.workers) {
+    if (worker.id != id) continue;
+    if (!worker.usable) return true;
+    for (const SlotState& slot : worker.occupied) {
+      if (slot.phase != SlotPhase::kReady) return true;
+    }
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+Result<std::shared_ptr<CellHost>> CellHost::Create(CellHostServices services,
+                                                   ElectionOptions election,
+                                                   CellLeaderOptions leader,
+                                                   PolicyFactory make_policy) {
+  std::shared_ptr<CellHost> host(
+      new CellHost(services, leader, std::move(make_policy)));
+  auto made = Election::Create(std::move(election), host->m_codec,
+                               services.clock.Now());
+  if (!made) return made.error();
+  host->m_election.emplace(std::move(made).value());
+  return host;
+}
+
+CellHost::CellHost(CellHostServices services, CellLeaderOptions leader_options,
+                   PolicyFactory make_policy)
+    : m_services(services),
+      m_leader_options(leader_options),
+      m_make_policy(std::move(make_policy)) {}
+
+void CellHost::OnConfig(std::shared_ptr<const CellConfig> config) {
+  const std::lock_guard lock(m_mutex);
+  m_config = std::move(config);
+}
+
+void CellHost::OnCandidates(std::vector<Candidate> live) {
+  const std::lock_guard lock(m_mutex);
+  m_election->OnCandidates(std::move(live));
+}
+
+void CellHost::OnGateways(std::vector<NodeId> gateways) {
+  const std::lock_guard lock(m_mutex);
+  m_gateways = std::move(gateways);
+  if (m_leader) m_leader->OnGateways(m_gateways);
+}
+
+std::string CellHost::HandleSync(const ResidencySync& sync) {
+  std::string answer;
+  Outbox outbox;
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!m_leader) return EncodeNotLeader(NotLeader{LeaderAddress()});
+    m_reply_to[sync.gateway] = sync.reply_to;
+    const TimeMs now = m_services.clock.Now();
+    CellActions actions = m_leader->OnSync(sync, now);
+    if (actions.empty()) return EncodeNotLeader(NotLeader{});
+    const auto* update = std::get_if<SendUpdate>(&actions.front());
+    if (update != nullptr) {
+      answer = EncodeResidencyUpdate(update->update);
+      actions.erase(actions.begin());
+    }
+    Append(outbox.cell, std::move(actions));
+    TickLeader(now, outbox);
+  }
+  Send(std::move(outbox));
+  return answer.empty() ? EncodeNotLeader(NotLeader{}) : answer;
+}
+
+HoldReply CellHost::HandleHold(const HoldRequest& request) {
+  const std::lock_guard lock(m_mutex);
+  return m_election->OnHoldRequest(request, m_services.clock.Now());
+}
+
+void CellHost::Tick() {
+  Outbox outbox;
+  {
+    const std::lock_guard lock(m_mutex);
+    const TimeMs now = m_services.clock.Now();
+    Apply(m_election->Tick(now), outbox);
+    if (m_pending_start && m_config) StartLeading(*m_pending_start);
+    TickLeader(now, outbox);
+    CollectDueReports(now, outbox);
+  }
+  Send(std::move(outbox));
+}
+
+void CellHost::Resign() {
+  Outbox outbox;
+  {
+    const std::lock_guard lock(m_mutex);
+    Apply(m_election->Resign(m_services.clock.Now()), outbox);
+  }
+  Send(std::move(outbox));
+}
+
+bool CellHost::Resigned() const {
+  const std::lock_guard lock(m_mutex);
+  return m_election->Resigned();
+}
+
+CellStatus CellHost::Status() const {
+  const std::lock_guard lock(m_mutex);
+  CellStatus status;
+  status.leading = m_leader.has_value();
+  status.may_order = m_election->IsLeader(m_services.clock.Now());
+  status.epoch = m_election->epoch();
+  status.leader_address = LeaderAddress();
+  if (m_config) status.cell = m_config->id;
+  if (m_leader) status.state = m_leader->state();
+  return status;
+}
+
+std::string CellHost::LeaderAddress() const {
+  const auto& record = m_election->record();
+  return record && !record->released ? record->leader.address : std::string();
+}
+
+void CellHost::Apply(ElectionActions actions, Outbox& outbox) {
+  for (ElectionAction& action : actions) {
+    if (const auto* start = std::get_if<BecameLeader>(&action)) {
+      m_pending_start = *start;
+      LOG(INFO) << "event=became_leader epoch=" << start->epoch;
+      continue;
+    }
+    if (const auto* lost = std::get_if<LostLeadership>(&action)) {
+      m_pending_start.reset();
+      m_leader.reset();
+      LOG(INFO) << "event=lost_leadership epoch=" << lost->epoch;
+      continue;
+    }
+    outbox.election.push_back(std::move(action));
+  }
+}
+
+void CellHost::StartLeading(const BecameLeader& start) {
+  auto leader = CellLeader::Create(*m_config, start.epoch, start.may_order_from,
+                                   m_make_policy(*m_config), m_leader_options,
+                                   m_services.clock.Now());
+  m_pending_start.reset();
+  if (!leader) {
+    LOG(ERROR) << "event=cannot_lead cell=" << m_config->id << " findings=\""
+               << leader.error().ToString() << '"';
+    return;
+  }
+  m_leader.emplace(std::move(leader).value());
+  m_leader->OnGateways(m_gateways);
+  m_reports.clear();
+}
+
+void CellHost::TickLeader(TimeMs now, Outbox& outbox) {
+  if (!m_leader) return;
+  Append(outbox.cell, m_leader->Tick(now, m_election->OrderDeadline()));
+}
+
+void CellHost::CollectDueReports(TimeMs now, Outbox& outbox) {
+  if (!m_leader) return;
+  for (const WorkerConfig& worker : m_config->workers) {
+    ReportSchedule& schedule = m_reports[worker.id];
+    if (schedule.running || now < schedule.next) continue;
+    schedule.running = true;
+    schedule.next =
+        now + (IsBusy(m_leader->state(), worker.id) ? kBusyReportInterval
+                                                    : kIdleReportInterval);
+    outbox.reports.push_back(worker);
+  }
+}
+
+void CellHost::Send(Outbox outbox) {
+  for (const ElectionAction& action : outbox.election) {
+    std::visit(
+        Overloaded{[this](const KvCall& call) { SendKvCall(call); },
+                   [this](const SendHoldRequest& hold) { SendHold(hold); },
+                   [](const auto&) {}},
+        action);
+  }
+  for (const CellAction& action : outbox.cell) {
+    std::visit(
+        Overloaded{[this](const SendUpdate& update) { SendUpdateTo(update); },
+                   [this](const SendOrder& order) { SendOrderTo(order); }},
+        action);
+  }
+  for (const WorkerConfig& worker : outbox.reports) SendReport(worker);
+}
+
+void CellHost::SendKvCall(const KvCall& call) {
+  m_services.key_value.Call(
+      call.request, kKvTimeout,
+      [self = shared_from_this(), id = call.id](const KvReply& reply) {
+        Outbox outbox;
+        {
+          const std::lock_guard lock(self->m_mutex);
+          const TimeMs now = self->m_services.clock.Now();
+          self->Apply(self->m_election->OnKvReply(id, reply, now), outbox);
+        }
+        self->Send(std::move(outbox));
+      });
+}
+
+void CellHost::SendHold(const SendHoldRequest& request) {
+  m_services.peers.Call(
+      request.to.address, "leadership.hold", EncodeHoldRequest(request.request),
+      kPeerTimeout,
+      [self = shared_from_this()](const std::optional<std::string>& text) {
+        if (!text) return;
+        const auto reply = DecodeHoldReply(*text);
+        if (!reply) return;
+        const std::lock_guard lock(self->m_mutex);
+        self->m_election->OnHoldReply(reply.value());
+      });
+}
+
+void CellHost::SendUpdateTo(const SendUpdate& action) {
+  std::string address;
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_reply_to.find(action.update.gateway);
+    if (it == m_reply_to.end()) return;
+    address = it->second;
+  }
+  // A lost update does no harm: the next sync brings its contents again.
+  m_services.peers.Call(address, "residency.update",
+                        EncodeResidencyUpdate(action.update), kPeerTimeout,
+                        [](const std::optional<std::string>&) {});
+}
+
+void CellHost::SendOrderTo(const SendOrder& action) {
+  m_services.engines.Order(
+      action.address, action.order, action.send_before, action.timeout,
+      [self = shared_from_this()](const OrderResult& result) {
+        Outbox outbox;
+        {
+          const std::lock_guard lock(self->m_mutex);
+          if (!self->m_leader) return;
+          const TimeMs now = self->m_services.clock.Now();
+          self->m_leader->OnOrderResult(result, now);
+          self->TickLeader(now, outbox);
+        }
+        self->Send(std::move(outbox));
+      });
+}
+
+void CellHost::SendReport(const WorkerConfig& worker) {
+  m_services.engines.Report(
+      worker.address, kReportTimeout,
+      [self = shared_from_this(),
+       id = worker.id](const std::optional<EngineReport>& report) {
+        Outbox outbox;
+        {
+          const std::lock_guard lock(self->m_mutex);
+          self->m_reports[id].running = false;
+          if (!self->m_leader || !report || report->worker != id) return;
+          const TimeMs now = self->m_services.clock.Now();
+          self->m_leader->OnReport(*report, now);
+          self->TickLeader(now, outbox);
+        }
+        self->Send(std::move(outbox));
+      });
+}
+
+}  // namespace yuccamoor
--- /dev/null
+++ b/lib/transport/scheduler/scheduler.cc
@@ -0,0 +1,234 @@
+/// \file
+/// \brief Implementation of the scheduler.
+
+#include "yuccamoor/transport/scheduler/scheduler.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+#include "yuccamoor/coordination/placement/naive_policy.h"
+#include "yuccamoor/coordination/placement/weighted_policy.h"
+#include "yuccamoor/protocol/json.h"
+#include "yuccamoor/protocol/residency_codec.h"
+#include "yuccamoor/transport/daemon/config_host.h"
+#include "yuccamoor/transport/daemon/member_registry.h"
+#include "yuccamoor/transport/platform/http_engine_client.h"
+
+namespace yuccamoor {
+namespace {
+
+constexpr DurationMs kCellTickInterval(20);
+constexpr DurationMs kMemberTickInterval(500);
+
+Candidate ToCandidate(const Member& member) {
+  return Candidate{member.id, member.address, member.failure_domain};
+}
+
+Json EncodeWorkers(const CellState& state) {
+  constexpr const char* kPhases[] = {"loading", "ready", "draining",
+                                     "evicting"};
+  Json workers = Json::array();
+  for (const WorkerState& worker : state.workers) {
+    Json slots = Json::array();
+    for (const SlotState& slot : worker.occupied) {
+      slots.push_back({{"target", slot.target},
+                       {"phase", kPhases[static_cast<int>(slot.phase)]},
+                       {"running", slot.running},
+                       {"grants", slot.grants}});
+    }
+    workers.push_back({{"worker", worker.id},
+                       {"address", worker.address},
+                       {"failure_domain", worker.failure_domain},
+                       {"usable", worker.usable},
+                       {"slots", worker.slots},
+                       {"running", worker.running},
+                       {"batch_capacity", worker.batch_capacity},
+                       {"adapters", std::move(slots)}});
+  }
+  return workers;
+}
+
+Json EncodeStatus(const CellStatus& status) {
+  return Json{{"cell", status.cell},
+              {"leading", status.leading},
+              {"may_order", status.may_order},
+              {"epoch", status.epoch},
+              {"leader", status.leader_address},
+              {"waiting_adapters", status.state.waiting.size()},
+              {"loads_in_flight", status.state.store.in_flight}};
+}
+
+}  // namespace
+
+Result<std::unique_ptr<Scheduler>> Scheduler::Create(
+    SchedulerSettings settings) {
+  auto daemon = Daemon::Create(settings.daemon, MemberRole::kScheduler);
+  if (!daemon) return daemon.error();
+  std::unique_ptr<Scheduler> scheduler(
+      new Scheduler(std::move(settings), std::move(daemon).value()));
+  scheduler->AddPeerMethods();
+  scheduler->AddOperatorPaths();
+  return scheduler;
+}
+
+Scheduler::Scheduler(SchedulerSettings settings, std::unique_ptr<Daemon> daemon)
+    : m_settings(std::move(settings)),
+      m_daemon(std::move(daemon)),
+      m_engines(HttpEngineClient::Create(m_daemon->pool(), m_daemon->client(),
+                                         m_daemon->clock())) {}
+
+Scheduler::~Scheduler() { m_daemon->pool().Stop(); }
+
+void Scheduler::AddPeerMethods() {
+  m_daemon->AddPeerMethod("residency.sync",
+                          [this](const std::string& parameters) {
+                            const auto sync = DecodeResidencySync(parameters);
+                            if (!sync)
+                              throw JsonRpcError(sync.error().ToString());
+                            const auto host = Host(sync.value().cell);
+                            if (!host) return EncodeNotLeader(NotLeader{});
+                            return host->HandleSync(sync.value());
+                          });
+  m_daemon->AddPeerMethod(
+      "leadership.hold", [this](const std::string& parameters) {
+        const auto request = DecodeHoldRequest(parameters);
+        if (!request) throw JsonRpcError(request.error().ToString());
+        const auto host = Host(request.value().cell);
+        if (!host) throw JsonRpcError("no candidate for this cell");
+        return EncodeHoldReply(host->HandleHold(request.value()));
+      });
+}
+
+void Scheduler::AddOperatorPaths() {
+  m_daemon->AddOperatorPath("/admin/status", [this](const HttpRequest&) {
+    Json cells = Json::array();
+    for (const auto& host : Hosts()) {
+      cells.push_back(EncodeStatus(host->Status()));
+    }
+    const auto config = m_daemon->config().Current();
+    return JsonResponse(
+        200, Json{{"node", m_settings.daemon.node},
+                  {"role", "scheduler"},
+                  {"ready", m_daemon->Ready()},
+                  {"draining", m_daemon->draining()},
+                  {"revision", config ? config->revision.value() : 0},
+                  {"cells", std::move(cells)}}
+                 .dump());
+  });
+  m_daemon->AddOperatorPath("/admin/workers", [this](const HttpRequest&) {
+    Json cells = Json::object();
+    for (const auto& host : Hosts()) {
+      const CellStatus status = host->Status();
+      if (!status.leading) continue;
+      cells[status.cell.str()] = EncodeWorkers(status.state);
+    }
+    return JsonResponse(200, cells.dump());
+  });
+}
+
+void Scheduler::Start() {
+  m_daemon->Start();
+  m_daemon->pool().Every(kCellTickInterval, [this] { Tick(); });
+  m_daemon->pool().Every(kMemberTickInterval, [this] { RefreshMembers(); });
+}
+
+void Scheduler::Tick() {
+  OpenHosts();
+  for (const auto& host : Hosts()) host->Tick();
+}
+
+bool Scheduler::Wants(const CellConfig& cell) const {
+  const auto& cells = m_settings.cells;
+  if (!cells.empty()) {
+    return std::find(cells.begin(), cells.end(), cell.id) != cells.end();
+  }
+  return m_settings.daemon.region.empty() ||
+         cell.region == m_settings.daemon.region;
+}
+
+void Scheduler::OpenHosts() {
+  const auto config = m_daemon->config().Current();
+  // An incarnation is final only once the registration has been seen.
+  if (!config || !m_daemon->members().Known() || m_daemon->draining()) return;
+  for (const auto& [id, cell] : config->cells) {
+    if (const auto host = Host(id)) {
+      host->OnConfig(cell);
+      continue;
+    }
+    if (!Wants(*cell)) continue;
+    ElectionOptions options;
+    options.cell = id;
+    options.self = Candidate{m_settings.daemon.node, m_daemon->peer_address(),
+                             m_settings.daemon.failure_domain};
+    options.incarnation = m_daemon->members().incarnation();
+    const bool naive = m_settings.policy == "naive";
+    auto host = CellHost::Create(
+        CellHostServices{m_daemon->peers(), m_daemon->key_value(), *m_engines,
+                         m_daemon->clock()},
+        std::move(options), CellLeaderOptions(),
+        [naive](const CellConfig&) -> std::unique_ptr<PlacementPolicy> {
+          if (naive) return NaivePolicy::Create();
+          return WeightedPolicy::Create(WeightedPolicyOptions()).value();
+        });
+    if (!host) {
+      LOG(ERROR) << "event=cell_failed cell=" << id << " findings=\""
+                 << host.error().ToString() << '"';
+      continue;
+    }
+    host.value()->OnConfig(cell);
+    const std::unique_lock lock(m_hosts_mutex);
+    m_hosts.emplace(id, std::move(host).value());
+  }
+}
+
+void Scheduler::RefreshMembers() {
+  if (!m_daemon->members().Known()) return;
+  std::vector<Candidate> candidates;
+  for (const Member& member :
+       m_daemon->members().Live(MemberRole::kScheduler)) {
+    candidates.push_back(ToCandidate(member));
+  }
+  std::vector<NodeId> gateways;
+  for (const Member& member : m_daemon->members().Live(MemberRole::kGateway)) {
+    gateways.push_back(member.id);
+  }
+  for (const auto& host : Hosts()) {
+    host->OnCandidates(candidates);
+    host->OnGateways(gateways);
+  }
+}
+
+std::shared_ptr<CellHost> Scheduler::Host(const CellId& cell) const {
+  const std::shared_lock lock(m_hosts_mutex);
+  const auto it = m_hosts.find(cell);
+  return it == m_hosts.end() ? nullptr : it->second;
+}
+
+std::vector<std::shared_ptr<CellHost>> Scheduler::Hosts() const {
+  const std::shared_lock lock(m_hosts_mutex);
+  std::vector<std::shared_ptr<CellHost>> hosts;
+  for (const auto& [id, host] : m_hosts) hosts.push_back(host);
+  return hosts;
+}
+
+bool Scheduler::Shutdown() {
+  constexpr auto kPollInterval = std::chrono::milliseconds(20);
+  m_daemon->SetDraining();
+  const auto hosts = Hosts();
+  for (const auto& host : hosts) host->Resign();
+  const auto resigned = [](const auto& host) { return host->Resigned(); };
+  const TimeMs deadline =
+      m_daemon->clock().Now() + m_settings.daemon.shutdown_grace;
+  while (!std::all_of(hosts.begin(), hosts.end(), resigned) &&
+         m_daemon->clock().Now() < deadline) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  const bool whole = std::all_of(hosts.begin(), hosts.end(), resigned);
+  m_daemon->Stop();
+  return whole;
+}
+
+}  // namespace yuccamoor
