--- a/include/yuccamoor/state/config_snapshot.h
+++ b/include/yuccamoor/state/config_snapshot.h
@@ -21,12 +21,24 @@
 
 namespace yuccamoor {
 
+/// Who owns a part of the configuration: the service beside whose code the
+/// part's file is kept.
+using OwnerId = StringId<struct OwnerIdTag>;
+
 /// One adapter with the versions that may be served.
 struct AdapterConfig {
   AdapterId id;
   CellId cell;
   std::vector<VersionId> versions;
   Priority priority = Priority::kNormal;
+  OwnerId owner;
+};
+
+/// The adapters whose StableBucketHash is at least `first_hash` and below the
+/// next bucket's, sorted by id.
+struct AdapterBucket {
+  std::uint64_t first_hash = 0;
+  std::shared_ptr<const std::vector<AdapterConfig>> adapters;
 };
 
 /// One target of an alias with its share of callers.
@@ -101,7 +113,12 @@
   std::map<ServiceId, std::shared_ptr<const ServiceConfig>> services;
   std::map<std::string, std::shared_ptr<const AliasConfig>, std::less<>>
       aliases;
+  /// The adapters of a snapshot that was made by hand; unused if there are
+  /// buckets.
   std::shared_ptr<const AdapterMap> adapters;
+  /// The adapters of a published revision, by rising first hash; the first
+  /// bucket's is zero.
+  std::vector<AdapterBucket> adapter_buckets;
 
   /// Returns the adapter, or null.
   const AdapterConfig* FindAdapter(const AdapterId& id) const;
--- a/lib/state/config_snapshot.cc
+++ b/lib/state/config_snapshot.cc
@@ -5,23 +5,13 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
+
+#include "yuccamoor/state/stable_hash.h"
 
 namespace yuccamoor {
 namespace {
 
-/// FNV-1a, 64 bits. Chosen as it must give the same value in every process
-/// and release: a caller's share of a canary must not move.
-std::uint64_t StableHash(std::string_view text) {
-  constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
-  constexpr std::uint64_t kPrime = 1099511628211ULL;
-  std::uint64_t hash = kOffsetBasis;
-  for (const char c : text) {
-    hash ^= static_cast<unsigned char>(c);
-    hash *= kPrime;
-  }
-  return hash;
-}
-
 const AdapterVersion& PickTarget(const AliasConfig& alias,
                                  std::string_view caller_key) {
   std::uint64_t total = 0;
@@ -35,9 +25,26 @@
   return alias.targets.back().target;
 }
 
+const AdapterConfig* FindInBuckets(const std::vector<AdapterBucket>& buckets,
+                                   const AdapterId& id) {
+  const std::uint64_t hash = StableBucketHash(id.str());
+  const auto next =
+      std::upper_bound(buckets.begin(), buckets.end(), hash,
+                       [](std::uint64_t h, const AdapterBucket& bucket) {
+                         return h < bucket.first_hash;
+                       });
+  if (next == buckets.begin()) return nullptr;
+  const auto& sorted = *std::prev(next)->adapters;
+  const auto it = std::lower_bound(
+      sorted.begin(), sorted.end(), id,
+      [](const AdapterConfig& a, const AdapterId& b) { return a.id < b; });
+  return it != sorted.end() && it->id == id ? &*it : nullptr;
+}
+
 }  // namespace
 
 const AdapterConfig* ConfigSnapshot::FindAdapter(const AdapterId& id) const {
+  if (!adapter_buckets.empty()) return FindInBuckets(adapter_buckets, id);
   if (!adapters) return nullptr;
   const auto it = adapters->find(id);
   return it == adapters->end() ? nullptr : it->second.get();
