--- a/include/yuccamoor/state/cell_state.h
+++ b/include/yuccamoor/state/cell_state.h
@@ -6,6 +6,7 @@
 #define YUCCAMOOR_STATE_CELL_STATE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,7 @@
 struct SlotState {
   AdapterVersion target;
   SlotPhase phase = SlotPhase::kLoading;
+  /// When the phase began.
   TimeMs since;
   /// The last time at which a request was known to run or to wait for it.
   TimeMs last_used;
@@ -36,6 +38,9 @@
   std::uint32_t running = 0;
   /// Gateways that hold a grant.
   std::uint32_t grants = 0;
+  /// What is to be loaded once the slot is free; set from kDraining on, so that
+  /// policies see a proposal that is under way.
+  std::optional<AdapterVersion> successor;
 };
 
 /// One worker as the leader sees it.
