--- a/include/yuccamoor/transport/daemon/daemon.h
+++ b/include/yuccamoor/transport/daemon/daemon.h
@@ -64,7 +64,8 @@
   const DaemonSettings& settings() const { return m_settings; }
   /// Where peers reach this daemon, as "ip:port".
   std::string peer_address() const;
-  std::uint16_t operator_port() const;
+  /// The ports of the common listeners, by name.
+  std::map<std::string, std::uint16_t> Ports() const;
 
  private:
   explicit Daemon(DaemonSettings settings);
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -139,8 +139,9 @@
          std::to_string(m_peer_server->port());
 }
 
-std::uint16_t Daemon::operator_port() const {
-  return m_operator_server->port();
+std::map<std::string, std::uint16_t> Daemon::Ports() const {
+  return {{"peer", m_peer_server->port()},
+          {"operator", m_operator_server->port()}};
 }
 
 Awaitable<void> Daemon::HandlePeer(HttpExchange& exchange) {
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -21,6 +21,7 @@
 constexpr DurationMs kHeaderTimeout(5'000);
 constexpr DurationMs kCancelTimeout(1'000);
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kServiceUnavailable = 503;
 
@@ -75,10 +76,14 @@
 bool ChatRun::PrepareAssembler(const InstanceId& instance) {
   if (m_assembler.CanAttempt(instance)) return true;
   if (m_sink.Committed()) return false;
-  // Another engine may word the answer differently: begin anew.
+  // Another engine may word the answer differently.
+  BeginAnew();
+  return true;
+}
+
+void ChatRun::BeginAnew() {
   m_sink.Reset();
   m_assembler = StreamAssembler(m_job.id, m_job.target, kMaxHeldFrames);
-  return true;
 }
 
 Awaitable<ChatRun::AttemptEnd> ChatRun::TryOn(const Placement& placement) {
@@ -117,6 +122,11 @@
   if (status == kServiceUnavailable) {
     m_job.session->OnWorkerLost(placement.worker);
   }
+  if (status == kNotFound && generate.resume_from.value() > 0) {
+    // The engine no longer has the stream that was to be resumed.
+    if (m_sink.Committed()) co_return AttemptEnd::kVoid;
+    BeginAnew();
+  }
   if (status != kOk) co_return AttemptEnd::kRetry;
   m_dispatched = true;
   if (!m_job.session->ConfirmAccepted(placement.dispatch)) {
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -56,6 +56,7 @@
                                    HttpResponseStream& stream);
   Awaitable<bool> TakeFrames(std::string piece, class SseParser& parser);
   bool PrepareAssembler(const InstanceId& instance);
+  void BeginAnew();
   void CancelAt(const std::string& address);
   ApiError FailureOf(const AcquireResult& result) const;
   ApiError Cut() const;
--- /dev/null
+++ b/unittests/process/whole_path_test.cc
@@ -0,0 +1,116 @@
+/// \file
+/// \brief Tests of the whole path through separate processes, with real kills
+/// and pauses.
+
+#include <catch2/catch.hpp>
+#include <csignal>
+
+#include "process/cluster.h"
+
+namespace yuccamoor {
+namespace {
+
+/// Checks that the reply is the whole answer of the model to the text. The
+/// engine stand-in's tokens name the target and the prompt.
+void CheckAnswer(const HttpReply& reply, const std::string& model) {
+  INFO(reply.error << reply.response.body);
+  REQUIRE(reply.progress == HttpProgress::kAnswered);
+  REQUIRE(reply.response.status == 200);
+  const Json json = Json::parse(reply.response.body);
+  CHECK(json.at("model") == model);
+  CHECK(json.at("usage").at("completion_tokens") == 8);
+}
+
+}  // namespace
+
+TEST_CASE("A request is served through each gateway", "[process]") {
+  Cluster cluster(ClusterShape{});
+  for (int gateway = 0; gateway < 2; ++gateway) {
+    CheckAnswer(cluster.Chat(gateway, "a0@v1", "hello"), "a0@v1");
+    CheckAnswer(cluster.Chat(gateway, "first", "hello"), "a0@v1");
+  }
+  const HttpReply unknown = cluster.Chat(0, "a0@v9", "hello");
+  CHECK(unknown.response.status == 404);
+  CHECK(unknown.response.headers.Find("Yuccamoor-Outcome") == "not_run");
+}
+
+TEST_CASE("A charge that is sent twice runs once", "[process]") {
+  Cluster cluster(ClusterShape{});
+  const HttpReply first = cluster.Charge(0, "renewal-1", "{\"amount\":5}");
+  const HttpReply second = cluster.Charge(1, "renewal-1", "{\"amount\":5}");
+  REQUIRE(first.response.status == 200);
+  CHECK(second.response.status == 200);
+  CHECK(second.response.body == first.response.body);
+  CHECK(cluster.RunsOf("renewal-1") == 1);
+  const HttpReply other = cluster.Charge(1, "renewal-1", "{\"amount\":6}");
+  CHECK(other.response.status == 422);
+  CHECK(cluster.RunsOf("renewal-1") == 1);
+}
+
+TEST_CASE("Service goes on after each process was killed in turn",
+          "[process]") {
+  Cluster cluster(ClusterShape{});
+  CheckAnswer(cluster.Chat(0, "a0@v1", "hello"), "a0@v1");
+
+  SECTION("the leading scheduler") {
+    std::string leader;
+    cluster.Await("a leader", [&] {
+      leader = cluster.LeaderName();
+      return !leader.empty();
+    });
+    cluster.Process(leader).Kill();
+    CheckAnswer(cluster.Chat(0, "a0@v1", "warm"), "a0@v1");
+    CheckAnswer(cluster.Chat(1, "a1@v1", "cold"), "a1@v1");
+    CHECK(cluster.LeaderName() != leader);
+  }
+  SECTION("a gateway") {
+    cluster.Process("gateway0").Kill();
+    CheckAnswer(cluster.Chat(1, "a1@v1", "cold"), "a1@v1");
+    cluster.Start("gateway0");
+    cluster.Await("the gateway is back", [&] {
+      return cluster.Chat(0, "a0@v1", "back").response.status == 200;
+    });
+  }
+  SECTION("an engine") {
+    cluster.Restart("engine0");
+    cluster.Restart("engine1");
+    CheckAnswer(cluster.Chat(0, "a0@v1", "again"), "a0@v1");
+  }
+  SECTION("everything at once") {
+    for (const char* name : {"scheduler0", "scheduler1", "gateway0", "gateway1",
+                             "engine0", "engine1"}) {
+      cluster.Restart(name);
+    }
+    cluster.Await("the gateway is back", [&] {
+      return cluster.Chat(0, "a0@v1", "back").response.status == 200;
+    });
+    CheckAnswer(cluster.Chat(1, "a2@v1", "cold"), "a2@v1");
+  }
+  CHECK(cluster.EngineCounter("violations") == 0);
+}
+
+TEST_CASE("A graceful shutdown cuts no request in flight", "[process]") {
+  ClusterShape shape;
+  shape.token_ms = 50;
+  Cluster cluster(shape);
+  CheckAnswer(cluster.Chat(0, "a0@v1", "warm"), "a0@v1");
+  const Json body{
+      {"model", "a0@v1"},
+      {"max_tokens", 8},
+      {"messages", Json::array({{{"role", "user"}, {"content", "long"}}})}};
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/chat/completions";
+  request.body = body.dump();
+  auto running = cluster.http().Start(cluster.Address("gateway0"), request);
+  cluster.Await("the request runs", [&] {
+    return cluster.http()
+               .Get(cluster.Address("gateway0/operator"), "/admin/status")
+               .find("\"active_requests\":1") != std::string::npos;
+  });
+  cluster.Process("gateway0").Signal(SIGTERM);
+  CheckAnswer(running.get(), "a0@v1");
+  CHECK(cluster.Process("gateway0").Wait() == 0);
+}
+
+}  // namespace yuccamoor
