--- /dev/null
+++ b/lib/coordination/cell/cell_orders.cc
@@ -0,0 +1,202 @@
+/// \file
+/// \brief A cell leader's orders: budget, fencing, evictions and loads.
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "yuccamoor/coordination/cell/cell_leader.h"
+
+namespace yuccamoor {
+namespace {
+
+constexpr double kMsPerSecond = 1'000;
+
+/// A target that is never resident: an order to evict it changes nothing but
+/// the fencing number that the engine has seen.
+const AdapterVersion& FenceTarget() {
+  static const AdapterVersion target{AdapterId("yuccamoor-fence"),
+                                     VersionId("none")};
+  return target;
+}
+
+}  // namespace
+
+void CellLeader::UpdateWorkers(TimeMs now) {
+  for (auto& [id, guard] : m_workers) {
+    WorkerState& worker = m_state.workers[guard.index];
+    const bool heard = !worker.instance.empty() &&
+                       now - guard.last_heard < m_options.worker_silence;
+    const bool usable = heard && !guard.leaving;
+    if (usable && !worker.usable) m_grants_changed = true;
+    worker.usable = usable;
+  }
+}
+
+bool CellLeader::InheritedLoadsKnown(TimeMs now) const {
+  if (now >= m_may_order_from + m_options.load_timeout) return true;
+  return std::all_of(m_workers.begin(), m_workers.end(), [](const auto& entry) {
+    return entry.second.truth > entry.second.trusted_from;
+  });
+}
+
+void CellLeader::UpdateBudget(TimeMs now) {
+  StoreBudget& store = m_state.store;
+  if (m_tokens_at) {
+    const double seconds =
+        static_cast<double>((now - *m_tokens_at).ms()) / kMsPerSecond;
+    m_tokens =
+        std::min(store.burst, m_tokens + seconds * store.loads_per_second);
+    m_tokens_at = now;
+  } else if (InheritedLoadsKnown(now)) {
+    // The bucket starts empty: an earlier leader may just have emptied it.
+    m_tokens_at = now;
+  }
+  const DurationMs longest = m_options.order_timeout + m_options.load_timeout;
+  store.in_flight = 0;
+  double planned = 0;
+  for (const WorkerState& worker : m_state.workers) {
+    for (const SlotState& slot : worker.occupied) {
+      if (slot.phase != SlotPhase::kLoading) continue;
+      const bool is_planned =
+          m_slots.at(SlotKey{worker.id, slot.target}).planned;
+      if (is_planned) planned += 1;
+      if (is_planned || now < slot.since + longest) ++store.in_flight;
+    }
+  }
+  store.tokens = m_tokens_at ? std::max(0.0, m_tokens - planned) : 0;
+}
+
+void CellLeader::LiftEvictionFence(TimeMs now) {
+  if (!m_evictions_fenced) return;
+  const bool all_synced =
+      m_gateways && std::includes(m_synced.begin(), m_synced.end(),
+                                  m_gateways->begin(), m_gateways->end());
+  if (all_synced) {
+    m_evictions_fenced = false;
+    return;
+  }
+  if (now <= m_started + m_options.session_ttl + m_options.margin +
+                 m_options.renew_grace) {
+    return;
+  }
+  m_evictions_fenced = false;
+  // What silent gateways began still may run.
+  for (auto& [key, guard] : m_slots) {
+    guard.idle_from = now;
+    guard.needs_report = true;
+  }
+}
+
+bool CellLeader::MayOrderTo(const WorkerId& worker, TimeMs now) const {
+  if (m_superseded || now >= m_order_deadline) return false;
+  return m_fencing ? m_workers.at(worker).fenced : now >= m_may_order_from;
+}
+
+bool CellLeader::IsIdle(const SlotKey& key) const {
+  if (m_sessions.Outstanding(key) > 0) return false;
+  const SlotGuard& guard = m_slots.at(key);
+  if (guard.reported_at > guard.idle_from) return guard.reported_running == 0;
+  return !guard.needs_report;
+}
+
+void CellLeader::Decide(TimeMs now) {
+  const PlacementDecision decision = m_policy->Decide(m_state, now);
+  for (const LoadDecision& load : decision.loads) Propose(load, now);
+  for (const RefuseDecision& refusal : decision.refusals) Refuse(refusal);
+}
+
+void CellLeader::Propose(const LoadDecision& decision, TimeMs now) {
+  const WorkerState* const worker = FindWorker(decision.worker);
+  const SlotKey key{decision.worker, decision.target};
+  if (!worker || !worker->usable || FindSlot(key)) return;
+  if (!MayOrderTo(decision.worker, now)) return;
+  const auto waiting = m_state.waiting.find(decision.target);
+  if (waiting != m_state.waiting.end() && now < waiting->second.retry_at) {
+    return;
+  }
+  if (decision.victim) {
+    const SlotKey victim{decision.worker, *decision.victim};
+    const SlotState* const slot = FindSlot(victim);
+    if (!slot || slot->phase != SlotPhase::kReady || m_evictions_fenced) return;
+    SetPhase(victim, SlotPhase::kDraining, now);
+    m_sessions.Recall(victim);
+  } else if (worker->FreeSlots() == 0) {
+    return;
+  }
+  AddSlot(key, SlotPhase::kLoading, now).planned = true;
+}
+
+void CellLeader::EvictDrained(TimeMs now, CellActions& actions) {
+  if (m_evictions_fenced) return;
+  for (auto& [key, guard] : m_slots) {
+    SlotState& slot = *FindSlot(key);
+    if (slot.phase != SlotPhase::kDraining || guard.order) continue;
+    if (!MayOrderTo(key.worker, now) || !IsIdle(key)) continue;
+    slot.phase = SlotPhase::kEvicting;
+    slot.since = now;
+    actions.emplace_back(MakeOrder(OrderKind::kEvict, key, now, guard.order));
+  }
+}
+
+void CellLeader::StartPlannedLoads(TimeMs now, CellActions& actions) {
+  if (!m_tokens_at) return;
+  std::vector<std::pair<TimeMs, SlotKey>> plans;
+  for (const auto& [key, guard] : m_slots) {
+    if (guard.planned) plans.emplace_back(FindSlot(key)->since, key);
+  }
+  std::sort(plans.begin(), plans.end());
+  UpdateBudget(now);
+  std::uint32_t in_flight =
+      m_state.store.in_flight - static_cast<std::uint32_t>(plans.size());
+  for (const auto& [since, key] : plans) {
+    const WorkerState& worker = *FindWorker(key.worker);
+    if (!worker.usable) {
+      RemoveSlot(key);
+      continue;
+    }
+    const auto planned_here = static_cast<std::uint32_t>(std::count_if(
+        worker.occupied.begin(), worker.occupied.end(), [&](const auto& slot) {
+          return m_slots.at(SlotKey{worker.id, slot.target}).planned;
+        }));
+    const std::size_t taken = worker.occupied.size() - planned_here;
+    if (taken >= worker.slots || !MayOrderTo(key.worker, now)) continue;
+    if (m_tokens < 1 || in_flight >= m_state.store.max_in_flight) break;
+    m_tokens -= 1;
+    ++in_flight;
+    SlotGuard& guard = m_slots.at(key);
+    guard.planned = false;
+    FindSlot(key)->since = now;
+    actions.emplace_back(MakeOrder(OrderKind::kLoad, key, now, guard.order));
+  }
+  UpdateBudget(now);
+}
+
+void CellLeader::FenceWorkers(TimeMs now, CellActions& actions) {
+  for (auto& [id, guard] : m_workers) {
+    const bool asked =
+        guard.fence && now < guard.fence->latest_end && !guard.fence->unknown;
+    const bool unheard = m_state.workers[guard.index].instance.empty();
+    if (guard.fenced || asked || unheard) continue;
+    actions.emplace_back(MakeOrder(
+        OrderKind::kEvict, SlotKey{id, FenceTarget()}, now, guard.fence));
+  }
+}
+
+SendOrder CellLeader::MakeOrder(OrderKind kind, const SlotKey& key, TimeMs now,
+                                std::optional<OpenOrder>& open) {
+  m_last_order = m_last_order.Next();
+  open = OpenOrder{m_last_order, now, false,
+                   now + m_options.order_timeout + m_options.margin};
+  const bool is_load = kind == OrderKind::kLoad;
+  SendOrder send;
+  send.address = FindWorker(key.worker)->address;
+  send.order = EngineOrder{m_state.cell, m_epoch,    m_last_order,
+                           kind,         key.worker, key.target};
+  send.send_before = std::min(m_order_deadline, now + m_options.order_timeout);
+  send.timeout = is_load ? m_options.order_timeout + m_options.load_timeout
+                         : m_options.order_timeout;
+  return send;
+}
+
+}  // namespace yuccamoor
