Drop all pending work before the first context goes

Cause: a coroutine that is dropped when its context is destroyed may own a socket of a context that was destroyed before. Seen as heap-use-after-free in three HTTP tests under AddressSanitizer. Ruled out: another order of destruction, as contexts refer to each other both ways. All contexts now drop their work first.

--- a/include/yuccamoor/transport/worker_pool.h
+++ b/include/yuccamoor/transport/worker_pool.h
@@ -36,7 +36,7 @@
 
   std::size_t size() const { return m_contexts.size(); }
   /// Returns the context of the given index.
-  asio::io_context& Context(std::size_t index) { return *m_contexts[index]; }
+  asio::io_context& Context(std::size_t index);
   /// Returns the contexts in turn.
   asio::io_context& NextContext();
 
@@ -48,7 +48,9 @@
   void Every(DurationMs interval, std::function<void()> task);
 
  private:
-  std::vector<std::unique_ptr<asio::io_context>> m_contexts;
+  class ClosableContext;
+
+  std::vector<std::unique_ptr<ClosableContext>> m_contexts;
   std::vector<std::thread> m_threads;
   std::atomic<std::size_t> m_next{0};
 };
--- a/lib/transport/worker_pool.cc
+++ b/lib/transport/worker_pool.cc
@@ -35,16 +35,32 @@
 
 }  // namespace
 
+/// A context whose pending work can be dropped apart from its destruction.
+class WorkerPool::ClosableContext : public asio::io_context {
+ public:
+  using asio::io_context::io_context;
+
+  void Close() { shutdown(); }
+};
+
 WorkerPool::WorkerPool(std::size_t threads) {
   assert(threads > 0 && "a pool needs a thread");
   constexpr int kThreadsPerContext = 1;
   for (std::size_t i = 0; i < threads; ++i) {
-    m_contexts.push_back(
-        std::make_unique<asio::io_context>(kThreadsPerContext));
+    m_contexts.push_back(std::make_unique<ClosableContext>(kThreadsPerContext));
   }
 }
 
-WorkerPool::~WorkerPool() { Stop(); }
+WorkerPool::~WorkerPool() {
+  Stop();
+  // Coroutines that are dropped may own sockets of other contexts: all of them
+  // go before the first context does.
+  for (const auto& context : m_contexts) context->Close();
+}
+
+asio::io_context& WorkerPool::Context(std::size_t index) {
+  return *m_contexts[index];
+}
 
 void WorkerPool::Start() {
   for (const auto& context : m_contexts) {
