--- a/include/yuccamoor/protocol/api_error.h
+++ b/include/yuccamoor/protocol/api_error.h
@@ -13,9 +13,6 @@
 
 namespace yuccamoor {
 
-/// The header that tells the outcome of every request.
-constexpr const char* kOutcomeHeader = "Yuccamoor-Outcome";
-
 /// A failed request.
 struct ApiError {
   /// The HTTP status.
--- a/include/yuccamoor/transport/gateway/service_proxy.h
+++ b/include/yuccamoor/transport/gateway/service_proxy.h
@@ -33,8 +33,6 @@
 
 /// Callers' requests to services begin with this.
 constexpr std::string_view kServicesPrefix = "/services/";
-/// The caller's key for a non-idempotent request.
-constexpr const char* kIdempotencyKeyHeader = "Idempotency-Key";
 /// Set between gateways on requests that must not be forwarded once more.
 constexpr const char* kForwardedHeader = "Yuccamoor-Forwarded";
 
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <random>
 
 #include "yuccamoor/transport/daemon/config_host.h"
 #include "yuccamoor/transport/daemon/member_registry.h"
@@ -21,7 +22,7 @@
 namespace {
 
 constexpr DurationMs kMemberInterval(1'000);
-constexpr DurationMs kConfigInterval(50);
+constexpr DurationMs kConfigInterval(100);
 
 HttpServerOptions ToOptions(const ListenAddress& listen) {
   HttpServerOptions options;
@@ -94,8 +95,9 @@
   self.address = peer_address();
   m_members = MemberRegistry::Create(std::move(self), *m_key_value,
                                      m_vm_list.get(), m_clock);
-  m_config = ConfigHost::Create(*m_key_value, *m_peers, *m_members, m_clock,
-                                m_settings);
+  m_config = ConfigHost::Create(
+      ConfigHostServices{*m_key_value, *m_peers, *m_members, m_clock},
+      m_settings, std::random_device()());
   m_config->AddPeerMethods(m_dispatcher);
   AddOperatorPath("/healthz", [](const HttpRequest&) {
     return JsonResponse(200, R"({"alive":true})");
--- a/lib/transport/gateway/api_response.cc
+++ b/lib/transport/gateway/api_response.cc
@@ -5,6 +5,7 @@
 
 #include <charconv>
 
+#include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/transport/http_server.h"
 
 namespace yuccamoor {
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -5,7 +5,8 @@
 
 #include <glog/logging.h>
 
-#include "yuccamoor/protocol/engine_stream_codec.h"
+#include "yuccamoor/protocol/json.h"
+#include "yuccamoor/protocol/platform/generation.h"
 #include "yuccamoor/protocol/sse.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/http_client.h"
@@ -47,6 +48,18 @@
       std::string_view(prompt).substr(0, kPrefixBytes));
 }
 
+TokenFrame ToFrame(const TokenEvent& event) {
+  TokenFrame frame;
+  frame.request = event.request_id;
+  frame.attempt = AttemptNumber(event.attempt);
+  frame.target = event.target;
+  frame.instance = event.instance;
+  frame.index = TokenIndex(event.index);
+  frame.text = event.token;
+  frame.done = event.done;
+  return frame;
+}
+
 }  // namespace
 
 ChatRun::ChatRun(const ChatServices& services, const ChatJob& job,
@@ -91,14 +104,14 @@
   if (!PrepareAssembler(placement.instance)) co_return AttemptEnd::kVoid;
   m_attempt = m_attempt.Next();
   GenerateRequest generate;
-  generate.request = m_job.id;
-  generate.attempt = m_attempt;
+  generate.request_id = m_job.id;
+  generate.attempt = static_cast<std::uint32_t>(m_attempt.value());
   generate.target = m_job.target;
   generate.prompt = BuildPrompt(m_job.request);
   generate.max_tokens = m_job.request.max_tokens;
   generate.priority = m_job.priority;
-  generate.resume_from =
-      m_assembler.StartAttempt(m_attempt, placement.instance);
+  generate.resume_from = static_cast<std::uint32_t>(
+      m_assembler.StartAttempt(m_attempt, placement.instance).value());
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/generate";
@@ -122,7 +135,7 @@
   if (status == kServiceUnavailable) {
     m_job.session->OnWorkerLost(placement.worker);
   }
-  if (status == kNotFound && generate.resume_from.value() > 0) {
+  if (status == kNotFound && generate.resume_from > 0) {
     // The engine no longer has the stream that was to be resumed.
     if (m_sink.Committed()) co_return AttemptEnd::kVoid;
     BeginAnew();
@@ -159,18 +172,18 @@
 
 Awaitable<bool> ChatRun::TakeFrames(std::string piece, SseParser& parser) {
   for (const SseEvent& event : parser.Feed(piece)) {
-    const auto frame = DecodeTokenFrame(event.data);
-    if (!frame) continue;
-    const FrameVerdict verdict = m_assembler.OnFrame(*frame);
+    const auto token = DecodeTokenEvent(event.data);
+    if (!token) continue;
+    const FrameVerdict verdict = m_assembler.OnFrame(ToFrame(*token));
     if (verdict == FrameVerdict::kMismatch || verdict == FrameVerdict::kVoid) {
       LOG(ERROR) << "event=answer_mismatch request=" << m_job.id
-                 << " wanted=" << m_job.target << " got=" << frame->target;
+                 << " wanted=" << m_job.target << " got=" << token->target;
       co_return false;
     }
     std::uint64_t index = m_assembler.next().value();
     const std::vector<std::string> tokens = m_assembler.Take();
-    for (const std::string& token : tokens) {
-      co_await m_sink.OnToken(token, TokenIndex(index));
+    for (const std::string& text : tokens) {
+      co_await m_sink.OnToken(text, TokenIndex(index));
       ++index;
     }
   }
@@ -181,7 +194,7 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/cancel";
-  request.body = EncodeCancelRequest(m_job.id);
+  request.body = Json{{"request_id", m_job.id}}.dump();
   HttpCallOptions options;
   options.timeout = kCancelTimeout;
   m_services.pool.Spawn([&client = m_services.client, address,
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -11,6 +11,7 @@
 #include "yuccamoor/coordination/request/stream_assembler.h"
 #include "yuccamoor/coordination/residency/residency_client.h"
 #include "yuccamoor/protocol/api_error.h"
+#include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/gateway/chat_service.h"
 
 namespace yuccamoor {
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "chat_run.h"
+#include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/protocol/sse.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
@@ -95,7 +96,7 @@
   answer.text = sink.TakeText();
   answer.tokens = run.tokens();
   HttpResponse response = JsonResponse(200, EncodeChatAnswer(answer));
-  response.headers.Add(kOutcomeHeader,
+  response.headers.Add(std::string(kOutcomeHeader),
                        std::string(OutcomeName(Outcome::kAnswered)));
   response.headers.Add(kRequestIdHeader, job.id.str());
   co_await exchange.Send(std::move(response));
--- a/lib/transport/gateway/service_proxy.cc
+++ b/lib/transport/gateway/service_proxy.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "yuccamoor/protocol/api_error.h"
+#include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/shard_host.h"
 #include "yuccamoor/transport/http_client.h"
@@ -36,10 +37,15 @@
   return ErrorResponse(error);
 }
 
-/// Whether an endpoint says that it is leaving and did not run the request.
-bool IsLeavingAnswer(const HttpResponse& response) {
-  return response.status == kServiceUnavailable &&
-         response.headers.Find("Connection") == "close";
+/// What an endpoint says of itself and of the request.
+bool SaysTrue(const HttpResponse& response, std::string_view header) {
+  return response.headers.Find(header) == "true";
+}
+
+bool IsLeaving(const HttpResponse& response) {
+  return SaysTrue(response, kLeavingHeader) ||
+         (response.status == kServiceUnavailable &&
+          response.headers.Find("Connection") == "close");
 }
 
 StoredAnswer ToStored(HttpResponse response) {
@@ -56,48 +62,23 @@
   return BodyHash(XXH3_64bits(text.data(), text.size()));
 }
 
-int StatusOf(const CallEnd& end) {
-  constexpr int kConflict = 409;
-  if (end.error == CallError::kMissingKey) return 400;
-  if (end.error == CallError::kDeadline) return 504;
-  if (end.error == CallError::kAnswerLost) return 502;
-  if (!end.shard) return kServiceUnavailable;
-  switch (*end.shard) {
-    case ShardRefusal::kRunning:
-    case ShardRefusal::kOutcomeUnknown:
-    case ShardRefusal::kPastRetention:
-      return kConflict;
-    case ShardRefusal::kBodyMismatch:
-      return 422;
-    case ShardRefusal::kInvalidKey:
-      return 400;
-    case ShardRefusal::kServiceDown:
-    case ShardRefusal::kShardFull:
-      return kServiceUnavailable;
-  }
-  return kInternalError;
-}
-
 HttpResponse ToResponse(const CallEnd& end, const RequestId& id) {
-  if (!end.answer) {
-    const std::string_view type =
-        end.shard ? ShardRefusalName(*end.shard) : CallErrorName(end.error);
-    return MakeError(StatusOf(end), std::string(type),
-                     "the request was not answered", end.outcome,
-                     end.retry_after);
-  }
+  CallResponse call = ResponseOf(end);
   HttpResponse response;
-  response.status = end.answer->status;
-  if (!end.answer->content_type.empty()) {
-    response.headers.Add("Content-Type", end.answer->content_type);
+  response.status = call.status;
+  if (!call.content_type.empty()) {
+    response.headers.Add("Content-Type", call.content_type);
   }
-  response.headers.Add(kOutcomeHeader, std::string(OutcomeName(end.outcome)));
+  response.headers.Add(std::string(kOutcomeHeader),
+                       std::string(OutcomeName(call.outcome)));
   response.headers.Add(kRequestIdHeader, id.str());
-  if (end.replayed) response.headers.Add("Yuccamoor-Replayed", "true");
-  if (!end.answer->body_kept) {
-    response.headers.Add("Yuccamoor-Body-Kept", "false");
+  if (call.replayed) {
+    response.headers.Add(std::string(kReplayedHeader), "true");
   }
-  response.body = end.answer->body;
+  if (call.retry_after > DurationMs(0)) {
+    response.headers.Add("Retry-After", RetryAfterSeconds(call.retry_after));
+  }
+  response.body = std::move(call.body);
   return response;
 }
 
@@ -274,6 +255,8 @@
   job.spec.key =
       IdempotencyKey(std::string(request.headers.Find(kIdempotencyKeyHeader)));
   job.spec.body_hash = HashRequest(request);
+  job.spec.first_sent_ago =
+      ParseFirstSentAgo(request.headers.Find(kFirstSentAgoHeader));
   if (job.spec.key.empty()) {
     return MakeError(
         400, "missing_idempotency_key",
@@ -397,8 +380,10 @@
     case HttpProgress::kAnswered:
       break;
   }
-  if (IsLeavingAnswer(reply.response)) {
+  if (IsLeaving(reply.response)) {
     m_tracker.OnLeavingAnswer(step.endpoint.vm, now);
+  }
+  if (SaysTrue(reply.response, kNotRunHeader)) {
     co_return call.OnRefused(step.attempt, Random(), now);
   }
   const bool healthy = reply.response.status < kInternalError;
