--- a/include/yuccamoor/transport/http.h
+++ b/include/yuccamoor/transport/http.h
@@ -39,7 +39,8 @@
   std::string body;
 };
 
-/// A response. Content-Length and Connection are set by the transport.
+/// A response. Content-Length and Connection are set by the transport, but for
+/// "Connection: close", which a handler may set to end the connection.
 struct HttpResponse {
   int status = 200;
   HttpHeaders headers;
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -66,6 +66,7 @@
     message.version(11);
     message.result(static_cast<unsigned>(response.status));
     CopyHeaders(response.headers, message);
+    if (response.headers.Find("Connection") == "close") m_keep_alive = false;
     message.keep_alive(m_keep_alive);
     message.body() = std::move(response.body);
     message.prepare_payload();
