Wire shards, proxy and gossip into the gateway

Keyed requests go to the home of their shard, and word of leaving VMs is passed on to the other gateways.

--- a/include/yuccamoor/transport/daemon/daemon.h
+++ b/include/yuccamoor/transport/daemon/daemon.h
@@ -41,6 +41,11 @@
 
   /// Adds a method that peers call. Before Start.
   void AddPeerMethod(const std::string& name, JsonRpcDispatcher::Method method);
+  /// Sets what answers the peers' requests other than calls of methods. Before
+  /// Start.
+  void SetPeerHandler(HttpHandler handler) {
+    m_peer_handler = std::move(handler);
+  }
   /// Adds what operators read under exactly this path. Before Start.
   void AddOperatorPath(const std::string& path, OperatorHandler handler);
 
@@ -85,6 +90,7 @@
   std::shared_ptr<MemberRegistry> m_members;
   std::shared_ptr<ConfigHost> m_config;
   JsonRpcDispatcher m_dispatcher;
+  HttpHandler m_peer_handler;
   std::map<std::string, OperatorHandler, std::less<>> m_operator_paths;
   std::unique_ptr<HttpServer> m_peer_server;
   std::unique_ptr<HttpServer> m_operator_server;
--- a/include/yuccamoor/transport/gateway/gateway.h
+++ b/include/yuccamoor/transport/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <shared_mutex>
+#include <vector>
 
 #include "yuccamoor/protocol/daemon_settings.h"
 #include "yuccamoor/state/result.h"
@@ -17,6 +18,9 @@
 
 namespace yuccamoor {
 
+class ServiceProxy;
+class ShardHost;
+
 /// One gateway process.
 class Gateway final : public ChatDirectory {
  public:
@@ -39,10 +43,15 @@
   Gateway(GatewaySettings settings, std::unique_ptr<Daemon> daemon);
 
   Findings Listen();
+  Findings OpenShards();
   void AddPeerMethods();
   void AddOperatorPaths();
   Awaitable<void> Handle(HttpExchange& exchange);
   void Tick();
+  /// Passes membership and the list of VMs on to the proxy and the shards.
+  void RefreshMembers();
+  void NoteEndedGateways(const std::vector<Member>& gateways);
+  void SpreadGossip();
   /// Opens a session for each cell of the configuration.
   void OpenSessions();
   RequestId NewRequestId(const HttpRequest& request);
@@ -50,13 +59,18 @@
   GatewaySettings m_settings;
   std::unique_ptr<Daemon> m_daemon;
   std::unique_ptr<ChatService> m_chat;
+  std::shared_ptr<ShardHost> m_shards;
+  std::unique_ptr<ServiceProxy> m_proxy;
   std::unique_ptr<HttpServer> m_server;
-  std::uint64_t m_request_salt;
+  std::uint64_t m_random_salt;
   std::atomic<std::uint64_t> m_request_counter{0};
 
   /// Guards the sessions; taken before a session's own mutex.
   mutable std::shared_mutex m_sessions_mutex;
   std::map<CellId, std::shared_ptr<CellSession>> m_sessions;
+
+  /// The gateways of the last refresh. Used by one periodic task only.
+  std::map<NodeId, Incarnation> m_known_gateways;
 };
 
 }  // namespace yuccamoor
--- a/include/yuccamoor/transport/scheduler/scheduler.h
+++ b/include/yuccamoor/transport/scheduler/scheduler.h
@@ -15,6 +15,8 @@
 
 namespace yuccamoor {
 
+class EngineClient;
+
 /// One scheduler process.
 class Scheduler {
  public:
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -6,6 +6,7 @@
 #include <glog/logging.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <cassert>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -151,6 +152,10 @@
     co_await ServePeerCall(m_dispatcher, exchange);
     co_return;
   }
+  if (m_peer_handler) {
+    co_await m_peer_handler(exchange);
+    co_return;
+  }
   co_await exchange.Send(JsonResponse(404, R"({"error":"not found"})"));
 }
 
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -11,17 +11,23 @@
 #include <thread>
 
 #include "yuccamoor/protocol/json.h"
+#include "yuccamoor/protocol/request/leaving_gossip_codec.h"
 #include "yuccamoor/protocol/residency_codec.h"
 #include "yuccamoor/transport/daemon/config_host.h"
 #include "yuccamoor/transport/daemon/member_registry.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
+#include "yuccamoor/transport/gateway/service_proxy.h"
+#include "yuccamoor/transport/gateway/shard_host.h"
 
 namespace yuccamoor {
 namespace {
 
 constexpr const char* kChatTarget = "/v1/chat/completions";
 constexpr DurationMs kSessionTickInterval(20);
+constexpr DurationMs kShardTickInterval(5);
+constexpr DurationMs kMemberTickInterval(500);
+constexpr DurationMs kGossipTimeout(500);
 constexpr std::size_t kMaxRequestIdBytes = 128;
 
 /// Request ids appear in logs, headers and records: visible ASCII only.
@@ -39,7 +45,8 @@
   if (!daemon) return daemon.error();
   std::unique_ptr<Gateway> gateway(
       new Gateway(std::move(settings), std::move(daemon).value()));
-  const Findings findings = gateway->Listen();
+  Findings findings = gateway->Listen();
+  findings.Append(gateway->OpenShards());
   if (!findings.empty()) return findings;
   gateway->AddPeerMethods();
   gateway->AddOperatorPaths();
@@ -49,7 +56,7 @@
 Gateway::Gateway(GatewaySettings settings, std::unique_ptr<Daemon> daemon)
     : m_settings(std::move(settings)),
       m_daemon(std::move(daemon)),
-      m_request_salt(std::random_device()()) {
+      m_random_salt(std::random_device()()) {
   ChatOptions options;
   options.default_deadline = m_settings.default_deadline;
   options.max_requests = m_settings.max_requests;
@@ -74,7 +81,31 @@
   return {};
 }
 
+Findings Gateway::OpenShards() {
+  ShardOwner owner;
+  owner.node = m_settings.daemon.node;
+  owner.incarnation = m_daemon->members().incarnation();
+  owner.salt = m_random_salt;
+  auto shards =
+      ShardHost::Create(m_daemon->key_value(), m_daemon->clock(), owner);
+  if (!shards) return shards.error();
+  m_shards = std::move(shards).value();
+  m_proxy = std::make_unique<ServiceProxy>(
+      ServiceProxyServices{m_daemon->client(), m_daemon->clock(), m_shards},
+      m_settings.daemon.node, m_random_salt);
+  return {};
+}
+
 void Gateway::AddPeerMethods() {
+  m_daemon->SetPeerHandler(
+      [this](HttpExchange& exchange) { return Handle(exchange); });
+  m_daemon->AddPeerMethod(
+      std::string(kLeavingGossipMethod), [this](const std::string& parameters) {
+        const auto gossip = DecodeMessage<LeavingGossip>(parameters, "gossip");
+        if (!gossip) throw JsonRpcError(gossip.error().ToString());
+        m_proxy->OnGossip(gossip.value());
+        return std::string("{}");
+      });
   m_daemon->AddPeerMethod(
       "residency.update", [this](const std::string& parameters) {
         const auto update = DecodeResidencyUpdate(parameters);
@@ -121,6 +152,8 @@
 void Gateway::Start() {
   m_daemon->Start();
   m_daemon->pool().Every(kSessionTickInterval, [this] { Tick(); });
+  m_daemon->pool().Every(kShardTickInterval, [this] { m_shards->Tick(); });
+  m_daemon->pool().Every(kMemberTickInterval, [this] { RefreshMembers(); });
 }
 
 void Gateway::Tick() {
@@ -129,6 +162,45 @@
   for (const auto& [cell, session] : m_sessions) session->Tick();
 }
 
+void Gateway::RefreshMembers() {
+  if (auto config = Config()) m_proxy->OnConfig(std::move(config));
+  m_proxy->Tick();
+  MemberRegistry& members = m_daemon->members();
+  if (!members.Known()) return;
+  m_proxy->OnVmList(members.Vms());
+  const std::vector<Member> gateways = members.Live(MemberRole::kGateway);
+  std::map<NodeId, std::string> addresses;
+  for (const Member& member : gateways) addresses[member.id] = member.address;
+  m_proxy->OnGateways(std::move(addresses));
+  NoteEndedGateways(gateways);
+  SpreadGossip();
+}
+
+void Gateway::NoteEndedGateways(const std::vector<Member>& gateways) {
+  std::map<NodeId, Incarnation> now;
+  for (const Member& member : gateways) now[member.id] = member.incarnation;
+  for (const auto& [id, incarnation] : m_known_gateways) {
+    const auto it = now.find(id);
+    // A later life of the same node means that the earlier one has ended.
+    if (it == now.end() || it->second > incarnation) {
+      m_shards->OnOwnerGone(id, incarnation);
+    }
+  }
+  m_known_gateways = std::move(now);
+}
+
+void Gateway::SpreadGossip() {
+  const auto gossip = m_proxy->TakeGossip();
+  if (!gossip) return;
+  const std::string text = Json(*gossip).dump();
+  for (const Member& member : m_daemon->members().Live(MemberRole::kGateway)) {
+    if (member.id == m_settings.daemon.node) continue;
+    m_daemon->peers().Call(member.address, std::string(kLeavingGossipMethod),
+                           text, kGossipTimeout,
+                           [](const std::optional<std::string>&) {});
+  }
+}
+
 void Gateway::OpenSessions() {
   const auto config = Config();
   // An incarnation is final only once the registration has been seen.
@@ -157,7 +229,7 @@
   const std::string_view given = request.headers.Find(kRequestIdHeader);
   if (IsValidRequestId(given)) return RequestId(std::string(given));
   return RequestId(m_settings.daemon.node.str() + "-" +
-                   std::to_string(m_request_salt) + "-" +
+                   std::to_string(m_random_salt) + "-" +
                    std::to_string(++m_request_counter));
 }
 
@@ -168,6 +240,10 @@
     co_await m_chat->Handle(exchange, NewRequestId(request));
     co_return;
   }
+  if (request.target.starts_with(kServicesPrefix)) {
+    co_await m_proxy->Handle(exchange, NewRequestId(request));
+    co_return;
+  }
   ApiError error;
   error.status = chat ? 405 : 404;
   error.type = chat ? "method_not_allowed" : "not_found";
@@ -181,11 +257,13 @@
   m_server->Drain();
   const TimeMs deadline =
       m_daemon->clock().Now() + m_settings.daemon.shutdown_grace;
-  while (m_server->active_exchanges() > 0 &&
-         m_daemon->clock().Now() < deadline) {
+  const auto idle = [this] {
+    return m_server->active_exchanges() == 0 && m_shards->Idle();
+  };
+  while (!idle() && m_daemon->clock().Now() < deadline) {
     std::this_thread::sleep_for(kPollInterval);
   }
-  const bool whole = m_server->active_exchanges() == 0;
+  const bool whole = idle();
   m_daemon->Stop();
   return whole;
 }
--- a/lib/transport/scheduler/scheduler.cc
+++ b/lib/transport/scheduler/scheduler.cc
@@ -170,8 +170,8 @@
                          m_daemon->clock()},
         std::move(options), CellLeaderOptions(),
         [naive](const CellConfig&) -> std::unique_ptr<PlacementPolicy> {
-          if (naive) return NaivePolicy::Create();
-          return WeightedPolicy::Create(WeightedPolicyOptions()).value();
+          if (naive) return NaivePolicy::Create(NaiveOptions()).value();
+          return WeightedPolicy::Create(WeightedOptions()).value();
         });
     if (!host) {
       LOG(ERROR) << "event=cell_failed cell=" << id << " findings=\""
