Use one type of key-value call in election and configuration

Cause: both declared a KvCall, which clashed once one file included the two. The election now uses the configuration's, whose delay is zero by default.

--- a/include/yuccamoor/coordination/leadership/election.h
+++ b/include/yuccamoor/coordination/leadership/election.h
@@ -19,6 +19,7 @@
 #include <variant>
 #include <vector>
 
+#include "yuccamoor/coordination/config/kv_call.h"
 #include "yuccamoor/coordination/leadership/leadership_record.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/ids.h"
@@ -27,9 +28,6 @@
 
 namespace yuccamoor {
 
-/// Matches a call to the key-value service with its reply.
-using KvCallId = NumberId<struct KvCallIdTag>;
-
 /// What one candidate is told at its start.
 struct ElectionOptions {
   CellId cell;
@@ -76,12 +74,6 @@
   bool granted = false;
 };
 
-/// Asks for a call to the key-value service; its reply goes to OnKvReply.
-struct KvCall {
-  KvCallId id;
-  KvRequest request;
-};
-
 /// Asks for a message to a successor; its reply goes to OnHoldReply.
 struct SendHoldRequest {
   Candidate to;
