--- a/lib/coordination/config/publisher.cc
+++ b/lib/coordination/config/publisher.cc
@@ -127,12 +127,12 @@
   if (version <= m_unsettled->root_version) return false;
   const Revision revision = m_unsettled->revision;
   const RootEntry* entry = FindRevision(root, revision);
-  if (entry == nullptr) {
+  if (entry == nullptr && root.current.revision >= revision) {
     End(PublishStatus::kUnknown, root.current.revision);
     return true;
   }
   m_unsettled.reset();
-  if (entry->nonce != m_request.nonce) return false;
+  if (entry == nullptr || entry->nonce != m_request.nonce) return false;
   End(PublishStatus::kAccepted, revision);
   return true;
 }
