--- a/include/yuccamoor/coordination/config/config_messages.h
+++ b/include/yuccamoor/coordination/config/config_messages.h
@@ -28,6 +28,9 @@
 /// What the sender has in force. Sent in both directions of an exchange.
 struct ConfigAnnounce {
   NodeId from;
+  /// Where the sender takes calls of peers, as "ip:port".
+  std::string address;
+  FailureDomainId failure_domain;
   /// Zero: the sender has no configuration yet.
   Revision revision;
   SegmentHash manifest;
@@ -41,7 +44,6 @@
 
 /// Asks for manifests and segments by hash.
 struct ConfigFetch {
-  NodeId from;
   std::vector<SegmentHash> hashes;
 
   friend bool operator==(const ConfigFetch&, const ConfigFetch&) = default;
--- a/include/yuccamoor/coordination/config/config_replica.h
+++ b/include/yuccamoor/coordination/config/config_replica.h
@@ -34,20 +34,27 @@
 
 namespace yuccamoor {
 
+/// The most other daemons that a replica remembers.
+constexpr std::size_t kMaxConfigPeers = 1'024;
+
 /// Another daemon.
 struct ConfigPeer {
-  NodeId id;
   /// "ip:port".
   std::string address;
+  /// Empty until the peer is heard of.
   FailureDomainId failure_domain;
+  /// Calls in a row that it did not answer.
+  std::uint32_t failures = 0;
 };
 
 /// How a replica works.
 struct ConfigReplicaOptions {
   NodeId self;
+  /// Where the daemon takes calls of peers, as "ip:port".
+  std::string address;
   FailureDomainId failure_domain;
-  /// All other daemons.
-  std::vector<ConfigPeer> peers;
+  /// Addresses of other daemons. Those that call are remembered, too.
+  std::vector<std::string> peers;
   std::uint64_t seed = 0;
 
   /// Time between two exchanges that the replica starts; shorter while it has
@@ -67,8 +74,6 @@
   DurationMs peer_patience{3'000};
   /// Time without contact after which the replica is not ready.
   DurationMs currency_bound{15'000};
-  /// Time after which a call to a peer counts as failed.
-  DurationMs peer_timeout{1'000};
 };
 
 /// Matches a peer's reply to its call.
@@ -77,14 +82,16 @@
 /// Starts an exchange with the peer.
 struct ConfigExchangeCall {
   PeerCallId id;
-  ConfigPeer to;
+  /// "ip:port".
+  std::string to;
   ConfigAnnounce message;
 };
 
 /// Fetches from the peer.
 struct ConfigFetchCall {
   PeerCallId id;
-  ConfigPeer to;
+  /// "ip:port".
+  std::string to;
   ConfigFetch message;
 };
 
@@ -132,9 +139,6 @@
   /// Answers a peer's fetch.
   ConfigBlobs OnFetch(const ConfigFetch& message) const;
 
-  /// Replaces the list of other daemons.
-  void SetPeers(std::vector<ConfigPeer> peers);
-
   /// The configuration in force as far as known, or null. Callers keep it for
   /// as long as their request runs.
   std::shared_ptr<const ConfigSnapshot> current() const { return m_snapshot; }
@@ -155,7 +159,7 @@
   };
 
   struct PeerPending {
-    ConfigPeer peer;
+    std::string address;
     TimeMs sent;
   };
 
@@ -168,15 +172,15 @@
     /// The latest time at which it was known to be in force.
     std::optional<TimeMs> confirmed;
     TimeMs learnt;
-    /// Peers that have it; tried from the back.
-    std::vector<ConfigPeer> holders;
+    /// Addresses of peers that have it; tried from the back.
+    std::vector<std::string> holders;
     /// No fetch from the service before then.
     TimeMs service_retry_at;
     std::uint32_t service_failures = 0;
   };
 
   void StartWatch(TimeMs now, ConfigReplicaActions& actions);
-  void StartExchange(const ConfigPeer& peer, TimeMs now,
+  void StartExchange(const std::string& address, TimeMs now,
                      ConfigReplicaActions& actions);
   void Push(TimeMs now, ConfigReplicaActions& actions);
   void OnRootReply(const KvPending& pending, const KvReply& reply, TimeMs now);
@@ -184,7 +188,7 @@
   /// Takes the news that a revision was in force at a time, or only that it is
   /// an accepted one.
   void Learn(Revision revision, const SegmentHash& manifest,
-             std::optional<TimeMs> confirmed, const ConfigPeer* holder,
+             std::optional<TimeMs> confirmed, const std::string& holder,
              TimeMs now);
   void Fetch(TimeMs now, ConfigReplicaActions& actions);
   void FetchFromPeer(const std::vector<SegmentNeed>& needs, TimeMs now,
@@ -200,9 +204,12 @@
   bool MayUseService(TimeMs now) const;
   bool MustWatch(TimeMs now) const;
   bool ReachesMostDomains(TimeMs now) const;
-  const ConfigPeer* FindPeer(const NodeId& id) const;
-  std::vector<const ConfigPeer*> PeersOf(bool own_domain) const;
-  void RankSelf();
+  void OnNoAnswer(const std::string& address);
+  /// Remembers who sent the message.
+  void Meet(const ConfigAnnounce& message);
+  std::vector<std::string> PeersOf(bool own_domain) const;
+  /// The own place in the failure domain's order of watchers.
+  std::size_t Rank() const;
   double Random();
 
   ConfigReplicaOptions m_options;
@@ -222,8 +229,8 @@
   bool m_was_ready = false;
   std::uint64_t m_conflicts = 0;
 
-  /// The own place in the failure domain's order of watchers.
-  std::size_t m_rank = 0;
+  /// Other daemons by address.
+  std::map<std::string, ConfigPeer> m_peers;
   KvVersion m_root_version;
   bool m_watch_pending = false;
   TimeMs m_next_watch;
--- a/include/yuccamoor/coordination/config/publisher.h
+++ b/include/yuccamoor/coordination/config/publisher.h
@@ -39,6 +39,8 @@
   kAccepted,
   /// What is in force is the same already.
   kUnchanged,
+  /// A dry run found nothing wrong; nothing was published.
+  kWouldPublish,
   /// The checks found something; nothing was published.
   kInvalid,
   /// Another publisher changed the same owners' parts meanwhile; nothing was
@@ -61,6 +63,9 @@
   /// On kOverlap: who published meanwhile, and which part.
   PublisherId winner;
   OwnerId overlap;
+  /// After a dry run: all parts in force, and what they would become.
+  ConfigUnits before;
+  ConfigUnits after;
 };
 
 /// What to publish.
@@ -71,6 +76,8 @@
   ConfigChange change;
   /// If set, the revision to roll back to; the change is unused.
   std::optional<Revision> rollback;
+  /// Checks against what is in force, without a write.
+  bool dry_run = false;
 };
 
 /// One publication. Sends nothing itself: every function returns the calls to
--- a/lib/coordination/config/config_replica.cc
+++ b/lib/coordination/config/config_replica.cc
@@ -20,13 +20,19 @@
 constexpr double kForeignShare = 0.25;
 constexpr BackoffLimits kWatchBackoff{DurationMs(50), DurationMs(2'000)};
 
-/// Returns an even draw from the peers, or null.
-const ConfigPeer* Pick(const std::vector<const ConfigPeer*>& peers,
-                       double random) {
-  if (peers.empty()) return nullptr;
+/// A peer that left so many calls in a row unanswered is taken for gone when
+/// watchers are chosen.
+constexpr std::uint32_t kGoneAfterFailures = 3;
+
+/// One that left so many unanswered is forgotten, unless the settings list it.
+constexpr std::uint32_t kForgottenAfterFailures = 10;
+
+/// Returns an even draw from the addresses, or an empty one.
+std::string Pick(const std::vector<std::string>& addresses, double random) {
+  if (addresses.empty()) return {};
   const auto index =
-      static_cast<std::size_t>(random * static_cast<double>(peers.size()));
-  return peers[std::min(index, peers.size() - 1)];
+      static_cast<std::size_t>(random * static_cast<double>(addresses.size()));
+  return addresses[std::min(index, addresses.size() - 1)];
 }
 
 }  // namespace
@@ -40,24 +46,43 @@
       m_segments(codec),
       m_next_watch(now),
       m_next_exchange(now) {
-  RankSelf();
+  for (const std::string& address : m_options.peers) {
+    if (address != m_options.address) m_peers[address] = {address, {}, 0};
+  }
 }
 
-void ConfigReplica::SetPeers(std::vector<ConfigPeer> peers) {
-  m_options.peers = std::move(peers);
-  RankSelf();
+std::size_t ConfigReplica::Rank() const {
+  const auto order = [](const std::string& address) {
+    return std::make_pair(StableBucketHash(address), address);
+  };
+  const auto own = order(m_options.address);
+  return static_cast<std::size_t>(
+      std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const ConfigPeer& peer = entry.second;
+        // One that was not heard of yet may be in the same domain.
+        const bool near = peer.failure_domain.empty() ||
+                          peer.failure_domain == m_options.failure_domain;
+        return near && peer.failures < kGoneAfterFailures &&
+               order(peer.address) < own;
+      }));
 }
 
-void ConfigReplica::RankSelf() {
-  const auto order = [](const NodeId& id) {
-    return std::make_pair(StableBucketHash(id.str()), id);
-  };
-  m_rank = static_cast<std::size_t>(
-      std::count_if(m_options.peers.begin(), m_options.peers.end(),
-                    [&](const ConfigPeer& peer) {
-                      return peer.failure_domain == m_options.failure_domain &&
-                             order(peer.id) < order(m_options.self);
-                    }));
+void ConfigReplica::OnNoAnswer(const std::string& address) {
+  const auto it = m_peers.find(address);
+  if (it == m_peers.end()) return;
+  const auto& listed = m_options.peers;
+  const bool keep =
+      std::find(listed.begin(), listed.end(), address) != listed.end();
+  if (++it->second.failures >= kForgottenAfterFailures && !keep) {
+    m_peers.erase(it);
+  }
+}
+
+void ConfigReplica::Meet(const ConfigAnnounce& message) {
+  if (message.address.empty() || message.address == m_options.address) return;
+  const auto it = m_peers.find(message.address);
+  if (it == m_peers.end() && m_peers.size() >= kMaxConfigPeers) return;
+  m_peers[message.address] = {message.address, message.failure_domain, 0};
 }
 
 ConfigReplicaActions ConfigReplica::Tick(TimeMs now) {
@@ -66,9 +91,9 @@
   if (MustWatch(now)) StartWatch(now, actions);
   if (now >= m_next_exchange) {
     const bool foreign = Random() < kForeignShare;
-    const ConfigPeer* peer = Pick(PeersOf(!foreign), Random());
-    if (peer == nullptr) peer = Pick(PeersOf(foreign), Random());
-    if (peer != nullptr) StartExchange(*peer, now, actions);
+    std::string peer = Pick(PeersOf(!foreign), Random());
+    if (peer.empty()) peer = Pick(PeersOf(foreign), Random());
+    if (!peer.empty()) StartExchange(peer, now, actions);
     const DurationMs interval = m_snapshot ? m_options.exchange_interval
                                            : m_options.first_exchange_interval;
     constexpr double kLeastShare = 0.75;
@@ -82,11 +107,12 @@
 
 bool ConfigReplica::MustWatch(TimeMs now) const {
   if (m_watch_pending || now < m_next_watch) return false;
-  if (m_rank < m_options.watchers_per_domain) return true;
+  const std::size_t rank = Rank();
+  if (rank < m_options.watchers_per_domain) return true;
   constexpr DurationMs kPerRank{200};
   constexpr std::size_t kMostRanks = 20;
   const auto behind = static_cast<std::int64_t>(
-      std::min(m_rank - m_options.watchers_per_domain, kMostRanks));
+      std::min(rank - m_options.watchers_per_domain, kMostRanks));
   const TimeMs since = m_confirmed.value_or(m_started);
   return now - since > m_options.confirmation_patience + kPerRank * behind;
 }
@@ -101,23 +127,23 @@
        {}});
 }
 
-void ConfigReplica::StartExchange(const ConfigPeer& peer, TimeMs now,
+void ConfigReplica::StartExchange(const std::string& address, TimeMs now,
                                   ConfigReplicaActions& actions) {
   if (m_exchanges.size() >= kMaxExchanges) return;
   m_last_peer_call = m_last_peer_call.Next();
-  m_exchanges[m_last_peer_call] = {peer, now};
-  actions.exchanges.push_back({m_last_peer_call, peer, Announce(now)});
+  m_exchanges[m_last_peer_call] = {address, now};
+  actions.exchanges.push_back({m_last_peer_call, address, Announce(now)});
 }
 
 void ConfigReplica::Push(TimeMs now, ConfigReplicaActions& actions) {
   auto own = PeersOf(true);
   for (std::size_t i = 0; i < m_options.push_fanout && !own.empty(); ++i) {
-    const ConfigPeer* peer = Pick(own, Random());
-    StartExchange(*peer, now, actions);
+    const std::string peer = Pick(own, Random());
+    StartExchange(peer, now, actions);
     std::erase(own, peer);
   }
-  const ConfigPeer* foreign = Pick(PeersOf(false), Random());
-  if (foreign != nullptr) StartExchange(*foreign, now, actions);
+  const std::string foreign = Pick(PeersOf(false), Random());
+  if (!foreign.empty()) StartExchange(foreign, now, actions);
 }
 
 ConfigReplicaActions ConfigReplica::OnKvReply(KvCallId id, const KvReply& reply,
@@ -155,7 +181,7 @@
   const auto root = m_codec.DecodeRoot(entry->value);
   if (root.has_error()) return;
   Learn(root.value().current.revision, root.value().current.manifest,
-        pending.sent, nullptr, now);
+        pending.sent, {}, now);
 }
 
 ConfigReplicaActions ConfigReplica::OnExchangeReply(
@@ -165,14 +191,18 @@
   if (it == m_exchanges.end()) return actions;
   const PeerPending pending = std::move(it->second);
   m_exchanges.erase(it);
-  if (!reply) return actions;
-  TimeMs& contact = m_contacts[pending.peer.failure_domain];
+  if (!reply) {
+    OnNoAnswer(pending.address);
+    return actions;
+  }
+  Meet(*reply);
+  TimeMs& contact = m_contacts[reply->failure_domain];
   contact = std::max(contact, pending.sent);
   std::optional<TimeMs> confirmed;
   if (reply->confirmed_age && *reply->confirmed_age >= DurationMs(0)) {
     confirmed = pending.sent - *reply->confirmed_age;
   }
-  Learn(reply->revision, reply->manifest, confirmed, &pending.peer, now);
+  Learn(reply->revision, reply->manifest, confirmed, pending.address, now);
   AdoptIfWhole(now, actions);
   Fetch(now, actions);
   return actions;
@@ -180,10 +210,10 @@
 
 ConfigReplicaActions ConfigReplica::OnExchange(const ConfigAnnounce& message,
                                                TimeMs now) {
+  Meet(message);
   // How long the message was under way is not known, so that its age of
   // confirmation cannot be used.
-  Learn(message.revision, message.manifest, std::nullopt,
-        FindPeer(message.from), now);
+  Learn(message.revision, message.manifest, std::nullopt, message.address, now);
   ConfigReplicaActions actions;
   AdoptIfWhole(now, actions);
   Fetch(now, actions);
@@ -191,7 +221,12 @@
 }
 
 ConfigAnnounce ConfigReplica::Announce(TimeMs now) const {
-  ConfigAnnounce announce{m_options.self, m_revision, m_manifest_hash, {}};
+  ConfigAnnounce announce;
+  announce.from = m_options.self;
+  announce.address = m_options.address;
+  announce.failure_domain = m_options.failure_domain;
+  announce.revision = m_revision;
+  announce.manifest = m_manifest_hash;
   if (m_confirmed) announce.confirmed_age = now - *m_confirmed;
   return announce;
 }
@@ -217,33 +252,26 @@
 
 bool ConfigReplica::ReachesMostDomains(TimeMs now) const {
   std::set<FailureDomainId> all{m_options.failure_domain};
-  for (const ConfigPeer& peer : m_options.peers)
-    all.insert(peer.failure_domain);
+  for (const auto& [address, peer] : m_peers) {
+    if (!peer.failure_domain.empty()) all.insert(peer.failure_domain);
+  }
   std::set<FailureDomainId> reached;
   for (const auto& [domain, at] : m_contacts) {
-    if (now - at <= m_options.currency_bound && all.contains(domain)) {
-      reached.insert(domain);
-    }
+    if (now - at <= m_options.currency_bound) reached.insert(domain);
   }
   if (reached.empty()) return false;
   reached.insert(m_options.failure_domain);
   return 2 * reached.size() > all.size();
 }
 
-const ConfigPeer* ConfigReplica::FindPeer(const NodeId& id) const {
-  const auto it =
-      std::find_if(m_options.peers.begin(), m_options.peers.end(),
-                   [&id](const ConfigPeer& peer) { return peer.id == id; });
-  return it == m_options.peers.end() ? nullptr : &*it;
-}
-
-std::vector<const ConfigPeer*> ConfigReplica::PeersOf(bool own_domain) const {
-  std::vector<const ConfigPeer*> peers;
-  for (const ConfigPeer& peer : m_options.peers) {
-    const bool own = peer.failure_domain == m_options.failure_domain;
-    if (own == own_domain) peers.push_back(&peer);
+std::vector<std::string> ConfigReplica::PeersOf(bool own_domain) const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : m_peers) {
+    const bool own = peer.failure_domain.empty() ||
+                     peer.failure_domain == m_options.failure_domain;
+    if (own == own_domain) addresses.push_back(address);
   }
-  return peers;
+  return addresses;
 }
 
 double ConfigReplica::Random() {
--- a/lib/coordination/config/config_replica_fetch.cc
+++ b/lib/coordination/config/config_replica_fetch.cc
@@ -25,7 +25,7 @@
 
 void ConfigReplica::Learn(Revision revision, const SegmentHash& manifest,
                           std::optional<TimeMs> confirmed,
-                          const ConfigPeer* holder, TimeMs now) {
+                          const std::string& holder, TimeMs now) {
   // A lower revision is an answer from the past.
   if (revision < m_revision || revision == Revision()) return;
   if (revision == m_revision) {
@@ -49,8 +49,8 @@
     return;
   }
   m_target->confirmed = Later(m_target->confirmed, confirmed);
-  if (holder == nullptr || m_target->holders.size() >= kMaxHolders) return;
-  m_target->holders.push_back(*holder);
+  if (holder.empty() || m_target->holders.size() >= kMaxHolders) return;
+  m_target->holders.push_back(holder);
 }
 
 std::vector<SegmentNeed> ConfigReplica::Needs() const {
@@ -73,7 +73,7 @@
 
 bool ConfigReplica::MayUseService(TimeMs now) const {
   if (now < m_target->service_retry_at) return false;
-  return m_rank < m_options.watchers_per_domain ||
+  return Rank() < m_options.watchers_per_domain ||
          now - m_target->learnt > m_options.peer_patience;
 }
 
@@ -82,11 +82,11 @@
   // Each fetch under way has taken a part of the needs, in order.
   std::size_t next = m_fetches.size() * kMaxFetchHashes;
   while (next < needs.size() && m_fetches.size() < kMaxPeerFetches) {
-    ConfigFetch message{m_options.self, {}};
+    ConfigFetch message;
     const std::size_t end = std::min(needs.size(), next + kMaxFetchHashes);
     for (; next < end; ++next) message.hashes.push_back(needs[next].hash);
     m_last_peer_call = m_last_peer_call.Next();
-    const ConfigPeer& peer = m_target->holders.back();
+    const std::string& peer = m_target->holders.back();
     m_fetches[m_last_peer_call] = {peer, now};
     actions.fetches.push_back({m_last_peer_call, peer, std::move(message)});
   }
@@ -114,7 +114,7 @@
   ConfigReplicaActions actions;
   const auto it = m_fetches.find(id);
   if (it == m_fetches.end()) return actions;
-  const NodeId from = it->second.peer.id;
+  const std::string from = it->second.address;
   m_fetches.erase(it);
   if (!m_target) return actions;
   bool useful = false;
@@ -124,8 +124,7 @@
     }
   }
   if (!useful) {
-    std::erase_if(m_target->holders,
-                  [&from](const ConfigPeer& peer) { return peer.id == from; });
+    std::erase(m_target->holders, from);
   }
   AdoptIfWhole(now, actions);
   Fetch(now, actions);
--- a/lib/coordination/config/publisher_write.cc
+++ b/lib/coordination/config/publisher_write.cc
@@ -13,6 +13,7 @@
 KvCalls Publisher::Prepare() {
   if (RefuseOverlap()) return {};
   ConfigUnits units = m_segments.Units(m_manifest);
+  if (m_request.dry_run) m_outcome.before = units;
   ApplyChange(m_request.change, units);
   m_outcome.findings = CheckUnits(units);
   if (!m_outcome.findings.empty()) {
@@ -27,6 +28,11 @@
     return {};
   }
   if (RefuseLargeSegments(encoded)) return {};
+  if (m_request.dry_run) {
+    m_outcome.after = std::move(units);
+    End(PublishStatus::kWouldPublish, m_root.current.revision);
+    return {};
+  }
   QueueWrites(std::move(encoded));
   return WriteNext();
 }
--- a/lib/protocol/config/config_message_codec.cc
+++ b/lib/protocol/config/config_message_codec.cc
@@ -27,6 +27,8 @@
 
 std::string EncodeConfigAnnounce(const ConfigAnnounce& message) {
   Json json{{"from", message.from},
+            {"address", message.address},
+            {"failure_domain", message.failure_domain},
             {"revision", message.revision},
             {"manifest", message.manifest}};
   if (message.confirmed_age) json["confirmed_age_ms"] = *message.confirmed_age;
@@ -37,6 +39,8 @@
   return Decode<ConfigAnnounce>(text, "config announce", [](const Json& json) {
     ConfigAnnounce message;
     json.at("from").get_to(message.from);
+    json.at("address").get_to(message.address);
+    json.at("failure_domain").get_to(message.failure_domain);
     json.at("revision").get_to(message.revision);
     json.at("manifest").get_to(message.manifest);
     const auto age = json.find("confirmed_age_ms");
@@ -46,13 +50,12 @@
 }
 
 std::string EncodeConfigFetch(const ConfigFetch& message) {
-  return Json{{"from", message.from}, {"hashes", message.hashes}}.dump();
+  return Json{{"hashes", message.hashes}}.dump();
 }
 
 Result<ConfigFetch> DecodeConfigFetch(std::string_view text) {
   return Decode<ConfigFetch>(text, "config fetch", [](const Json& json) {
     ConfigFetch message;
-    json.at("from").get_to(message.from);
     json.at("hashes").get_to(message.hashes);
     return message;
   });
--- a/unittests/protocol/config/publish_world.cc
+++ b/unittests/protocol/config/publish_world.cc
@@ -128,10 +128,9 @@
   options.failure_domain = FailureDomainId(index % 2 == 0 ? "a" : "b");
   options.watchers_per_domain = 1;
   options.seed = Below(1'000'000);
+  options.address = options.self.str();
   for (std::size_t i = 0; i < kReplicas; ++i) {
-    if (i == index) continue;
-    options.peers.push_back({NodeId("node" + std::to_string(i)), "",
-                             FailureDomainId(i % 2 == 0 ? "a" : "b")});
+    options.peers.push_back("node" + std::to_string(i));
   }
   ReplicaActor& actor = m_replicas[index];
   actor.replica = std::make_unique<ConfigReplica>(options, m_codec, m_now);
@@ -163,8 +162,8 @@
 
 void PublishWorld::Perform(std::size_t replica, ConfigReplicaActions actions) {
   Send(ActorKind::kReplica, replica, std::move(actions.kv));
-  const auto index_of = [](const ConfigPeer& peer) {
-    return static_cast<std::size_t>(peer.id.str().back() - '0');
+  const auto index_of = [](const std::string& address) {
+    return static_cast<std::size_t>(address.back() - '0');
   };
   const std::uint64_t life = m_replicas[replica].life;
   for (ConfigExchangeCall& call : actions.exchanges) {
--- a/unittests/support/memory_key_value.h
+++ b/unittests/support/memory_key_value.h
@@ -16,7 +16,8 @@
 class MemoryKeyValue {
  public:
   KvReply Apply(const KvRequest& request) {
-    return std::visit([this](const auto& r) { return Handle(r); }, request);
+    return std::visit([this](const auto& r) { return this->Handle(r); },
+                      request);
   }
 
   const std::map<std::string, KvEntry>& entries() const { return m_entries; }
