--- a/include/yuccamoor/protocol/platform/generation.h
+++ b/include/yuccamoor/protocol/platform/generation.h
@@ -50,19 +50,6 @@
 /// Returns the event of one server-sent event's data, or nothing.
 std::optional<TokenEvent> DecodeTokenEvent(std::string_view data);
 
-/// Cuts a body that arrives in pieces into server-sent events.
-class SseReader {
- public:
-  /// Appends a piece of the body. Throws std::length_error if an event grows
-  /// past a megabyte.
-  void Append(std::string_view piece);
-  /// Returns the data of the next whole event, or nothing yet.
-  std::optional<std::string> Next();
-
- private:
-  std::string m_buffer;
-};
-
 /// Returns the priority's name on the wire: interactive, normal, background.
 std::string PriorityName(Priority priority);
 /// Returns the priority of a name, or nothing.
--- a/lib/protocol/platform/engine_codec.cc
+++ b/lib/protocol/platform/engine_codec.cc
@@ -51,16 +51,16 @@
   report.worker = json.at("worker").get<WorkerId>();
   report.instance = json.at("instance").get<InstanceId>();
   report.sequence = json.at("sequence").get<Sequence>();
-  report.slots = json.at("slots").get<std::uint32_t>();
-  report.batch_capacity = json.at("batch_capacity").get<std::uint32_t>();
-  report.running = json.at("running").get<std::uint32_t>();
-  report.queued = json.at("queued").get<std::uint32_t>();
+  report.slots = GetUnsigned32(json.at("slots"));
+  report.batch_capacity = GetUnsigned32(json.at("batch_capacity"));
+  report.running = GetUnsigned32(json.at("running"));
+  report.queued = GetUnsigned32(json.at("queued"));
   report.age = json.at("age_ms").get<DurationMs>();
   report.leaving = json.at("leaving").get<bool>();
   for (const Json& resident : json.at("residents")) {
     report.residents.push_back(
         ResidentReport{resident.at("target").get<AdapterVersion>(),
-                       resident.at("running").get<std::uint32_t>()});
+                       GetUnsigned32(resident.at("running"))});
   }
   report.loading = json.at("loading").get<std::vector<AdapterVersion>>();
   return report;
--- a/lib/protocol/platform/generation.cc
+++ b/lib/protocol/platform/generation.cc
@@ -3,10 +3,9 @@
 
 #include "yuccamoor/protocol/platform/generation.h"
 
-#include <stdexcept>
-
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/enum_names.h"
+#include "yuccamoor/protocol/sse.h"
 
 namespace yuccamoor {
 namespace {
@@ -17,31 +16,27 @@
     {Priority::kBackground, "background"},
 }};
 
-constexpr std::string_view kDataField = "data: ";
-constexpr std::string_view kEventEnd = "\n\n";
-constexpr std::size_t kMaxEventBytes = 1'048'576;
-
 GenerateRequest ReadRequest(const Json& json) {
   GenerateRequest request;
   request.request_id = json.at("request_id").get<RequestId>();
-  request.attempt = json.value("attempt", std::uint32_t{1});
+  request.attempt = GetUnsigned32(json.value("attempt", Json(1U)));
   request.target = json.at("target").get<AdapterVersion>();
   request.prompt = json.at("prompt").get<std::string>();
-  request.max_tokens = json.at("max_tokens").get<std::uint32_t>();
+  request.max_tokens = GetUnsigned32(json.at("max_tokens"));
   request.priority = EnumOf<Priority>(
       kPriorityNames, json.value("priority", std::string("normal")));
-  request.resume_from = json.value("resume_from", std::uint32_t{0});
+  request.resume_from = GetUnsigned32(json.value("resume_from", Json(0U)));
   return request;
 }
 
 TokenEvent ReadEvent(const Json& json) {
   TokenEvent event;
   event.request_id = json.at("request_id").get<RequestId>();
-  event.attempt = json.at("attempt").get<std::uint32_t>();
+  event.attempt = GetUnsigned32(json.at("attempt"));
   event.target = json.at("target").get<AdapterVersion>();
   event.instance = json.at("instance").get<InstanceId>();
   event.done = json.value("done", false);
-  event.index = json.at(event.done ? "tokens" : "index").get<std::uint32_t>();
+  event.index = GetUnsigned32(json.at(event.done ? "tokens" : "index"));
   if (!event.done) event.token = json.at("token").get<std::string>();
   return event;
 }
@@ -79,7 +74,7 @@
     json["index"] = event.index;
     json["token"] = event.token;
   }
-  return std::string(kDataField) + json.dump() + std::string(kEventEnd);
+  return EncodeSse(SseEvent{"", json.dump()});
 }
 
 std::optional<TokenEvent> DecodeTokenEvent(std::string_view data) {
@@ -90,22 +85,6 @@
   }
 }
 
-void SseReader::Append(std::string_view piece) {
-  if (m_buffer.size() + piece.size() > kMaxEventBytes) {
-    throw std::length_error("server-sent event too long");
-  }
-  m_buffer += piece;
-}
-
-std::optional<std::string> SseReader::Next() {
-  const std::size_t end = m_buffer.find(kEventEnd);
-  if (end == std::string::npos) return std::nullopt;
-  std::string event = m_buffer.substr(0, end);
-  m_buffer.erase(0, end + kEventEnd.size());
-  if (event.starts_with(kDataField)) event.erase(0, kDataField.size());
-  return event;
-}
-
 std::string PriorityName(Priority priority) {
   return NameOf(kPriorityNames, priority);
 }
--- a/lib/protocol/platform/key_value_codec.cc
+++ b/lib/protocol/platform/key_value_codec.cc
@@ -54,7 +54,7 @@
   request.key = json.at("key").get<std::string>();
   request.expected = json.at("expected").get<KvVersion>();
   request.value = json.at("value").get<std::string>();
-  request.lease = KvLease(json.value("lease", std::uint64_t{0}));
+  request.lease = KvLease(GetUnsigned(json.value("lease", Json(0U))));
   return request;
 }
 
@@ -85,8 +85,8 @@
   KvReply reply;
   reply.status =
       EnumOf<KvStatus>(kStatusNames, json.at("status").get<std::string>());
-  reply.version = KvVersion(json.value("version", std::uint64_t{0}));
-  reply.lease = KvLease(json.value("lease", std::uint64_t{0}));
+  reply.version = KvVersion(GetUnsigned(json.value("version", Json(0U))));
+  reply.lease = KvLease(GetUnsigned(json.value("lease", Json(0U))));
   if (!json.contains("entries")) return reply;
   for (const Json& entry : json.at("entries")) {
     reply.entries.push_back(KvEntry{entry.at("key").get<std::string>(),
--- a/lib/transport/platform/http_key_value_service.cc
+++ b/lib/transport/platform/http_key_value_service.cc
@@ -24,8 +24,7 @@
 
 /// Maps how far the call came to what is known of its effect.
 KvReply ToKvReply(const HttpReply& reply, bool write) {
-  KvReply lost =
-      ReplyOf(write ? KvStatus::kUnknown : KvStatus::kUnavailable);
+  KvReply lost = ReplyOf(write ? KvStatus::kUnknown : KvStatus::kUnavailable);
   if (reply.progress == HttpProgress::kNotSent) {
     return ReplyOf(KvStatus::kUnavailable);
   }
--- a/unittests/transport/platform/engine_contract_test.cc
+++ b/unittests/transport/platform/engine_contract_test.cc
@@ -6,6 +6,7 @@
 
 #include "transport/platform/stand_in_fixture.h"
 #include "yuccamoor/protocol/platform/generation.h"
+#include "yuccamoor/protocol/sse.h"
 #include "yuccamoor/transport/platform/http_engine_client.h"
 #include "yuccamoor/transport/standins/engine_stand_in.h"
 #include "yuccamoor/transport/standins/token_rule.h"
@@ -93,11 +94,10 @@
 
 /// Returns the tokens of a whole answer, or nothing if it is not one.
 std::optional<std::string> AnswerOf(const HttpReply& reply) {
-  SseReader reader;
-  reader.Append(reply.response.body);
+  SseParser parser;
   std::string answer;
-  while (const auto data = reader.Next()) {
-    const auto event = DecodeTokenEvent(*data);
+  for (const SseEvent& sse : parser.Feed(reply.response.body)) {
+    const auto event = DecodeTokenEvent(sse.data);
     if (!event || event->target != kTarget) return std::nullopt;
     if (event->done) return answer;
     answer += event->token;
