Move ended idempotency keys to segments

One record per shard holds a few thousand keys and is rewritten with each commit: at 500 keys/s over 8 shards it would be full within a minute, and near 1 MB each write would cost a megabyte.

A segment is claimed in the record, written under a name of its own and then named, each by a swap of the record, which alone decides what is in the shard. Ruled out: numbered slots for segments (two writers of one slot can lose keys), and segments without a claim (a crash leaves values that nobody knows of).

--- a/include/yuccamoor/coordination/request/idempotency_record.h
+++ b/include/yuccamoor/coordination/request/idempotency_record.h
@@ -10,8 +10,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "yuccamoor/state/ids.h"
+#include "yuccamoor/state/key_value.h"
 
 namespace yuccamoor {
 
@@ -70,14 +72,40 @@
   friend bool operator==(const ShardEntry&, const ShardEntry&) = default;
 };
 
-/// The whole record of one shard.
+/// The name of one segment; its key is the record's with "/" and the name.
+using SegmentName = StringId<struct SegmentNameTag>;
+
+/// A segment as its record names it. Its value never changes.
+struct SegmentRef {
+  SegmentName name;
+  KvVersion version;
+  /// The retention period in which the segment was named; none of its entries
+  /// ended later.
+  Generation generation;
+
+  friend bool operator==(const SegmentRef&, const SegmentRef&) = default;
+};
+
+/// The whole record of one shard. A segment's value is a record with entries
+/// only.
 struct ShardRecord {
   Generation generation;
   std::map<IdempotencyKey, ShardEntry> entries;
+  /// Where ended entries went, oldest first.
+  std::vector<SegmentRef> segments;
+  /// The process that may write the next segment, so that none is written
+  /// without a record that knows of it.
+  std::optional<AttemptNonce> claim;
+  /// Segments that are no longer part of the shard and wait for deletion. A
+  /// version of zero is not known.
+  std::vector<SegmentRef> garbage;
 
   friend bool operator==(const ShardRecord&, const ShardRecord&) = default;
 };
 
+/// Returns the name of the segment that the claim's holder writes.
+SegmentName SegmentNameOf(const AttemptNonce& claim);
+
 /// Returns an upper bound of the entry's encoded size in bytes. Bodies grow by
 /// a third, since the record's text holds them in base64.
 std::size_t EncodedBytesBound(const IdempotencyKey& key,
--- a/include/yuccamoor/coordination/request/idempotency_shard.h
+++ b/include/yuccamoor/coordination/request/idempotency_shard.h
@@ -7,6 +7,11 @@
 /// the right to dispatch: no lease, no clock, no home. A shard has a home
 /// gateway only so that writes do not contend; any gateway may open any shard.
 /// Intents and outcomes that gather while a write is under way share the next.
+///
+/// The record is rewritten with every commit and so stays small: ended keys
+/// move on to segments, values of their own that never change, which the record
+/// names. A key is in the shard if it is in the record or in a named segment;
+/// only a swap of the record changes that.
 
 #ifndef YUCCAMOOR_COORDINATION_REQUEST_IDEMPOTENCY_SHARD_H_
 #define YUCCAMOOR_COORDINATION_REQUEST_IDEMPOTENCY_SHARD_H_
@@ -16,13 +21,12 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <string>
-#include <string_view>
-#include <variant>
-#include <vector>
+#include <set>
 
+#include "yuccamoor/coordination/request/idempotency_messages.h"
 #include "yuccamoor/coordination/request/idempotency_record.h"
 #include "yuccamoor/coordination/request/outcome.h"
+#include "yuccamoor/coordination/request/shard_segments.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/ids.h"
 #include "yuccamoor/state/key_value.h"
@@ -30,95 +34,6 @@
 
 namespace yuccamoor {
 
-/// The limits of one shard.
-struct ShardOptions {
-  /// The record's key in the key-value service.
-  std::string record_key;
-  /// How long the first intent waits for others to share its write.
-  DurationMs gather_window{10};
-  /// The least time between the starts of two writes.
-  DurationMs min_write_interval{50};
-  /// Ended entries are kept at least this long after their end.
-  DurationMs retention{3'600'000};
-  /// How long an intent may wait for its commit.
-  DurationMs max_commit_wait{2'000};
-  /// How long another gateway's intent is told as running.
-  DurationMs running_grace{30'000};
-  /// The wait after a failed call of the key-value service.
-  DurationMs failure_pause{100};
-  std::size_t max_waiting = 1'000;
-  std::size_t max_record_bytes = 900'000;
-  std::size_t max_answer_bytes = 4'096;
-};
-
-/// Why a request with a key is not dispatched now.
-enum class ShardRefusal : std::uint8_t {
-  /// The key is held by a request that has not ended.
-  kRunning,
-  /// The key's request may have run; its answer will not be known.
-  kOutcomeUnknown,
-  /// The key was used with another method, path or body.
-  kBodyMismatch,
-  /// The intent could not be committed in time.
-  kServiceDown,
-  /// The caller states that it first used the key before the retention.
-  kPastRetention,
-  /// The record or the queue has no room.
-  kShardFull,
-  /// The key does not have the form that callers may use.
-  kInvalidKey,
-};
-
-/// Returns the refusal's name on the wire.
-std::string_view ShardRefusalName(ShardRefusal refusal);
-
-/// What a refusal says of the request. Only the first sending of a key is ever
-/// told kNotRun: an earlier one may still wait at a gateway that nobody hears.
-Outcome OutcomeOf(ShardRefusal refusal, bool first_sending);
-
-/// A request with a key.
-struct ShardBegin {
-  IdempotencyKey key;
-  BodyHash body_hash;
-  /// Unique for each arrival of the request at a gateway.
-  RequestId request;
-  TimeMs deadline = TimeMs::Never();
-  /// The time since the caller first sent the key; nothing on the first time.
-  std::optional<DurationMs> first_sent_ago;
-};
-
-/// Asks for a call; its reply goes to OnKvReply with the same number.
-struct ShardKvCall {
-  std::uint64_t number = 0;
-  KvRequest request;
-};
-
-/// Gives the right to dispatch the request, once.
-struct ShardDispatch {
-  IdempotencyKey key;
-  RequestId request;
-};
-
-/// Answers the request with the stored answer of the key.
-struct ShardReplay {
-  IdempotencyKey key;
-  RequestId request;
-  StoredAnswer answer;
-};
-
-/// Ends the request without a dispatch.
-struct ShardRefuse {
-  IdempotencyKey key;
-  RequestId request;
-  ShardRefusal reason = ShardRefusal::kServiceDown;
-  Outcome outcome = Outcome::kUnknown;
-  DurationMs retry_after;
-};
-
-using ShardAction =
-    std::variant<ShardKvCall, ShardDispatch, ShardReplay, ShardRefuse>;
-using ShardActions = std::vector<ShardAction>;
-
 /// One shard as one gateway sees it. Not safe to use from several threads.
 class IdempotencyShard {
  public:
@@ -174,7 +89,17 @@
     std::optional<Outcome> outcome;
     StoredAnswer answer;
   };
-  enum class CallKind : std::uint8_t { kNone, kRead, kWrite };
+  enum class CallKind : std::uint8_t {
+    kNone,
+    kRead,
+    kWrite,
+    kLoadSegment,
+    kWriteSegment,
+    kFindGarbage,
+    kDeleteGarbage,
+  };
+  /// How far this process has come with a segment of its own.
+  enum class SealPhase : std::uint8_t { kNone, kClaim, kWrite, kName };
 
   IdempotencyShard(ShardOptions options, ShardOwner owner,
                    const ShardRecordCodec& codec);
@@ -182,12 +107,13 @@
   bool AnswerFromRunning(const ShardBegin& begin, ShardActions& actions) const;
   bool AnswerFromWaiting(const ShardBegin& begin, ShardActions& actions) const;
   bool SettleWaiting(Waiting& waiting, TimeMs now, ShardActions& actions);
+  const ShardEntry* FindEntry(const IdempotencyKey& key) const;
   bool RefuseAbsent(Waiting& waiting, TimeMs now, ShardActions& actions) const;
   bool SettleFromEntry(Waiting& waiting, const ShardEntry& entry, TimeMs now,
                        ShardActions& actions);
   void SettleAll(TimeMs now, ShardActions& actions);
-  void DispatchOrRefuse(const Waiting& waiting, TimeMs now,
-                        ShardActions& actions);
+  void DispatchOrRefuse(const Waiting& waiting, const ShardEntry& entry,
+                        TimeMs now, ShardActions& actions);
 
   void OnReadReply(const KvReply& reply, TimeMs now);
   void OnWriteReply(const KvReply& reply, TimeMs now);
@@ -195,7 +121,16 @@
   void Adopt(ShardRecord record, KvVersion version, TimeMs now);
   void DropWritten();
 
+  void AdvanceSeal(TimeMs now);
+  bool MayClaim(TimeMs now) const;
+  SegmentName OwnSegment() const;
+  bool StartSegmentCall(ShardActions& actions);
+  void OnSegmentLoaded(const KvReply& reply, TimeMs now);
+  void OnSegmentWritten(const KvReply& reply, TimeMs now);
+  void OnGarbageReply(const KvReply& reply, TimeMs now);
+
   void Advance(TimeMs now, ShardActions& actions);
+  void StartCall(CallKind kind, KvRequest request, ShardActions& actions);
   void StartRead(ShardActions& actions);
   void StartWrite(TimeMs now, ShardActions& actions);
   bool WantsWrite(TimeMs now) const;
@@ -207,6 +142,8 @@
   void Rotate(ShardRecord& record) const;
   void CleanUp(ShardRecord& record) const;
   void WriteOutcomes(ShardRecord& record) const;
+  void WriteSeal(ShardRecord& record) const;
+  void DropGarbage(ShardRecord& record) const;
   void AddIntents(ShardRecord& record) const;
   std::size_t ReservedBytes(const IdempotencyKey& key,
                             const ShardEntry& entry) const;
@@ -224,6 +161,23 @@
   bool m_needs_clean_up = false;
   /// Since when this process has seen the record's generation in force.
   TimeMs m_generation_seen;
+  /// Bytes of the record's ended entries.
+  std::size_t m_ended_bytes = 0;
+  /// The segments that the record names.
+  ShardSegments m_segments;
+
+  SealPhase m_seal_phase = SealPhase::kNone;
+  AttemptNonce m_seal_nonce;
+  /// The entries of the segment under way, and its version once written.
+  ShardRecord m_seal;
+  KvVersion m_seal_version;
+  /// Since when another process has held the claim to write a segment.
+  AttemptNonce m_claim;
+  TimeMs m_claim_seen;
+  /// The garbage that the call under way concerns, and what is deleted.
+  SegmentRef m_garbage;
+  std::set<SegmentName> m_deleted;
+
   /// When each intent of another process was first seen.
   std::map<AttemptNonce, TimeMs> m_foreign_seen;
 
--- a/lib/coordination/request/idempotency_record.cc
+++ b/lib/coordination/request/idempotency_record.cc
@@ -14,6 +14,13 @@
 
 }  // namespace
 
+SegmentName SegmentNameOf(const AttemptNonce& claim) {
+  return SegmentName(claim.owner.node.str() + "." +
+                     std::to_string(claim.owner.incarnation.value()) + "." +
+                     std::to_string(claim.owner.salt) + "." +
+                     std::to_string(claim.number));
+}
+
 std::size_t EncodedBytesBound(const IdempotencyKey& key,
                               const ShardEntry& entry) {
   const std::size_t body = (entry.answer.body.size() + 2) / 3 * 4;
--- a/lib/coordination/request/idempotency_replies.cc
+++ b/lib/coordination/request/idempotency_replies.cc
@@ -7,16 +7,34 @@
 #include "yuccamoor/coordination/request/idempotency_shard.h"
 
 namespace yuccamoor {
+namespace {
+
+/// A segment's name, version and generation as the record holds them.
+constexpr std::size_t kSegmentRefBytes = 160;
+
+}  // namespace
 
 ShardActions IdempotencyShard::OnKvReply(std::uint64_t number,
                                          const KvReply& reply, TimeMs now) {
   ShardActions actions;
   if (m_call == CallKind::kNone || number != m_call_number) return actions;
   const CallKind kind = std::exchange(m_call, CallKind::kNone);
-  if (kind == CallKind::kRead) {
-    OnReadReply(reply, now);
-  } else {
-    OnWriteReply(reply, now);
+  switch (kind) {
+    case CallKind::kRead:
+      OnReadReply(reply, now);
+      break;
+    case CallKind::kWrite:
+      OnWriteReply(reply, now);
+      break;
+    case CallKind::kLoadSegment:
+      OnSegmentLoaded(reply, now);
+      break;
+    case CallKind::kWriteSegment:
+      OnSegmentWritten(reply, now);
+      break;
+    default:
+      OnGarbageReply(reply, now);
+      break;
   }
   DropWritten();
   SettleAll(now, actions);
@@ -75,14 +93,18 @@
   if (!m_record || m_record->generation != record.generation) {
     m_generation_seen = now;
   }
-  m_has_ended = false;
+  m_has_ended = !record.segments.empty();
   m_needs_clean_up = false;
-  m_record_bytes = 0;
+  m_record_bytes =
+      kSegmentRefBytes * (record.segments.size() + record.garbage.size());
+  m_ended_bytes = 0;
   std::map<AttemptNonce, TimeMs> seen;
   for (const auto& [key, entry] : record.entries) {
-    m_record_bytes += ReservedBytes(key, entry);
+    const std::size_t bytes = ReservedBytes(key, entry);
+    m_record_bytes += bytes;
     if (entry.state != EntryState::kIntent) {
       m_has_ended = true;
+      m_ended_bytes += bytes;
       continue;
     }
     if (IsAbandoned(key, entry) || IsOwnerGone(entry.nonce.owner)) {
@@ -95,6 +117,8 @@
   m_foreign_seen = std::move(seen);
   m_record = std::move(record);
   m_version = version;
+  AdvanceSeal(now);
+  m_segments.Sync(m_record->segments);
 }
 
 void IdempotencyShard::DropWritten() {
--- a/lib/coordination/request/idempotency_shard.cc
+++ b/lib/coordination/request/idempotency_shard.cc
@@ -79,6 +79,9 @@
   if (options.max_answer_bytes * 2 > options.max_record_bytes) {
     findings.Add(Place{}, "max_answer_bytes leaves no room in the record");
   }
+  if (options.seal_bytes * 2 > options.max_record_bytes) {
+    findings.Add(Place{}, "seal_bytes leaves no room for open intents");
+  }
   if (owner.node.empty()) findings.Add(Place{}, "the owner has no node id");
   if (!findings.empty()) return findings;
   return std::unique_ptr<IdempotencyShard>(
@@ -185,13 +188,10 @@
 bool IdempotencyShard::SettleWaiting(Waiting& waiting, TimeMs now,
                                      ShardActions& actions) {
   const ShardBegin& begin = waiting.begin;
-  if (m_record) {
-    const auto entry = m_record->entries.find(begin.key);
-    if (entry != m_record->entries.end()) {
-      if (SettleFromEntry(waiting, entry->second, now, actions)) return true;
-    } else if (RefuseAbsent(waiting, now, actions)) {
-      return true;
-    }
+  if (const ShardEntry* entry = FindEntry(begin.key)) {
+    if (SettleFromEntry(waiting, *entry, now, actions)) return true;
+  } else if (m_record && m_segments.Complete()) {
+    if (RefuseAbsent(waiting, now, actions)) return true;
   }
   if (now < begin.deadline && now - waiting.since < m_options.max_commit_wait) {
     return false;
@@ -202,6 +202,13 @@
   return true;
 }
 
+const ShardEntry* IdempotencyShard::FindEntry(const IdempotencyKey& key) const {
+  if (!m_record) return nullptr;
+  const auto entry = m_record->entries.find(key);
+  if (entry != m_record->entries.end()) return &entry->second;
+  return m_segments.Find(key);
+}
+
 bool IdempotencyShard::RefuseAbsent(Waiting& waiting, TimeMs now,
                                     ShardActions& actions) const {
   const ShardBegin& begin = waiting.begin;
@@ -222,7 +229,7 @@
                                        ShardActions& actions) {
   const ShardBegin& begin = waiting.begin;
   if (entry.nonce == waiting.nonce) {
-    DispatchOrRefuse(waiting, now, actions);
+    DispatchOrRefuse(waiting, entry, now, actions);
     return true;
   }
   if (IsAbandoned(begin.key, entry)) return false;
@@ -248,14 +255,15 @@
   return true;
 }
 
-void IdempotencyShard::DispatchOrRefuse(const Waiting& waiting, TimeMs now,
+void IdempotencyShard::DispatchOrRefuse(const Waiting& waiting,
+                                        const ShardEntry& entry, TimeMs now,
                                         ShardActions& actions) {
   const ShardBegin& begin = waiting.begin;
-  const auto entry = m_record->entries.find(begin.key);
+  const bool open = entry.state == EntryState::kIntent;
   // Another gateway may already have said that the outcome is unknown.
-  if (now >= begin.deadline || entry->second.state != EntryState::kIntent) {
+  if (now >= begin.deadline || !open) {
     actions.push_back(Refusal(begin, ShardRefusal::kServiceDown));
-    m_needs_clean_up |= entry->second.state == EntryState::kIntent;
+    m_needs_clean_up |= open;
     return;
   }
   Running running;
@@ -272,25 +280,6 @@
   return actions;
 }
 
-TimeMs IdempotencyShard::NextTick(TimeMs now) const {
-  TimeMs next = TimeMs::Never();
-  for (const auto& [key, waiting] : m_waiting) {
-    next = std::min(next, waiting.begin.deadline);
-    next = std::min(next, waiting.since + m_options.max_commit_wait);
-  }
-  if (m_call != CallKind::kNone) return std::max(next, now);
-  if (m_must_read && !m_waiting.empty()) next = std::min(next, m_paused_until);
-  if (WantsWrite(now)) {
-    TimeMs due =
-        std::max(m_last_write + m_options.min_write_interval,
-                 std::min(m_write_wanted, now) + m_options.gather_window);
-    next = std::min(next, std::max(due, m_paused_until));
-  }
-  if (m_has_ended)
-    next = std::min(next, m_generation_seen + m_options.retention);
-  return std::max(next, now);
-}
-
 bool IdempotencyShard::Idle() const {
   return m_waiting.empty() && m_running.empty() && m_call == CallKind::kNone;
 }
--- a/lib/coordination/request/idempotency_write.cc
+++ b/lib/coordination/request/idempotency_write.cc
@@ -23,13 +23,43 @@
   if (wants_write && now >= due) return StartWrite(now, actions);
   if (std::any_of(m_waiting.begin(), m_waiting.end(),
                   [](const auto& item) { return item.second.needs_read; })) {
-    StartRead(actions);
+    return StartRead(actions);
   }
+  StartSegmentCall(actions);
+}
+
+TimeMs IdempotencyShard::NextTick(TimeMs now) const {
+  TimeMs next = TimeMs::Never();
+  for (const auto& [key, waiting] : m_waiting) {
+    next = std::min(next, waiting.begin.deadline);
+    next = std::min(next, waiting.since + m_options.max_commit_wait);
+  }
+  if (m_call != CallKind::kNone) return std::max(next, now);
+  const bool segment_work =
+      !m_segments.Complete() || m_seal_phase == SealPhase::kWrite ||
+      (m_record && m_record->garbage.size() > m_deleted.size());
+  if (segment_work || (m_must_read && !m_waiting.empty())) {
+    next = std::min(next, m_paused_until);
+  }
+  if (WantsWrite(now)) {
+    TimeMs due =
+        std::max(m_last_write + m_options.min_write_interval,
+                 std::min(m_write_wanted, now) + m_options.gather_window);
+    next = std::min(next, std::max(due, m_paused_until));
+  }
+  if (m_has_ended)
+    next = std::min(next, m_generation_seen + m_options.retention);
+  return std::max(next, now);
+}
+
+void IdempotencyShard::StartCall(CallKind kind, KvRequest request,
+                                 ShardActions& actions) {
+  m_call = kind;
+  actions.push_back(ShardKvCall{++m_call_number, std::move(request)});
 }
 
 void IdempotencyShard::StartRead(ShardActions& actions) {
-  m_call = CallKind::kRead;
-  actions.push_back(ShardKvCall{++m_call_number, KvGet{m_options.record_key}});
+  StartCall(CallKind::kRead, KvGet{m_options.record_key}, actions);
 }
 
 void IdempotencyShard::StartWrite(TimeMs now, ShardActions& actions) {
@@ -38,15 +68,17 @@
   write.key = m_options.record_key;
   write.expected = m_version;
   write.value = m_codec.Encode(m_written);
-  m_call = CallKind::kWrite;
   m_last_write = now;
   m_write_wanted = TimeMs::Never();
   ++m_writes;
-  actions.push_back(ShardKvCall{++m_call_number, std::move(write)});
+  StartCall(CallKind::kWrite, std::move(write), actions);
 }
 
 bool IdempotencyShard::WantsWrite(TimeMs now) const {
-  if (m_needs_clean_up || RotationDue(now)) return true;
+  if (m_needs_clean_up || RotationDue(now) || !m_deleted.empty()) return true;
+  if (m_seal_phase == SealPhase::kClaim || m_seal_phase == SealPhase::kName) {
+    return true;
+  }
   if (std::any_of(m_running.begin(), m_running.end(), [](const auto& item) {
         return item.second.outcome.has_value();
       })) {
@@ -86,6 +118,8 @@
   if (RotationDue(now)) Rotate(record);
   CleanUp(record);
   WriteOutcomes(record);
+  WriteSeal(record);
+  DropGarbage(record);
   AddIntents(record);
   return record;
 }
@@ -97,6 +131,11 @@
   std::erase_if(record.entries, [old](const auto& item) {
     return item.second.state != EntryState::kIntent && item.second.ended < old;
   });
+  std::erase_if(record.segments, [&](const SegmentRef& segment) {
+    if (segment.generation >= old) return false;
+    record.garbage.push_back(segment);
+    return true;
+  });
   record.generation = old.Next();
 }
 
@@ -131,12 +170,16 @@
 }
 
 void IdempotencyShard::AddIntents(ShardRecord& record) const {
+  if (!m_segments.Complete()) return;
   std::size_t bytes = 0;
   for (const auto& [key, entry] : record.entries) {
     bytes += ReservedBytes(key, entry);
   }
   for (const auto& [key, waiting] : m_waiting) {
     if (record.entries.contains(key)) continue;
+    if (m_segments.Find(key) != nullptr) continue;
+    // What this very write seals is not in the loaded segments yet.
+    if (m_seal.entries.contains(key)) continue;
     ShardEntry entry;
     entry.body_hash = waiting.begin.body_hash;
     entry.nonce = waiting.nonce;
--- a/lib/protocol/request/shard_record_codec.cc
+++ b/lib/protocol/request/shard_record_codec.cc
@@ -42,6 +42,25 @@
   return json;
 }
 
+Json EncodeSegments(const std::vector<SegmentRef>& segments) {
+  Json json = Json::array();
+  for (const SegmentRef& ref : segments) {
+    json.push_back(Json::array(
+        {ref.name.str(), ref.version.value(), ref.generation.value()}));
+  }
+  return json;
+}
+
+std::vector<SegmentRef> DecodeSegments(const Json& json) {
+  std::vector<SegmentRef> segments;
+  for (const Json& ref : json) {
+    segments.push_back({ref.at(0).get<SegmentName>(),
+                        ref.at(1).get<KvVersion>(),
+                        ref.at(2).get<Generation>()});
+  }
+  return segments;
+}
+
 std::string DecodeBytes(const Json& json) {
   std::optional<std::string> bytes = DecodeBase64(json.get<std::string>());
   if (!bytes) throw Json::other_error::create(501, "base64 expected", &json);
@@ -87,28 +106,55 @@
     record.entries.emplace(entry.at(kKey).get<IdempotencyKey>(),
                            DecodeEntry(entry, owners));
   }
+  record.segments = DecodeSegments(json.at("segments"));
+  record.garbage = DecodeSegments(json.at("garbage"));
+  const Json& claim = json.at("claim");
+  if (!claim.is_null()) {
+    record.claim = AttemptNonce{owners.at(claim.at(0).get<std::size_t>()),
+                                claim.at(1).get<std::uint64_t>()};
+  }
   return record;
 }
 
+/// Numbers the owners in the order of their first use.
+class OwnerTable {
+ public:
+  std::size_t Add(const ShardOwner& owner) {
+    const auto [found, added] = m_numbers.emplace(owner, m_numbers.size());
+    if (added) {
+      m_json.push_back(Json::array(
+          {owner.node.str(), owner.incarnation.value(), owner.salt}));
+    }
+    return found->second;
+  }
+
+  const Json& json() const { return m_json; }
+
+ private:
+  std::map<ShardOwner, std::size_t> m_numbers;
+  Json m_json = Json::array();
+};
+
 }  // namespace
 
 std::string JsonShardRecordCodec::Encode(const ShardRecord& record) const {
-  std::map<ShardOwner, std::size_t> owners;
-  Json owner_list = Json::array();
+  OwnerTable owners;
   Json entries = Json::array();
   for (const auto& [key, entry] : record.entries) {
-    const ShardOwner& owner = entry.nonce.owner;
-    const auto [found, added] = owners.emplace(owner, owners.size());
-    if (added) {
-      owner_list.push_back(Json::array(
-          {owner.node.str(), owner.incarnation.value(), owner.salt}));
-    }
-    entries.push_back(EncodeEntry(key, entry, found->second));
+    entries.push_back(EncodeEntry(key, entry, owners.Add(entry.nonce.owner)));
+  }
+  Json claim;
+  if (record.claim) {
+    claim =
+        Json::array({owners.Add(record.claim->owner), record.claim->number});
   }
   const Json json = {{"format", kFormat},
                      {"generation", record.generation.value()},
-                     {"owners", std::move(owner_list)},
-                     {"entries", std::move(entries)}};
+                     {"owners", owners.json()},
+                     {"entries", std::move(entries)},
+                     {"segments", EncodeSegments(record.segments)},
+                     {"claim", std::move(claim)},
+                     {"garbage", EncodeSegments(record.garbage)}};
   return json.dump();
 }
 
--- a/unittests/coordination/request/endpoint_test.cc
+++ b/unittests/coordination/request/endpoint_test.cc
@@ -94,7 +94,7 @@
   set.OnConfig(Endpoints());
   const EndpointId e1("e1");
   const EndpointId e2("e2");
-  const auto pick = [&](std::vector<EndpointId> tried = {}) {
+  const auto pick = [&](const std::vector<EndpointId>& tried = {}) {
     const EndpointConfig* picked = set.Pick(tried, 0, TimeMs(0));
     return picked == nullptr ? EndpointId() : picked->id;
   };
--- a/unittests/coordination/request/idempotency_shard_test.cc
+++ b/unittests/coordination/request/idempotency_shard_test.cc
@@ -18,7 +18,7 @@
 
 struct Bench {
   InterningCodec codec;
-  FakeRecord record;
+  FakeRecords record;
   ShardGateway a{"a", 1, codec, record};
   ShardGateway b{"b", 2, codec, record};
 };
@@ -178,9 +178,10 @@
 
 TEST_CASE("A full record refuses new keys and keeps the old", "[shard]") {
   InterningCodec codec;
-  FakeRecord record;
+  FakeRecords record;
   ShardOptions options;
   options.max_record_bytes = 20'000;
+  options.seal_bytes = 10'000;
   ShardGateway a("a", 1, codec, record, options);
   for (int i = 0; i < 10; ++i) {
     const std::string key = "k" + std::to_string(i);
@@ -193,6 +194,83 @@
                        "k8:shard_full,not_run", "k9:shard_full,not_run"});
 }
 
+TEST_CASE("Ended keys move to segments that any gateway finds, until retention",
+          "[shard]") {
+  InterningCodec codec;
+  FakeRecords record;
+  ShardOptions options;
+  options.max_record_bytes = 20'000;
+  options.seal_bytes = 2'000;
+  ShardGateway a("a", 1, codec, record, options);
+  for (int i = 0; i < 100; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    a.Begin(key.c_str(), key.c_str());
+    a.Run(DurationMs(100));
+    REQUIRE(a.log().back() == key + ":run");
+    a.Finish(key.c_str(), Outcome::kAnswered, key.c_str());
+    a.Run(DurationMs(100));
+  }
+  CHECK(record.size() > 10);
+  ShardGateway b("b", 2, codec, record, options);
+  for (int i = 0; i < 100; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    b.Begin(key.c_str(), "r", 1, DurationMs(10));
+    b.Run(kSettle);
+    REQUIRE(b.log().back() == "r:" + key);
+    a.Begin(key.c_str(), "r", 1, DurationMs(10));
+    a.Run(kSettle);
+    REQUIRE(a.log().back() == "r:" + key);
+  }
+  // Two rotations later the segments are deleted, and only the record is left.
+  for (int i = 0; i < 3; ++i) {
+    a.Pass(options.retention);
+    a.Run(kSettle);
+  }
+  CHECK(record.size() == 1);
+  ShardGateway c("c", 3, codec, record, options);
+  c.Begin("k0", "r1", 1, options.retention);
+  c.Begin("k1", "r2");
+  c.Run(kSettle);
+  CHECK(c.log() == Log{"r1:past_retention,unknown", "r2:run"});
+}
+
+TEST_CASE("A dead process's claim to a segment is taken over", "[shard]") {
+  InterningCodec codec;
+  FakeRecords record;
+  ShardOptions options;
+  options.seal_bytes = 200;
+  ShardGateway a("a", 1, codec, record, options);
+  a.Begin("k", "r1");
+  a.Run(kSettle);
+  a.Finish("k", Outcome::kAnswered, "paid");
+  // It dies between the claim and the segment.
+  const auto writes_segment = [](const ShardKvCall& call) {
+    const auto* write = std::get_if<KvCompareAndSwap>(&call.request);
+    return write != nullptr && write->key != "shard/0";
+  };
+  while (a.calls().empty() || !writes_segment(a.calls()[0])) {
+    if (!a.calls().empty()) a.Answer();
+    a.Pass(DurationMs(5));
+  }
+  REQUIRE(record.size() == 1);
+  ShardGateway b("b", 2, codec, record, options);
+  b.Begin("k2", "r2");
+  b.Run(kSettle);
+  b.Take(b.shard().OnOwnerGone(NodeId("a"), Incarnation(5), TimeMs(1'600)));
+  b.Finish("k2", Outcome::kAnswered, "paid");
+  b.Run(kSettle);
+  CHECK(record.size() == 2);
+  // The dead one was only paused: its segment is of no use to anyone.
+  a.Run(kSettle);
+  for (ShardGateway* gateway : {&a, &b}) {
+    for (const char* key : {"k", "k2"}) {
+      gateway->Begin(key, "r", 1, DurationMs(10));
+      gateway->Run(kSettle);
+      CHECK(gateway->log().back() == "r:paid");
+    }
+  }
+}
+
 TEST_CASE("Keys of another form are refused", "[shard]") {
   Bench t;
   t.a.Begin("", "r1");
--- a/unittests/coordination/request/interning_codec.h
+++ b/unittests/coordination/request/interning_codec.h
@@ -17,8 +17,14 @@
 /// The value of a record is its number.
 class InterningCodec final : public ShardRecordCodec {
  public:
+  InterningCodec() = default;
+  /// With \p forget_segments, records lose the names of their segments.
+  explicit InterningCodec(bool forget_segments)
+      : m_forget_segments(forget_segments) {}
+
   std::string Encode(const ShardRecord& record) const override {
     m_records.push_back(record);
+    if (m_forget_segments) m_records.back().segments.clear();
     return std::to_string(m_records.size() - 1);
   }
 
@@ -29,6 +35,7 @@
   }
 
  private:
+  bool m_forget_segments = false;
   mutable std::vector<ShardRecord> m_records;
 };
 
--- a/unittests/coordination/request/schedule_gateway.h
+++ b/unittests/coordination/request/schedule_gateway.h
@@ -26,7 +26,10 @@
 /// What all gateways of one schedule share.
 struct ScheduleWorld {
   explicit ScheduleWorld(std::uint64_t seed, PlantedFault planted)
-      : timeline(seed), kv(timeline), fault(planted) {}
+      : timeline(seed),
+        kv(timeline),
+        codec(planted == PlantedFault::kSegmentsForgotten),
+        fault(planted) {}
 
   Timeline timeline;
   ScheduleKv kv;
@@ -47,6 +50,8 @@
     ShardOptions options;
     options.record_key = "shard/0";
     options.running_grace = DurationMs(1'500);
+    // Small segments, so that every schedule makes some.
+    options.seal_bytes = 600;
     if (world.fault == PlantedFault::kOwnersAlike) {
       owner = {NodeId("gateway"), Incarnation(1), 1};
     }
--- a/unittests/coordination/request/schedule_kv.h
+++ b/unittests/coordination/request/schedule_kv.h
@@ -83,7 +83,7 @@
   std::uint64_t writes() const { return m_writes; }
 
   void Call(const KvRequest& request, Callback done) {
-    m_writes += std::holds_alternative<KvCompareAndSwap>(request) ? 1 : 0;
+    m_writes += std::holds_alternative<KvGet>(request) ? 0 : 1;
     if (m_down) return CallWhileDown(request, std::move(done));
     if (!m_timeline.Chance(m_faults)) {
       return Arrive(request, m_timeline.Delay(8), std::move(done));
@@ -136,12 +136,19 @@
       if (entry.version != write->expected) {
         return Current(write->key, KvStatus::kConflict);
       }
-      entry = {write->key, write->value, entry.version.Next()};
+      entry = {write->key, write->value, KvVersion(++m_last_version)};
       KvReply reply;
       reply.status = KvStatus::kOk;
       reply.version = entry.version;
       return reply;
     }
+    if (const auto* remove = std::get_if<KvDelete>(&request)) {
+      const bool current = m_entries[remove->key].version == remove->expected;
+      if (current) m_entries.erase(remove->key);
+      KvReply reply;
+      reply.status = current ? KvStatus::kOk : KvStatus::kConflict;
+      return reply;
+    }
     return Current(std::get<KvGet>(request).key, KvStatus::kOk);
   }
 
@@ -161,6 +168,7 @@
   double m_faults = 0;
   bool m_down = false;
   std::uint64_t m_writes = 0;
+  std::uint64_t m_last_version = 0;
   std::map<std::string, KvEntry> m_entries;
 };
 
--- a/unittests/coordination/request/schedule_ledger.h
+++ b/unittests/coordination/request/schedule_ledger.h
@@ -27,6 +27,7 @@
   kOwnersAlike,
   kLostAnswerToldNotRun,
   kAnswerOfAnotherKey,
+  kSegmentsForgotten,
 };
 
 /// One sending of a key that arrived at a gateway.
--- a/unittests/coordination/request/schedule_test.cc
+++ b/unittests/coordination/request/schedule_test.cc
@@ -170,6 +170,7 @@
       {"owners that compare equal", PlantedFault::kOwnersAlike},
       {"lost answer told as not run", PlantedFault::kLostAnswerToldNotRun},
       {"answer of another key", PlantedFault::kAnswerOfAnotherKey},
+      {"segments forgotten", PlantedFault::kSegmentsForgotten},
   };
   constexpr std::uint64_t kSchedules = 300;
   for (const Case& c : cases) {
--- a/unittests/coordination/request/shard_fakes.h
+++ b/unittests/coordination/request/shard_fakes.h
@@ -5,6 +5,7 @@
 #ifndef YUCCAMOOR_UNITTESTS_COORDINATION_REQUEST_SHARD_FAKES_H_
 #define YUCCAMOOR_UNITTESTS_COORDINATION_REQUEST_SHARD_FAKES_H_
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,42 +17,65 @@
 
 namespace yuccamoor {
 
-/// A record with compare-and-swap.
-class FakeRecord {
+/// A key-value service without faults.
+class FakeRecords {
  public:
   KvReply Apply(const KvRequest& request) {
+    KvReply reply;
     if (const auto* write = std::get_if<KvCompareAndSwap>(&request)) {
-      if (write->expected != m_version) return Current(KvStatus::kConflict);
-      m_version = m_version.Next();
-      m_value = write->value;
-      KvReply reply;
+      KvEntry& entry = m_entries[write->key];
+      if (entry.version != write->expected) {
+        return Current(write->key, KvStatus::kConflict);
+      }
+      entry = {write->key, write->value, ++m_last_version};
       reply.status = KvStatus::kOk;
-      reply.version = m_version;
+      reply.version = entry.version;
+      return reply;
+    }
+    if (const auto* remove = std::get_if<KvDelete>(&request)) {
+      const bool current = Find(remove->key).version == remove->expected;
+      if (current) m_entries.erase(remove->key);
+      reply.status = current ? KvStatus::kOk : KvStatus::kConflict;
       return reply;
     }
-    return Current(m_version == KvVersion(0) ? KvStatus::kNotFound
-                                             : KvStatus::kOk);
+    return Current(std::get<KvGet>(request).key, KvStatus::kOk);
   }
 
+  std::size_t size() const { return m_entries.size(); }
+
  private:
-  KvReply Current(KvStatus status) const {
+  /// Versions are never used again, also after a delete.
+  struct VersionSource {
+    std::uint64_t last = 0;
+    KvVersion operator++() { return KvVersion(++last); }
+  };
+
+  KvEntry Find(const std::string& key) const {
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? KvEntry{} : found->second;
+  }
+
+  KvReply Current(const std::string& key, KvStatus status) const {
     KvReply reply;
     reply.status = status;
-    if (m_version != KvVersion(0)) {
-      reply.entries.push_back({"shard/0", m_value, m_version});
+    const KvEntry entry = Find(key);
+    if (entry.version != KvVersion(0)) {
+      reply.entries.push_back(entry);
+    } else if (status == KvStatus::kOk) {
+      reply.status = KvStatus::kNotFound;
     }
     return reply;
   }
 
-  KvVersion m_version;
-  std::string m_value;
+  VersionSource m_last_version;
+  std::map<std::string, KvEntry> m_entries;
 };
 
 /// What became of the requests handed to one shard, as "request:end" words.
 class ShardGateway {
  public:
   ShardGateway(const char* node, std::uint64_t salt,
-               const InterningCodec& codec, FakeRecord& record,
+               const InterningCodec& codec, FakeRecords& record,
                ShardOptions options = {})
       : m_record(record) {
     options.record_key = "shard/0";
@@ -130,7 +154,7 @@
   }
 
  private:
-  FakeRecord& m_record;
+  FakeRecords& m_record;
   std::unique_ptr<IdempotencyShard> m_shard;
   TimeMs m_now{1'000};
   std::vector<std::string> m_log;
--- a/unittests/protocol/request/request_codec_test.cc
+++ b/unittests/protocol/request/request_codec_test.cc
@@ -39,6 +39,10 @@
   ShardEntry large = Entry(EntryState::kAnswered, 4, "");
   large.answer.body_kept = false;
   record.entries[IdempotencyKey("d")] = large;
+  record.claim = AttemptNonce{{NodeId("gw-2"), Incarnation(1), 5}, 9};
+  record.segments.push_back(
+      {SegmentNameOf(*record.claim), KvVersion(3), Generation(2)});
+  record.garbage.push_back({SegmentName("old"), KvVersion(0), Generation(0)});
   return record;
 }
 
