--- a/include/yuccamoor/coordination/config/config_replica.h
+++ b/include/yuccamoor/coordination/config/config_replica.h
@@ -139,6 +139,10 @@
   /// Answers a peer's fetch.
   ConfigBlobs OnFetch(const ConfigFetch& message) const;
 
+  /// Adds a daemon that another source knows, by its address. Known ones stay
+  /// as they are.
+  void AddPeer(const std::string& address);
+
   /// The configuration in force as far as known, or null. Callers keep it for
   /// as long as their request runs.
   std::shared_ptr<const ConfigSnapshot> current() const { return m_snapshot; }
--- a/include/yuccamoor/coordination/config/kv_call.h
+++ b/include/yuccamoor/coordination/config/kv_call.h
@@ -20,7 +20,7 @@
 struct KvCall {
   KvCallId id;
   KvRequest request;
-  DurationMs delay;
+  DurationMs delay{0};
 };
 
 using KvCalls = std::vector<KvCall>;
--- a/include/yuccamoor/transport/daemon/config_host.h
+++ b/include/yuccamoor/transport/daemon/config_host.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <mutex>
+#include <string>
 
 #include "yuccamoor/coordination/config/config_replica.h"
 #include "yuccamoor/protocol/config/json_config_codec.h"
@@ -32,8 +33,10 @@
 /// order, and no call leaves the process while it is held.
 class ConfigHost : public std::enable_shared_from_this<ConfigHost> {
  public:
+  /// \p address is where peers call this daemon.
   static std::shared_ptr<ConfigHost> Create(ConfigHostServices services,
                                             const DaemonSettings& settings,
+                                            std::string address,
                                             std::uint64_t seed);
 
   /// Adds the methods by which peers exchange configurations.
@@ -59,8 +62,7 @@
   void SendFetch(const ConfigFetchCall& call);
 
   ConfigHostServices m_services;
-  const NodeId m_self;
-  const ConfigReplicaOptions m_options;
+  const std::string m_address;
   JsonConfigCodec m_codec;
   mutable std::mutex m_mutex;
   ConfigReplica m_replica;
--- a/lib/coordination/config/config_replica.cc
+++ b/lib/coordination/config/config_replica.cc
@@ -78,6 +78,11 @@
   }
 }
 
+void ConfigReplica::AddPeer(const std::string& address) {
+  if (address == m_options.address || m_peers.size() >= kMaxConfigPeers) return;
+  m_peers.try_emplace(address, ConfigPeer{address, {}, 0});
+}
+
 void ConfigReplica::Meet(const ConfigAnnounce& message) {
   if (message.address.empty() || message.address == m_options.address) return;
   const auto it = m_peers.find(message.address);
--- a/lib/transport/daemon/config_host.cc
+++ b/lib/transport/daemon/config_host.cc
@@ -16,35 +16,20 @@
 
 /// Time for the answer beyond that for which a watch waits.
 constexpr DurationMs kKvSlack(1'000);
-/// Names the static peers of the settings, which are known by address only.
-constexpr const char* kSeedPeerPrefix = "seed:";
+/// Time after which a call to a peer counts as failed.
+constexpr DurationMs kPeerTimeout(1'000);
 
 ConfigReplicaOptions OptionsOf(const DaemonSettings& settings,
-                               std::uint64_t seed) {
+                               std::string address, std::uint64_t seed) {
   ConfigReplicaOptions options;
   options.self = settings.node;
+  options.address = std::move(address);
   options.failure_domain = settings.failure_domain;
+  options.peers = settings.peers;
   options.seed = seed;
-  for (const std::string& address : settings.peers) {
-    options.peers.push_back(
-        ConfigPeer{NodeId(kSeedPeerPrefix + address), address, {}});
-  }
   return options;
 }
 
-std::vector<ConfigPeer> LivePeers(const MemberRegistry& members,
-                                  const NodeId& self) {
-  std::vector<ConfigPeer> peers;
-  for (const MemberRole role : {MemberRole::kGateway, MemberRole::kScheduler}) {
-    for (const Member& member : members.Live(role)) {
-      if (member.id == self) continue;
-      peers.push_back(
-          ConfigPeer{member.id, member.address, member.failure_domain});
-    }
-  }
-  return peers;
-}
-
 DurationMs TimeoutOf(const KvRequest& request) {
   const auto* watch = std::get_if<KvWatch>(&request);
   return watch == nullptr ? kKvSlack : watch->wait + kKvSlack;
@@ -54,17 +39,17 @@
 
 std::shared_ptr<ConfigHost> ConfigHost::Create(ConfigHostServices services,
                                                const DaemonSettings& settings,
+                                               std::string address,
                                                std::uint64_t seed) {
   return std::shared_ptr<ConfigHost>(
-      new ConfigHost(services, OptionsOf(settings, seed)));
+      new ConfigHost(services, OptionsOf(settings, std::move(address), seed)));
 }
 
 ConfigHost::ConfigHost(ConfigHostServices services,
                        ConfigReplicaOptions options)
     : m_services(services),
-      m_self(options.self),
-      m_options(std::move(options)),
-      m_replica(m_options, m_codec, services.clock.Now()) {}
+      m_address(options.address),
+      m_replica(std::move(options), m_codec, services.clock.Now()) {}
 
 template <class Input>
 void ConfigHost::Apply(Input input) {
@@ -97,11 +82,13 @@
 }
 
 void ConfigHost::Tick() {
-  std::vector<ConfigPeer> peers = LivePeers(m_services.members, m_self);
-  // The settings' peers serve until the members are known.
-  if (peers.empty()) peers = m_options.peers;
   Apply([&](ConfigReplica& replica, TimeMs now) {
-    replica.SetPeers(std::move(peers));
+    for (const MemberRole role :
+         {MemberRole::kGateway, MemberRole::kScheduler}) {
+      for (const Member& member : m_services.members.Live(role)) {
+        if (member.address != m_address) replica.AddPeer(member.address);
+      }
+    }
     return replica.Tick(now);
   });
 }
@@ -133,9 +120,8 @@
 }
 
 void ConfigHost::SendExchange(const ConfigExchangeCall& call) {
-  m_services.peers.Call(call.to.address, kConfigExchangeMethod,
-                        EncodeConfigAnnounce(call.message),
-                        m_options.peer_timeout,
+  m_services.peers.Call(call.to, kConfigExchangeMethod,
+                        EncodeConfigAnnounce(call.message), kPeerTimeout,
                         [self = shared_from_this(),
                          id = call.id](const std::optional<std::string>& text) {
                           std::optional<ConfigAnnounce> reply;
@@ -150,8 +136,8 @@
 }
 
 void ConfigHost::SendFetch(const ConfigFetchCall& call) {
-  m_services.peers.Call(call.to.address, kConfigFetchMethod,
-                        EncodeConfigFetch(call.message), m_options.peer_timeout,
+  m_services.peers.Call(call.to, kConfigFetchMethod,
+                        EncodeConfigFetch(call.message), kPeerTimeout,
                         [self = shared_from_this(),
                          id = call.id](const std::optional<std::string>& text) {
                           std::optional<ConfigBlobs> reply;
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -98,7 +98,7 @@
                                      m_vm_list.get(), m_clock);
   m_config = ConfigHost::Create(
       ConfigHostServices{*m_key_value, *m_peers, *m_members, m_clock},
-      m_settings, std::random_device()());
+      m_settings, peer_address(), std::random_device()());
   m_config->AddPeerMethods(m_dispatcher);
   AddOperatorPath("/healthz", [](const HttpRequest&) {
     return JsonResponse(200, R"({"alive":true})");
