--- a/include/yuccamoor/transport/standins/plain_service_stand_in.h
+++ b/include/yuccamoor/transport/standins/plain_service_stand_in.h
@@ -20,8 +20,9 @@
 /// Runs a call of any path by appending it to a ledger. GET /ledger gives the
 /// entries in order, each with the request's Idempotency-Key or X-Request-Id,
 /// method and path, and the newest arrival after leaving began. POST /faults as
-/// FaultSwitches, with "leaving": refuse new calls by 503 and Connection:
-/// close, unrun; and "run_ms": how long a call runs.
+/// FaultSwitches, with "leaving": refuse new calls, unrun, by 503 with
+/// Connection: close and Yuccamoor-Not-Run: true; and "run_ms": how long a call
+/// runs.
 class PlainServiceStandIn final : public StandIn {
  public:
   explicit PlainServiceStandIn(EndpointId endpoint);
--- a/lib/transport/standins/plain_service_stand_in.cc
+++ b/lib/transport/standins/plain_service_stand_in.cc
@@ -14,6 +14,7 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpUnavailable = 503;
+constexpr const char* kNotRunHeader = "Yuccamoor-Not-Run";
 constexpr std::size_t kMaxLedgerEntries = 1'000'000;
 
 std::string KeyOf(const HttpRequest& request) {
@@ -39,6 +40,7 @@
     HttpResponse refusal =
         JsonResponse(kHttpUnavailable, R"({"error":"leaving"})");
     refusal.headers.Add("Connection", "close");
+    refusal.headers.Add(kNotRunHeader, "true");
     co_await exchange.Send(std::move(refusal));
     co_return;
   }
--- a/unittests/transport/platform/other_stand_ins_test.cc
+++ b/unittests/transport/platform/other_stand_ins_test.cc
@@ -50,11 +50,10 @@
       host.Serve(std::make_shared<WeightStoreStandIn>(options));
   const SteadyClock clock;
   const TimeMs begin = clock.Now();
-  std::vector<std::future<HttpReply>> fetches;
-  for (int i = 0; i < kFetches; ++i) {
-    fetches.push_back(std::async(std::launch::async, [&] {
-      return host.Call(store, "POST", "/fetch");
-    }));
+  std::vector<std::future<HttpReply>> fetches(kFetches);
+  for (auto& fetch : fetches) {
+    fetch = std::async(std::launch::async,
+                       [&] { return host.Call(store, "POST", "/fetch"); });
   }
   for (auto& fetch : fetches) CHECK(fetch.get().response.status == 200);
   // Together they take at least as long as one after the other.
@@ -76,6 +75,7 @@
   const HttpReply refused = charge("k3");
   CHECK(refused.response.status == 503);
   CHECK(refused.response.headers.Find("Connection") == "close");
+  CHECK(refused.response.headers.Find("Yuccamoor-Not-Run") == "true");
   const Json ledger = host.CallJson(service, "GET", "/ledger");
   REQUIRE(ledger.at("entries").size() == 2);
   CHECK(ledger.at("entries")[0].at("key") == "k1");
