--- a/tools/yuccamoor-publish/main.cc
+++ b/tools/yuccamoor-publish/main.cc
@@ -4,22 +4,16 @@
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <iostream>
-#include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
 #include "collect_files.h"
 #include "report.h"
 #include "yuccamoor/coordination/config/publisher.h"
-#include "yuccamoor/coordination/config/segment_collector.h"
 #include "yuccamoor/protocol/config/config_schema.h"
 #include "yuccamoor/protocol/config/config_text.h"
 #include "yuccamoor/protocol/config/json_config_codec.h"
-#include "yuccamoor/transport/config/kv_call_runner.h"
-#include "yuccamoor/transport/http_client.h"
-#include "yuccamoor/transport/platform/http_key_value_service.h"
-#include "yuccamoor/transport/worker_pool.h"
+#include "yuccamoor/transport/config/kv_connection.h"
 
 namespace yuccamoor {
 namespace {
@@ -63,18 +57,10 @@
                "Write the description of the files' fields, and end");
 }
 
-PublisherNonce MakeNonce() {
-  std::random_device device;
-  std::string nonce;
-  constexpr int kWords = 4;
-  for (int i = 0; i < kWords; ++i) nonce += std::to_string(device()) + ".";
-  return PublisherNonce(nonce);
-}
-
 PublishRequest MakeRequest(const Options& options, ConfigDraft draft) {
   PublishRequest request;
   request.publisher = PublisherId(options.publisher);
-  request.nonce = MakeNonce();
+  request.nonce = MakePublisherNonce();
   request.change.draft = std::move(draft);
   for (const std::string& owner : options.removals) {
     request.change.removals.emplace_back(owner);
@@ -83,58 +69,17 @@
   return request;
 }
 
-/// The connection to the key-value service.
-class Connection {
- public:
-  explicit Connection(const std::string& address)
-      : m_pool(1),
-        m_client(HttpClient::Create(m_pool)),
-        m_service(HttpKeyValueService::Create(m_pool, *m_client, address)) {
-    m_pool.Start();
-  }
-  ~Connection() { m_pool.Stop(); }
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
-
-  KeyValueService& service() { return *m_service; }
-  const Clock& clock() const { return m_clock; }
-
- private:
-  SteadyClock m_clock;
-  WorkerPool m_pool;
-  std::unique_ptr<HttpClient> m_client;
-  std::unique_ptr<HttpKeyValueService> m_service;
-};
-
-void Collect(Connection& connection, TimeMs deadline) {
-  const JsonConfigCodec codec;
-  SegmentCollector collector(codec);
-  RunKvCalls(connection.service(), connection.clock(), deadline,
-             collector.Begin(), [&collector](KvCallId id, const KvReply& r) {
-               return collector.OnReply(id, r);
-             });
-}
-
 PublishOutcome Publish(const Options& options, ConfigDraft draft) {
   constexpr double kMsPerSecond = 1'000;
   const JsonConfigCodec codec;
-  Connection connection(options.key_value_service);
-  const TimeMs deadline =
-      connection.clock().Now() + DurationMs(static_cast<std::int64_t>(
-                                     options.timeout_seconds * kMsPerSecond));
-  std::random_device device;
-  const double random = static_cast<double>(device()) /
-                        (static_cast<double>(std::random_device::max()) + 1.0);
-  Publisher publisher(MakeRequest(options, std::move(draft)), codec, random);
-  RunKvCalls(connection.service(), connection.clock(), deadline,
-             publisher.Begin(), [&publisher](KvCallId id, const KvReply& r) {
-               return publisher.OnReply(id, r);
-             });
-  publisher.GiveUp();
-  const PublishOutcome& outcome = publisher.outcome();
+  const DurationMs timeout(
+      static_cast<std::int64_t>(options.timeout_seconds * kMsPerSecond));
+  KvConnection connection(options.key_value_service);
+  PublishOutcome outcome = connection.Publish(
+      MakeRequest(options, std::move(draft)), codec, timeout);
   if (outcome.status == PublishStatus::kAccepted &&
       outcome.revision.value() % kCollectionInterval == 0) {
-    Collect(connection, deadline);
+    connection.CollectSegments(codec, timeout);
   }
   return outcome;
 }
