--- a/lib/protocol/config/config_diff.cc
+++ b/lib/protocol/config/config_diff.cc
@@ -32,8 +32,9 @@
     return it == json.end() ? nullptr : &*it;
   };
   for (const std::string& name : names) {
-    Compare(owner, pointer + "/" + name, member(*before, name),
-            member(*after, name), found);
+    std::string below = pointer;
+    below.append("/").append(name);
+    Compare(owner, below, member(*before, name), member(*after, name), found);
   }
 }
 
--- a/lib/transport/config/kv_connection.cc
+++ b/lib/transport/config/kv_connection.cc
@@ -60,7 +60,7 @@
 }
 
 PublisherNonce MakePublisherNonce() {
-  constexpr int kWords = 4;
+  constexpr int kWords = 2;
   std::random_device device;
   std::string nonce;
   for (int i = 0; i < kWords; ++i) nonce += std::to_string(device()) + ".";
