--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -163,7 +163,6 @@
 }
 
 void Gateway::RefreshMembers() {
-  if (auto config = Config()) m_proxy->OnConfig(std::move(config));
   m_proxy->Tick();
   MemberRegistry& members = m_daemon->members();
   if (!members.Known()) return;
@@ -241,6 +240,7 @@
     co_return;
   }
   if (request.target.starts_with(kServicesPrefix)) {
+    if (auto config = Config()) m_proxy->OnConfig(std::move(config));
     co_await m_proxy->Handle(exchange, NewRequestId(request));
     co_return;
   }
--- a/unittests/process/whole_path_test.cc
+++ b/unittests/process/whole_path_test.cc
@@ -68,7 +68,9 @@
     CheckAnswer(cluster.Chat(1, "a1@v1", "cold"), "a1@v1");
     cluster.Start("gateway0");
     cluster.Await("the gateway is back", [&] {
-      return cluster.Chat(0, "a0@v1", "back").response.status == 200;
+      const HttpReply reply = cluster.Chat(0, "a0@v1", "back");
+      return reply.progress == HttpProgress::kAnswered &&
+             reply.response.status == 200;
     });
   }
   SECTION("an engine") {
@@ -81,9 +83,13 @@
                              "engine0", "engine1"}) {
       cluster.Restart(name);
     }
-    cluster.Await("the gateway is back", [&] {
-      return cluster.Chat(0, "a0@v1", "back").response.status == 200;
-    });
+    for (int gateway = 0; gateway < 2; ++gateway) {
+      cluster.Await("the gateway is back", [&] {
+        const HttpReply reply = cluster.Chat(gateway, "a0@v1", "back");
+        return reply.progress == HttpProgress::kAnswered &&
+               reply.response.status == 200;
+      });
+    }
     CheckAnswer(cluster.Chat(1, "a2@v1", "cold"), "a2@v1");
   }
   CHECK(cluster.EngineCounter("violations") == 0);
--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -18,8 +18,8 @@
   # In the reverse order, so that the daemons can hand over first.
   for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
     kill -TERM "${pids[$i]}" 2>/dev/null || true
+    wait "${pids[$i]}" 2>/dev/null || true
   done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   echo "logs: $run"
 }
 trap stop_all EXIT
