--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -248,14 +248,18 @@
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     ConnectionCache& cache =
         *m_caches.at(&asio::query(executor, asio::execution::context));
+    // One deadline for the connection and the exchange together.
+    const auto deadline =
+        std::chrono::steady_clock::now() + ToChrono(options.timeout);
     ConnectionPtr connection;
     if (!options.fresh_connection) connection = cache.Take(address);
     std::string error;
     if (!connection) {
       connection = std::make_unique<Connection>(executor);
-      error = co_await Connect(*connection, address, options.timeout);
+      connection->stream.expires_at(deadline);
+      error = co_await Connect(*connection, address);
     }
-    connection->stream.expires_after(ToChrono(options.timeout));
+    connection->stream.expires_at(deadline);
     auto stream = std::make_unique<BeastResponseStream>(
         cache, std::move(address), std::move(connection));
     if (!error.empty()) {
@@ -267,13 +271,12 @@
   }
 
  private:
-  /// Returns an empty string, or why there is no connection.
+  /// Connects within the stream's deadline. Returns an empty string, or why
+  /// there is no connection.
   static Awaitable<std::string> Connect(Connection& connection,
-                                        const std::string& address,
-                                        DurationMs timeout) {
+                                        const std::string& address) {
     const auto endpoint = ParseEndpoint(address);
     if (!endpoint) co_return "not an address: " + address;
-    connection.stream.expires_after(ToChrono(timeout));
     ErrorCode error;
     co_await connection.stream.async_connect(
         *endpoint, asio::redirect_error(asio::use_awaitable, error));
