--- a/unittests/transport/platform/engine_contract_test.cc
+++ b/unittests/transport/platform/engine_contract_test.cc
@@ -224,6 +224,38 @@
   CHECK(later->sequence > report->sequence);
 }
 
+TEST_CASE("The batch is filled by priority and then by arrival", "[engine]") {
+  EngineOptions options = SmallEngine();
+  options.batch = 1;
+  EngineCore core(options, InstanceId("i"));
+  EngineOrder load;
+  load.target = kTarget;
+  core.TakeOrder(load);
+  core.EndLoad(kTarget, InstanceId("i"), true);
+  const auto start = [&](const std::string& id, Priority priority) {
+    GenerateRequest request;
+    request.request_id = RequestId(id);
+    request.target = kTarget;
+    request.max_tokens = 1;
+    request.priority = priority;
+    return core.Generate(request).second;
+  };
+  const std::vector<EngineStreamPtr> in_order_of_end = [&] {
+    const auto summary = start("summary", Priority::kBackground);
+    const auto chat = start("chat", Priority::kInteractive);
+    const auto later_chat = start("later", Priority::kInteractive);
+    const auto booking = start("booking", Priority::kNormal);
+    return std::vector{chat, later_chat, booking, summary};
+  }();
+  for (std::size_t i = 0; i < in_order_of_end.size(); ++i) {
+    core.Step(TimeMs(static_cast<std::int64_t>(i)));
+    for (std::size_t k = 0; k < in_order_of_end.size(); ++k) {
+      const bool finished = in_order_of_end[k]->phase == StreamPhase::kFinished;
+      CHECK(finished == (k <= i));
+    }
+  }
+}
+
 TEST_CASE("A report is as old as the lag", "[engine]") {
   EngineOptions options = SmallEngine();
   options.report_lag = DurationMs(100);
