Report every request by trace, metric, log line and record

Each request has a span for its wait, each attempt, the commit of its key and the hop to another gateway; its load stall and outcome count in /metrics; one line tells its end; and /admin/requests/<id> tells operators why it waited. Settings now come from a file, the environment and flags in a stated order.

--- a/include/yuccamoor/coordination/membership/member_table.h
+++ b/include/yuccamoor/coordination/membership/member_table.h
@@ -99,6 +99,7 @@
     TimeMs missing_since;
   };
 
+  bool HasMemberOn(const VmId& vm) const;
   bool IsGone(const Entry& entry, TimeMs now) const;
 
   Member m_self;
--- a/include/yuccamoor/transport/daemon/daemon.h
+++ b/include/yuccamoor/transport/daemon/daemon.h
@@ -27,8 +27,9 @@
 class HttpClient;
 class KeyValueService;
 class MemberRegistry;
+class Telemetry;
 
-/// Handles GET requests of operators by target.
+/// Answers an operator's request.
 using OperatorHandler = std::function<HttpResponse(const HttpRequest&)>;
 
 /// The common part. Made first, then filled with the role's methods and tasks,
@@ -46,7 +47,8 @@
   void SetPeerHandler(HttpHandler handler) {
     m_peer_handler = std::move(handler);
   }
-  /// Adds what operators read under exactly this path. Before Start.
+  /// Adds what operators reach under exactly this path or, if it ends with a
+  /// slash, under all paths that begin with it. Before Start.
   void AddOperatorPath(const std::string& path, OperatorHandler handler);
 
   /// Starts the threads and the periodic tasks.
@@ -65,6 +67,7 @@
   KeyValueService& key_value() { return *m_key_value; }
   MemberRegistry& members() { return *m_members; }
   ConfigHost& config() { return *m_config; }
+  Telemetry& telemetry() { return *m_telemetry; }
   const Clock& clock() const { return m_clock; }
   const DaemonSettings& settings() const { return m_settings; }
   /// Where peers reach this daemon, as "ip:port".
@@ -76,12 +79,16 @@
   explicit Daemon(DaemonSettings settings);
 
   Findings Listen();
+  Findings OpenTelemetry(MemberRole role);
   void JoinCluster(MemberRole role);
   Awaitable<void> HandlePeer(HttpExchange& exchange);
   Awaitable<void> HandleOperator(HttpExchange& exchange);
+  const OperatorHandler* FindOperatorHandler(const std::string& path) const;
+  HttpResponse Explain(const HttpRequest& request) const;
 
   DaemonSettings m_settings;
   SteadyClock m_clock;
+  std::unique_ptr<Telemetry> m_telemetry;
   std::unique_ptr<WorkerPool> m_pool;
   std::unique_ptr<HttpClient> m_client;
   std::unique_ptr<HttpPeerChannel> m_peers;
--- a/include/yuccamoor/transport/daemon/daemon_program.h
+++ b/include/yuccamoor/transport/daemon/daemon_program.h
@@ -11,21 +11,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "yuccamoor/state/result.h"
+#include "yuccamoor/transport/observability/settings_overlay.h"
 
 namespace yuccamoor {
 
-/// Exit statuses of the daemons.
-enum class ExitStatus : int {
-  kOk = 0,
-  /// A graceful shutdown ended before every request had.
-  kCutShort = 1,
-  /// The command line or the settings are wrong.
-  kUsage = 2,
-  /// A listener could not be opened.
-  kCannotStart = 3,
-};
+/// Exit status of a daemon that could not open its listeners.
+constexpr int kExitCannotStart = 3;
 
 /// A daemon that has been started.
 class RunningDaemon {
@@ -38,16 +32,22 @@
   virtual bool Shutdown() = 0;
 };
 
-/// Makes and starts a daemon from its settings' text, or only checks the text.
-/// Returns null when only checking.
-using DaemonFactory = std::function<Result<std::unique_ptr<RunningDaemon>>(
-    const std::string& text, const std::string& source, bool check_only)>;
+/// What one daemon's main function adds.
+struct DaemonProgram {
+  std::string name;
+  std::string summary;
+  std::vector<SettingInfo> settings;
+  /// Parses the merged settings and keeps them; returns what is wrong.
+  std::function<Findings(const std::string& json_text)> parse;
+  /// Makes and starts the daemon from the parsed settings.
+  std::function<Result<std::unique_ptr<RunningDaemon>>()> start;
+};
 
-/// Parses the command line, starts the daemon, waits for SIGTERM or SIGINT and
-/// shuts it down. Returns the process's exit status.
-int RunDaemonProgram(int argc, char** argv, const std::string& name,
-                     const std::string& description,
-                     const DaemonFactory& start);
+/// Parses the command line and the settings, starts the daemon, waits for
+/// SIGTERM or SIGINT and shuts it down. Returns the process's exit status:
+/// kExitOk, kExitUsage, kExitCannotStart, or kExitFailure when a shutdown ended
+/// before every request had.
+int RunDaemonProgram(const DaemonProgram& program, int argc, char** argv);
 
 }  // namespace yuccamoor
 
--- a/include/yuccamoor/transport/gateway/chat_service.h
+++ b/include/yuccamoor/transport/gateway/chat_service.h
@@ -8,8 +8,10 @@
 #include <atomic>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "yuccamoor/protocol/api_error.h"
 #include "yuccamoor/protocol/chat_api.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/config_snapshot.h"
@@ -21,6 +23,9 @@
 class CellSession;
 class HttpClient;
 class HttpExchange;
+struct HttpRequest;
+class RequestScope;
+class Telemetry;
 class WorkerPool;
 
 /// Finds what a request needs. Safe to use from several threads.
@@ -40,6 +45,7 @@
   HttpClient& client;
   const Clock& clock;
   const ChatDirectory& directory;
+  Telemetry& telemetry;
 };
 
 /// The service's limits.
@@ -56,6 +62,8 @@
   Priority priority = Priority::kNormal;
   std::shared_ptr<CellSession> session;
   TimeMs deadline;
+  /// The request's telemetry; outlives the job.
+  RequestScope* scope = nullptr;
 };
 
 /// The chat service.
@@ -70,7 +78,9 @@
   std::size_t active() const { return m_active; }
 
  private:
-  Awaitable<void> HandleAdmitted(HttpExchange& exchange, RequestId id);
+  Awaitable<void> HandleAdmitted(HttpExchange& exchange, RequestScope& scope);
+  /// Fills in the job, or returns why the request is refused.
+  std::optional<ApiError> Prepare(const HttpRequest& request, ChatJob& job);
 
   ChatServices m_services;
   ChatOptions m_options;
--- a/include/yuccamoor/transport/gateway/service_proxy.h
+++ b/include/yuccamoor/transport/gateway/service_proxy.h
@@ -29,7 +29,9 @@
 class HttpClient;
 class HttpExchange;
 struct HttpReply;
+class RequestScope;
 class ShardHost;
+class Telemetry;
 
 /// Callers' requests to services begin with this.
 constexpr std::string_view kServicesPrefix = "/services/";
@@ -41,6 +43,7 @@
   HttpClient& client;
   const Clock& clock;
   std::shared_ptr<ShardHost> shards;
+  Telemetry& telemetry;
 };
 
 /// The proxy. Safe to use from several threads: one mutex guards the state of
@@ -77,6 +80,8 @@
     /// The target at the endpoint.
     std::string path;
     PlainCallSpec spec;
+    /// The request's telemetry; outlives the job.
+    RequestScope* scope = nullptr;
   };
 
   /// Fills in the job, or returns the response that refuses the request.
@@ -89,8 +94,10 @@
                                            const Job& job) const;
   Awaitable<HttpReply> Forward(const HttpRequest& request, const Job& job,
                                std::string address);
+  Awaitable<HttpResponse> Answer(const HttpRequest& request, Job& job);
   Awaitable<HttpResponse> Run(const HttpRequest& request, const Job& job);
-  Awaitable<PlainSteps> BeginKey(PlainCall& call, ShardBegin begin);
+  Awaitable<PlainSteps> BeginKey(const Job& job, PlainCall& call,
+                                 ShardBegin begin);
   Awaitable<PlainSteps> SendOnce(const HttpRequest& request, const Job& job,
                                  PlainCall& call, SendStep step);
   double Random() { return m_uniform(m_random); }
--- a/include/yuccamoor/transport/http.h
+++ b/include/yuccamoor/transport/http.h
@@ -49,6 +49,8 @@
 
 /// Returns a response with a JSON body.
 HttpResponse JsonResponse(int status, std::string body);
+/// Returns the response to a method that a resource does not have.
+HttpResponse MethodNotAllowed();
 
 }  // namespace yuccamoor
 
--- a/include/yuccamoor/transport/scheduler/scheduler.h
+++ b/include/yuccamoor/transport/scheduler/scheduler.h
@@ -38,6 +38,7 @@
   void Tick();
   void OpenHosts();
   void RefreshMembers();
+  void UpdateMetrics();
   bool Wants(const CellConfig& cell) const;
   std::shared_ptr<CellHost> Host(const CellId& cell) const;
   std::vector<std::shared_ptr<CellHost>> Hosts() const;
--- a/lib/coordination/membership/member_table.cc
+++ b/lib/coordination/membership/member_table.cc
@@ -33,18 +33,20 @@
   std::map<VmId, VmSight> sights;
   for (const VmEntry& vm : vms) sights[vm.id].listed = true;
   for (const auto& [id, sight] : m_vms) {
-    if (sights.contains(id)) continue;
     // Only VMs of members need to be remembered once they are not listed.
-    const bool needed =
-        std::any_of(m_entries.begin(), m_entries.end(),
-                    [&](const auto& e) { return e.second.member.vm == id; });
-    if (!needed) continue;
+    if (sights.contains(id) || !HasMemberOn(id)) continue;
     sights[id] = VmSight{false, sight.listed ? now : sight.missing_since};
   }
   m_vms = std::move(sights);
   m_have_vms = true;
 }
 
+bool MemberTable::HasMemberOn(const VmId& vm) const {
+  return std::any_of(
+      m_entries.begin(), m_entries.end(),
+      [&vm](const auto& entry) { return entry.second.member.vm == vm; });
+}
+
 std::optional<KvRequest> MemberTable::Registration() {
   if (!m_known || Registered()) return std::nullopt;
   const std::string key = MemberKey(m_self.id);
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -15,6 +15,7 @@
 
 #include "yuccamoor/transport/daemon/config_host.h"
 #include "yuccamoor/transport/daemon/member_registry.h"
+#include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/http_client.h"
 #include "yuccamoor/transport/platform/http_key_value_service.h"
 #include "yuccamoor/transport/platform/http_vm_list.h"
@@ -24,6 +25,7 @@
 
 constexpr DurationMs kMemberInterval(1'000);
 constexpr DurationMs kConfigInterval(100);
+constexpr const char* kRequestsPath = "/admin/requests/";
 
 HttpServerOptions ToOptions(const ListenAddress& listen) {
   HttpServerOptions options;
@@ -51,6 +53,7 @@
                                                MemberRole role) {
   std::unique_ptr<Daemon> daemon(new Daemon(std::move(settings)));
   Findings findings = daemon->Listen();
+  findings.Append(daemon->OpenTelemetry(role));
   if (!findings.empty()) return findings;
   daemon->JoinCluster(role);
   return daemon;
@@ -86,6 +89,33 @@
   return findings;
 }
 
+Findings Daemon::OpenTelemetry(MemberRole role) {
+  const std::string service = role == MemberRole::kGateway
+                                  ? "yuccamoor-gateway"
+                                  : "yuccamoor-scheduler";
+  auto telemetry = Telemetry::Create(m_clock, service, m_settings.trace_file);
+  if (!telemetry) return telemetry.error();
+  m_telemetry = std::move(telemetry).value();
+  AddOperatorPath("/metrics", [this](const HttpRequest&) {
+    HttpResponse response;
+    response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+    response.body = m_telemetry->metrics().Render();
+    return response;
+  });
+  AddOperatorPath(kRequestsPath, [this](const HttpRequest& request) {
+    return Explain(request);
+  });
+  return {};
+}
+
+HttpResponse Daemon::Explain(const HttpRequest& request) const {
+  const std::string path = PathOf(request.target);
+  const RequestId id(path.substr(std::string_view(kRequestsPath).size()));
+  const auto record = m_telemetry->requests().Find(id);
+  if (record) return JsonResponse(200, EncodeRequestRecord(*record));
+  return JsonResponse(404, R"({"error":"no such request here"})");
+}
+
 void Daemon::JoinCluster(MemberRole role) {
   Member self;
   self.id = m_settings.node;
@@ -160,12 +190,22 @@
 }
 
 Awaitable<void> Daemon::HandleOperator(HttpExchange& exchange) {
-  const auto it = m_operator_paths.find(PathOf(exchange.request().target));
-  if (it == m_operator_paths.end()) {
+  const OperatorHandler* handler =
+      FindOperatorHandler(PathOf(exchange.request().target));
+  if (handler == nullptr) {
     co_await exchange.Send(JsonResponse(404, R"({"error":"not found"})"));
     co_return;
   }
-  co_await exchange.Send(it->second(exchange.request()));
+  co_await exchange.Send((*handler)(exchange.request()));
+}
+
+const OperatorHandler* Daemon::FindOperatorHandler(
+    const std::string& path) const {
+  const auto exact = m_operator_paths.find(path);
+  if (exact != m_operator_paths.end()) return &exact->second;
+  const auto folder =
+      m_operator_paths.find(path.substr(0, path.rfind('/') + 1));
+  return folder == m_operator_paths.end() ? nullptr : &folder->second;
 }
 
 void WritePortFile(const std::string& path,
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -8,6 +8,7 @@
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/generation.h"
 #include "yuccamoor/protocol/sse.h"
+#include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/http_client.h"
 #include "yuccamoor/transport/worker_pool.h"
@@ -72,9 +73,7 @@
 Awaitable<std::optional<ApiError>> ChatRun::Execute() {
   const std::uint64_t prefix_key = PrefixKey(BuildPrompt(m_job.request));
   for (;;) {
-    const AcquireResult acquired = co_await m_job.session->Acquire(
-        m_job.target, m_job.priority, m_job.deadline, prefix_key,
-        [this] { return m_sink.CallerGone(); });
+    const AcquireResult acquired = co_await WaitForGrant(prefix_key);
     if (!acquired.placement) co_return FailureOf(acquired);
     const AttemptEnd end = co_await TryOn(*acquired.placement);
     if (end == AttemptEnd::kWhole) co_return std::nullopt;
@@ -86,6 +85,17 @@
   }
 }
 
+Awaitable<AcquireResult> ChatRun::WaitForGrant(std::uint64_t prefix_key) {
+  Span span = m_job.scope->StartSpan("load_wait", SpanKind::kInternal);
+  const TimeMs start = m_services.clock.Now();
+  AcquireResult result = co_await m_job.session->Acquire(
+      m_job.target, m_job.priority, m_job.deadline, prefix_key,
+      [this] { return m_sink.CallerGone(); });
+  m_job.scope->OnWaited(m_services.clock.Now() - start);
+  if (!result.placement) span.Fail("no grant");
+  co_return result;
+}
+
 bool ChatRun::PrepareAssembler(const InstanceId& instance) {
   if (m_assembler.CanAttempt(instance)) return true;
   if (m_sink.Committed()) return false;
@@ -101,6 +111,21 @@
 
 Awaitable<ChatRun::AttemptEnd> ChatRun::TryOn(const Placement& placement) {
   const DispatchGuard guard(*m_job.session, placement.dispatch);
+  const TimeMs start = m_services.clock.Now();
+  Span span = m_job.scope->StartSpan("worker.generate", SpanKind::kClient);
+  span.Attribute("worker", placement.worker);
+  const AttemptEnd end =
+      co_await Attempt(placement, FormatTraceparent(span.context()));
+  constexpr const char* kEndNames[] = {"answered", "failed", "cut"};
+  const char* const name = kEndNames[static_cast<int>(end)];
+  if (end != AttemptEnd::kWhole) span.Fail(name);
+  m_job.scope->record().attempts.push_back(AttemptRecord{
+      placement.worker.str(), name, m_services.clock.Now() - start});
+  co_return end;
+}
+
+Awaitable<ChatRun::AttemptEnd> ChatRun::Attempt(const Placement& placement,
+                                                std::string traceparent) {
   if (!PrepareAssembler(placement.instance)) co_return AttemptEnd::kVoid;
   m_attempt = m_attempt.Next();
   GenerateRequest generate;
@@ -115,6 +140,7 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/generate";
+  request.headers.Add("traceparent", std::move(traceparent));
   request.body = EncodeGenerateRequest(generate);
   HttpCallOptions options;
   options.timeout = kHeaderTimeout;
@@ -183,6 +209,7 @@
     std::uint64_t index = m_assembler.next().value();
     const std::vector<std::string> tokens = m_assembler.Take();
     for (const std::string& text : tokens) {
+      m_job.scope->OnFirstToken();
       co_await m_sink.OnToken(text, TokenIndex(index));
       ++index;
     }
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -52,7 +52,10 @@
   /// How an attempt ended.
   enum class AttemptEnd : std::uint8_t { kWhole, kRetry, kVoid };
 
+  Awaitable<AcquireResult> WaitForGrant(std::uint64_t prefix_key);
   Awaitable<AttemptEnd> TryOn(const Placement& placement);
+  Awaitable<AttemptEnd> Attempt(const Placement& placement,
+                                std::string traceparent);
   Awaitable<AttemptEnd> ReadAnswer(const Placement& placement,
                                    HttpResponseStream& stream);
   Awaitable<bool> TakeFrames(std::string piece, class SseParser& parser);
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -4,11 +4,13 @@
 #include "yuccamoor/transport/gateway/chat_service.h"
 
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include "chat_run.h"
 #include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/protocol/sse.h"
+#include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/http_server.h"
@@ -81,15 +83,22 @@
   bool m_started = false;
 };
 
+Awaitable<void> Refuse(HttpExchange& exchange, RequestScope& scope,
+                       ApiError error) {
+  scope.End(error.outcome, error.status, error.type);
+  co_await SendError(exchange, std::move(error));
+}
+
 Awaitable<void> AnswerWhole(const ChatServices& services, const ChatJob& job,
                             HttpExchange& exchange) {
   TextSink sink(exchange);
   ChatRun run(services, job, sink);
   std::optional<ApiError> error = co_await run.Execute();
   if (error) {
-    co_await SendError(exchange, std::move(*error));
+    co_await Refuse(exchange, *job.scope, std::move(*error));
     co_return;
   }
+  job.scope->End(Outcome::kAnswered, 200, "");
   ChatAnswer answer;
   answer.request = job.id;
   answer.target = job.target;
@@ -114,15 +123,17 @@
   ChatRun run(services, job, sink);
   std::optional<ApiError> error = co_await run.Execute();
   if (error && !sink.Committed()) {
-    co_await SendError(exchange, std::move(*error));
+    co_await Refuse(exchange, *job.scope, std::move(*error));
     co_return;
   }
   if (error) {
+    job.scope->End(error->outcome, 200, error->type);
     // The header has gone out: the error is an event, and the body is left
     // without its end, so that no client takes the answer for whole.
     co_await WriteEvent(exchange, EncodeApiError(*error));
     co_return;
   }
+  job.scope->End(Outcome::kAnswered, 200, "");
   co_await sink.Start();
   co_await WriteEvent(exchange,
                       EncodeChatEnd(job.id, job.target, run.tokens()));
@@ -154,23 +165,43 @@
 
 Awaitable<void> ChatService::Handle(HttpExchange& exchange, RequestId id) {
   const ActiveGuard guard(m_active);
+  RequestScope scope(m_services.telemetry, "gateway.chat", std::move(id),
+                     exchange.request().headers.Find("traceparent"));
   if (guard.position() > m_options.max_requests) {
     ApiError error =
         MakeError(503, "overloaded", "this gateway serves too many requests");
     error.retry_after = kRetryAfterOverload;
-    co_await SendError(exchange, std::move(error));
+    co_await Refuse(exchange, scope, std::move(error));
     co_return;
   }
-  co_await HandleAdmitted(exchange, std::move(id));
+  co_await HandleAdmitted(exchange, scope);
 }
 
 Awaitable<void> ChatService::HandleAdmitted(HttpExchange& exchange,
-                                            RequestId id) {
-  auto parsed = ParseChatRequest(exchange.request().body);
-  bool valid_limit = true;
+                                            RequestScope& scope) {
   ChatJob job;
-  job.id = std::move(id);
-  job.deadline = RequestDeadline(exchange.request(), m_options.default_deadline,
+  job.id = scope.record().id;
+  job.scope = &scope;
+  std::optional<ApiError> error = Prepare(exchange.request(), job);
+  if (error) {
+    co_await Refuse(exchange, scope, std::move(*error));
+    co_return;
+  }
+  std::ostringstream target;
+  target << job.target;
+  scope.record().target = target.str();
+  if (job.request.stream) {
+    co_await AnswerStreamed(m_services, job, exchange);
+    co_return;
+  }
+  co_await AnswerWhole(m_services, job, exchange);
+}
+
+std::optional<ApiError> ChatService::Prepare(const HttpRequest& request,
+                                             ChatJob& job) {
+  auto parsed = ParseChatRequest(request.body);
+  bool valid_limit = true;
+  job.deadline = RequestDeadline(request, m_options.default_deadline,
                                  m_services.clock.Now(), valid_limit);
   if (!parsed || !valid_limit) {
     ApiError error =
@@ -180,39 +211,30 @@
       error.findings.Add(Place{"header", kTimeoutHeader, 0, 0},
                          "is not a time limit in milliseconds");
     }
-    co_await SendError(exchange, std::move(error));
-    co_return;
+    return error;
   }
   job.request = std::move(parsed).value();
   const auto config = m_services.directory.Config();
   if (!config) {
     ApiError error = MakeError(503, "not_ready", "no configuration is known");
     error.retry_after = kRetryAfterOverload;
-    co_await SendError(exchange, std::move(error));
-    co_return;
+    return error;
   }
-  const auto target = config->Resolve(
-      job.request.model,
-      job.request.user.empty() ? job.id.str() : job.request.user);
+  const std::string& user = job.request.user;
+  const auto target =
+      config->Resolve(job.request.model, user.empty() ? job.id.str() : user);
   const AdapterConfig* adapter =
       target ? config->FindAdapter(target->adapter) : nullptr;
   if (adapter != nullptr) {
     job.session = m_services.directory.Session(adapter->cell);
   }
   if (!job.session) {
-    co_await SendError(
-        exchange,
-        MakeError(404, "model_not_found",
-                  "no such adapter, version or alias: " + job.request.model));
-    co_return;
+    return MakeError(404, "model_not_found",
+                     "no such adapter, version or alias: " + job.request.model);
   }
   job.target = *target;
   job.priority = adapter->priority;
-  if (job.request.stream) {
-    co_await AnswerStreamed(m_services, job, exchange);
-    co_return;
-  }
-  co_await AnswerWhole(m_services, job, exchange);
+  return std::nullopt;
 }
 
 }  // namespace yuccamoor
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -62,7 +62,7 @@
   options.max_requests = m_settings.max_requests;
   m_chat = std::make_unique<ChatService>(
       ChatServices{m_daemon->pool(), m_daemon->client(), m_daemon->clock(),
-                   *this},
+                   *this, m_daemon->telemetry()},
       options);
 }
 
@@ -91,7 +91,8 @@
   if (!shards) return shards.error();
   m_shards = std::move(shards).value();
   m_proxy = std::make_unique<ServiceProxy>(
-      ServiceProxyServices{m_daemon->client(), m_daemon->clock(), m_shards},
+      ServiceProxyServices{m_daemon->client(), m_daemon->clock(), m_shards,
+                           m_daemon->telemetry()},
       m_settings.daemon.node, m_random_salt);
   return {};
 }
@@ -117,6 +118,11 @@
 }
 
 void Gateway::AddOperatorPaths() {
+  m_daemon->AddOperatorPath("/admin/drain", [this](const HttpRequest& request) {
+    if (request.method != "POST") return MethodNotAllowed();
+    m_daemon->SetDraining();
+    return JsonResponse(200, R"({"draining":true})");
+  });
   m_daemon->AddOperatorPath("/admin/status", [this](const HttpRequest&) {
     Json cells = Json::object();
     {
--- a/lib/transport/gateway/service_proxy.cc
+++ b/lib/transport/gateway/service_proxy.cc
@@ -10,6 +10,7 @@
 
 #include "yuccamoor/protocol/api_error.h"
 #include "yuccamoor/protocol/request/call_response.h"
+#include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/shard_host.h"
 #include "yuccamoor/transport/http_client.h"
@@ -37,6 +38,14 @@
   return ErrorResponse(error);
 }
 
+/// The outcome that a response tells, which may come from another gateway.
+Outcome ParseOutcome(std::string_view name) {
+  for (const Outcome outcome : {Outcome::kAnswered, Outcome::kNotRun}) {
+    if (name == OutcomeName(outcome)) return outcome;
+  }
+  return Outcome::kUnknown;
+}
+
 /// What an endpoint says of itself and of the request.
 bool SaysTrue(const HttpResponse& response, std::string_view header) {
   return response.headers.Find(header) == "true";
@@ -85,8 +94,8 @@
 /// Headers that belong to one connection or are set anew for each hop.
 bool IsHopHeader(std::string_view name) {
   constexpr std::string_view kHopHeaders[] = {
-      "Connection", "Keep-Alive",        "Host",    "Content-Length",
-      "TE",         "Transfer-Encoding", "Upgrade", kForwardedHeader};
+      "Connection",        "Keep-Alive", "Host",        "Content-Length", "TE",
+      "Transfer-Encoding", "Upgrade",    "traceparent", kForwardedHeader};
   HttpHeaders probe;
   probe.Add(std::string(name), "x");
   for (const std::string_view hop : kHopHeaders) {
@@ -188,27 +197,32 @@
 
 Awaitable<void> ServiceProxy::Handle(HttpExchange& exchange, RequestId id) {
   const HttpRequest& request = exchange.request();
+  RequestScope scope(m_services.telemetry, "gateway.service", std::move(id),
+                     request.headers.Find("traceparent"));
   Job job;
-  std::optional<HttpResponse> refusal = Prepare(request, id, job);
-  if (refusal) {
-    co_await exchange.Send(std::move(*refusal));
-    co_return;
-  }
+  job.scope = &scope;
+  HttpResponse response = co_await Answer(request, job);
+  const std::string_view outcome = response.headers.Find(kOutcomeHeader);
+  scope.End(ParseOutcome(outcome), response.status, "");
+  co_await exchange.Send(std::move(response));
+}
+
+Awaitable<HttpResponse> ServiceProxy::Answer(const HttpRequest& request,
+                                             Job& job) {
+  std::optional<HttpResponse> refusal =
+      Prepare(request, job.scope->record().id, job);
+  if (refusal) co_return std::move(*refusal);
+  job.scope->record().target = job.service->id.str();
   if (const auto home = HomeElsewhere(request, job)) {
     HttpReply reply = co_await Forward(request, job, *home);
     if (reply.progress == HttpProgress::kAnswered) {
-      co_await exchange.Send(WithoutHopHeaders(std::move(reply.response)));
-      co_return;
+      co_return WithoutHopHeaders(std::move(reply.response));
     }
     // The home may hold the key. The shard's record decides, here as there.
   }
   refusal = Admit(job);
-  if (refusal) {
-    co_await exchange.Send(std::move(*refusal));
-    co_return;
-  }
-  HttpResponse response = co_await Run(request, job);
-  co_await exchange.Send(std::move(response));
+  if (refusal) co_return std::move(*refusal);
+  co_return co_await Run(request, job);
 }
 
 std::optional<HttpResponse> ServiceProxy::Prepare(const HttpRequest& request,
@@ -297,7 +311,9 @@
 Awaitable<HttpReply> ServiceProxy::Forward(const HttpRequest& request,
                                            const Job& job,
                                            std::string address) {
+  const Span span = job.scope->StartSpan("gateway.forward", SpanKind::kClient);
   HttpRequest copy = CopyForNextHop(request, request.target);
+  copy.headers.Add("traceparent", FormatTraceparent(span.context()));
   copy.headers.Add(kForwardedHeader, m_self.str());
   if (copy.headers.Find(kRequestIdHeader).empty()) {
     copy.headers.Add(kRequestIdHeader, job.spec.request.str());
@@ -324,7 +340,7 @@
     PlainStep step = std::move(steps.front());
     steps.pop_front();
     if (auto* begin = std::get_if<BeginKeyStep>(&step)) {
-      add(co_await BeginKey(call, std::move(begin->begin)));
+      add(co_await BeginKey(job, call, std::move(begin->begin)));
     } else if (auto* send = std::get_if<SendStep>(&step)) {
       add(co_await SendOnce(request, job, call, std::move(*send)));
     } else if (auto* finish = std::get_if<FinishKeyStep>(&step)) {
@@ -338,8 +354,9 @@
   co_return ToResponse(*end, job.spec.request);
 }
 
-Awaitable<PlainSteps> ServiceProxy::BeginKey(PlainCall& call,
+Awaitable<PlainSteps> ServiceProxy::BeginKey(const Job& job, PlainCall& call,
                                              ShardBegin begin) {
+  const Span span = job.scope->StartSpan("key_value.commit", SpanKind::kClient);
   const ShardVerdict verdict =
       co_await m_services.shards->Begin(std::move(begin));
   const std::lock_guard lock(m_mutex);
@@ -355,7 +372,11 @@
 Awaitable<PlainSteps> ServiceProxy::SendOnce(const HttpRequest& request,
                                              const Job& job, PlainCall& call,
                                              SendStep step) {
+  Span span = job.scope->StartSpan("service.call", SpanKind::kClient);
+  span.Attribute("endpoint", step.endpoint.id);
+  const TimeMs start = m_services.clock.Now();
   HttpRequest copy = CopyForNextHop(request, job.path);
+  copy.headers.Add("traceparent", FormatTraceparent(span.context()));
   if (copy.headers.Find(kRequestIdHeader).empty()) {
     copy.headers.Add(kRequestIdHeader, job.spec.request.str());
   }
@@ -370,6 +391,11 @@
   };
   HttpReply reply = co_await m_services.client.Call(
       step.endpoint.address, std::move(copy), std::move(options));
+  constexpr const char* kProgressNames[] = {"not_sent", "lost", "answered"};
+  job.scope->record().attempts.push_back(AttemptRecord{
+      step.endpoint.id.str(), kProgressNames[static_cast<int>(reply.progress)],
+      m_services.clock.Now() - start});
+  if (reply.progress != HttpProgress::kAnswered) span.Fail(reply.error);
   const std::lock_guard lock(m_mutex);
   const TimeMs now = m_services.clock.Now();
   switch (reply.progress) {
--- a/lib/transport/http.cc
+++ b/lib/transport/http.cc
@@ -37,4 +37,8 @@
   return response;
 }
 
+HttpResponse MethodNotAllowed() {
+  return JsonResponse(405, R"({"error":"method not allowed"})");
+}
+
 }  // namespace yuccamoor
--- a/lib/transport/scheduler/scheduler.cc
+++ b/lib/transport/scheduler/scheduler.cc
@@ -15,6 +15,7 @@
 #include "yuccamoor/protocol/residency_codec.h"
 #include "yuccamoor/transport/daemon/config_host.h"
 #include "yuccamoor/transport/daemon/member_registry.h"
+#include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/platform/http_engine_client.h"
 
 namespace yuccamoor {
@@ -103,6 +104,13 @@
 }
 
 void Scheduler::AddOperatorPaths() {
+  m_daemon->AddOperatorPath("/admin/drain", [this](const HttpRequest& request) {
+    if (request.method != "POST") return MethodNotAllowed();
+    m_daemon->SetDraining();
+    for (const auto& host : Hosts()) host->Resign();
+    return JsonResponse(200, R"({"draining":true})");
+  });
+  m_daemon->telemetry().metrics().OnRender([this] { UpdateMetrics(); });
   m_daemon->AddOperatorPath("/admin/status", [this](const HttpRequest&) {
     Json cells = Json::array();
     for (const auto& host : Hosts()) {
@@ -129,6 +137,34 @@
   });
 }
 
+void Scheduler::UpdateMetrics() {
+  std::uint32_t running = 0;
+  std::uint32_t capacity = 0;
+  std::uint32_t loads = 0;
+  std::size_t waiting = 0;
+  for (const auto& host : Hosts()) {
+    const CellStatus status = host->Status();
+    if (!status.leading) continue;
+    loads += status.state.store.in_flight;
+    waiting += status.state.waiting.size();
+    for (const WorkerState& worker : status.state.workers) {
+      if (!worker.usable) continue;
+      running += worker.running;
+      capacity += worker.batch_capacity;
+    }
+  }
+  Telemetry& telemetry = m_daemon->telemetry();
+  telemetry.serving().batch_fill_ratio.Set(
+      capacity == 0 ? 0 : static_cast<double>(running) / capacity);
+  telemetry.metrics()
+      .GetGauge("yuccamoor_loads_in_flight", "Adapter loads under way")
+      .Set(loads);
+  telemetry.metrics()
+      .GetGauge("yuccamoor_waiting_adapters",
+                "Adapter versions that requests wait for")
+      .Set(static_cast<double>(waiting));
+}
+
 void Scheduler::Start() {
   m_daemon->Start();
   m_daemon->pool().Every(kCellTickInterval, [this] { Tick(); });
--- a/tools/yuccamoor-gateway/main.cc
+++ b/tools/yuccamoor-gateway/main.cc
@@ -4,6 +4,7 @@
 #include "yuccamoor/protocol/daemon_settings.h"
 #include "yuccamoor/transport/daemon/daemon_program.h"
 #include "yuccamoor/transport/gateway/gateway.h"
+#include "yuccamoor/transport/observability/daemon_setting_infos.h"
 
 namespace yuccamoor {
 namespace {
@@ -27,13 +28,8 @@
   std::unique_ptr<Gateway> m_gateway;
 };
 
-Result<std::unique_ptr<RunningDaemon>> Start(const std::string& text,
-                                             const std::string& source,
-                                             bool check_only) {
-  auto settings = ParseGatewaySettings(text, source);
-  if (!settings) return settings.error();
-  if (check_only) return std::unique_ptr<RunningDaemon>();
-  auto gateway = Gateway::Create(std::move(settings).value());
+Result<std::unique_ptr<RunningDaemon>> Start(const GatewaySettings& settings) {
+  auto gateway = Gateway::Create(settings);
   if (!gateway) return gateway.error();
   return std::unique_ptr<RunningDaemon>(
       std::make_unique<GatewayProgram>(std::move(gateway).value()));
@@ -43,7 +39,18 @@
 }  // namespace yuccamoor
 
 int main(int argc, char** argv) {
-  return yuccamoor::RunDaemonProgram(
-      argc, argv, "yuccamoor-gateway",
-      "Takes callers' requests and has them answered.", yuccamoor::Start);
+  using namespace yuccamoor;  // NOLINT(google-build-using-namespace)
+  GatewaySettings settings;
+  DaemonProgram program;
+  program.name = "yuccamoor-gateway";
+  program.summary = "Takes callers' requests and has them answered.";
+  program.settings = GatewaySettingInfos();
+  program.parse = [&settings](const std::string& text) {
+    auto parsed = ParseGatewaySettings(text, "settings");
+    if (!parsed) return parsed.error();
+    settings = std::move(parsed).value();
+    return Findings();
+  };
+  program.start = [&settings] { return Start(settings); };
+  return RunDaemonProgram(program, argc, argv);
 }
--- a/tools/yuccamoor-scheduler/main.cc
+++ b/tools/yuccamoor-scheduler/main.cc
@@ -3,6 +3,7 @@
 
 #include "yuccamoor/protocol/daemon_settings.h"
 #include "yuccamoor/transport/daemon/daemon_program.h"
+#include "yuccamoor/transport/observability/daemon_setting_infos.h"
 #include "yuccamoor/transport/scheduler/scheduler.h"
 
 namespace yuccamoor {
@@ -25,13 +26,9 @@
   std::unique_ptr<Scheduler> m_scheduler;
 };
 
-Result<std::unique_ptr<RunningDaemon>> Start(const std::string& text,
-                                             const std::string& source,
-                                             bool check_only) {
-  auto settings = ParseSchedulerSettings(text, source);
-  if (!settings) return settings.error();
-  if (check_only) return std::unique_ptr<RunningDaemon>();
-  auto scheduler = Scheduler::Create(std::move(settings).value());
+Result<std::unique_ptr<RunningDaemon>> Start(
+    const SchedulerSettings& settings) {
+  auto scheduler = Scheduler::Create(settings);
   if (!scheduler) return scheduler.error();
   return std::unique_ptr<RunningDaemon>(
       std::make_unique<SchedulerProgram>(std::move(scheduler).value()));
@@ -41,8 +38,19 @@
 }  // namespace yuccamoor
 
 int main(int argc, char** argv) {
-  return yuccamoor::RunDaemonProgram(
-      argc, argv, "yuccamoor-scheduler",
-      "Leads cells: orders loads and evictions, grants residency leases.",
-      yuccamoor::Start);
+  using namespace yuccamoor;  // NOLINT(google-build-using-namespace)
+  SchedulerSettings settings;
+  DaemonProgram program;
+  program.name = "yuccamoor-scheduler";
+  program.summary =
+      "Leads cells: orders loads and evictions, grants residency leases.";
+  program.settings = SchedulerSettingInfos();
+  program.parse = [&settings](const std::string& text) {
+    auto parsed = ParseSchedulerSettings(text, "settings");
+    if (!parsed) return parsed.error();
+    settings = std::move(parsed).value();
+    return Findings();
+  };
+  program.start = [&settings] { return Start(settings); };
+  return RunDaemonProgram(program, argc, argv);
 }
--- a/utils/lint.sh
+++ b/utils/lint.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks the format of every source file and runs the linter over each one.
-# Usage: utils/lint.sh BUILD_FOLDER [FILE ...]
+# Usage: [LINT_JOBS=N] utils/lint.sh BUILD_FOLDER [FILE ...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -15,7 +15,7 @@
   mapfile -t files < <(git ls-files '*.cc' | grep -v '^lib/jsonrpc/')
 fi
 # The definitions make Asio offer coroutines under the linter's compiler.
-printf '%s\0' "${files[@]}" | xargs -0 -P "$(nproc)" -n 1 \
+printf '%s\0' "${files[@]}" | xargs -0 -P "${LINT_JOBS:-$(nproc)}" -n 1 \
   clang-tidy --quiet -p "$build" \
   --extra-arg=-D__cpp_impl_coroutine=201902L \
   --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 \
