Check the cell's promises over random fault schedules

The safety rules of election, cell leader and residency client only hold together, so that they need a check together. A small world in virtual time runs three schedulers, three gateways and two engines with drifting clocks, lost, duplicated, late and reordered messages, pauses (also between a check and the write after it), kills, partitions, an isolated leader with one gateway, outages of the service, lost answers and engines that restart empty. 5,000 schedules run on engines that check fencing numbers and 5,000 on those that ignore them. A failing schedule is shrunk by leaving out faults. Eight planted mistakes show that each check can fail.

What the schedules found, mended here: - An eviction that was lost put its slot back in service, and the load planned for the slot waited for ever. After a restart with orders under way the worker now gets no order and no grant until they must have ended, and loads among them stay counted.

--- a/include/yuccamoor/coordination/cell/cell_leader.h
+++ b/include/yuccamoor/coordination/cell/cell_leader.h
@@ -140,6 +140,19 @@
     TimeMs trusted_from;
     bool fenced = false;
     std::optional<OpenOrder> fence;
+    /// When no order that was under way as the engine restarted can reach its
+    /// new instance any more, and how many of them were loads.
+    TimeMs clear_from;
+    std::uint32_t stray_loads = 0;
+
+    bool Trusted() const { return truth > trusted_from && truth > clear_from; }
+  };
+  /// Whether a worker can take a planned load.
+  enum class Room : std::uint8_t {
+    kFree,
+    /// Once an eviction is done.
+    kClearing,
+    kFull,
   };
   struct LoadFailures {
     std::uint32_t count = 0;
@@ -166,8 +179,8 @@
   void Refuse(const RefuseDecision& refusal);
 
   // Reports and results.
-  bool TakeInstance(const EngineReport& report, WorkerGuard& worker);
-  void ClearWorker(const WorkerState& worker);
+  bool TakeInstance(const EngineReport& report, WorkerGuard& guard, TimeMs now);
+  void ClearWorker(const WorkerState& worker, WorkerGuard& guard, TimeMs now);
   void TakeResident(const SlotKey& key, std::uint32_t running, TimeMs truth,
                     TimeMs now);
   void TakeAbsent(const SlotKey& key, TimeMs truth, TimeMs now);
@@ -188,6 +201,8 @@
   void Decide(TimeMs now);
   void Propose(const LoadDecision& decision, TimeMs now);
   void EvictDrained(TimeMs now, CellActions& actions);
+  Room RoomOn(const WorkerState& worker) const;
+  std::vector<SlotKey> PlannedLoads() const;
   void StartPlannedLoads(TimeMs now, CellActions& actions);
   void FenceWorkers(TimeMs now, CellActions& actions);
   SendOrder MakeOrder(OrderKind kind, const SlotKey& key, TimeMs now,
--- a/include/yuccamoor/coordination/cell/session_table.h
+++ b/include/yuccamoor/coordination/cell/session_table.h
@@ -96,6 +96,10 @@
   /// The number of grants of the slot that are neither returned nor expired.
   std::uint32_t Outstanding(const SlotKey& slot) const;
 
+  /// Whether a gateway holds a grant of the slot on this instance that has not
+  /// been recalled.
+  bool IsHeld(const SlotKey& slot, const InstanceId& instance) const;
+
   /// Returns the gateway's newest grant of the slot, or null.
   static const GrantRecord* Find(const Session& session, const SlotKey& slot);
 
--- a/lib/coordination/cell/cell_orders.cc
+++ b/lib/coordination/cell/cell_orders.cc
@@ -35,9 +35,8 @@
 
 bool CellLeader::InheritedLoadsKnown(TimeMs now) const {
   if (now >= m_may_order_from + m_options.load_timeout) return true;
-  return std::all_of(m_workers.begin(), m_workers.end(), [](const auto& entry) {
-    return entry.second.truth > entry.second.trusted_from;
-  });
+  return std::all_of(m_workers.begin(), m_workers.end(),
+                     [](const auto& entry) { return entry.second.Trusted(); });
 }
 
 void CellLeader::UpdateBudget(TimeMs now) {
@@ -56,6 +55,10 @@
   store.in_flight = 0;
   double planned = 0;
   for (const WorkerState& worker : m_state.workers) {
+    const WorkerGuard& guard = m_workers.at(worker.id);
+    if (now < guard.clear_from + m_options.load_timeout) {
+      store.in_flight += guard.stray_loads;
+    }
     for (const SlotState& slot : worker.occupied) {
       if (slot.phase != SlotPhase::kLoading) continue;
       const bool is_planned =
@@ -90,7 +93,9 @@
 
 bool CellLeader::MayOrderTo(const WorkerId& worker, TimeMs now) const {
   if (m_superseded || now >= m_order_deadline) return false;
-  return m_fencing ? m_workers.at(worker).fenced : now >= m_may_order_from;
+  const WorkerGuard& guard = m_workers.at(worker);
+  if (now < guard.clear_from) return false;
+  return m_fencing ? guard.fenced : now >= m_may_order_from;
 }
 
 bool CellLeader::IsIdle(const SlotKey& key) const {
@@ -139,28 +144,46 @@
   }
 }
 
-void CellLeader::StartPlannedLoads(TimeMs now, CellActions& actions) {
-  if (!m_tokens_at) return;
+CellLeader::Room CellLeader::RoomOn(const WorkerState& worker) const {
+  std::uint32_t taken = 0;
+  bool clearing = false;
+  for (const SlotState& slot : worker.occupied) {
+    if (m_slots.at(SlotKey{worker.id, slot.target}).planned) continue;
+    ++taken;
+    clearing |= slot.phase == SlotPhase::kDraining ||
+                slot.phase == SlotPhase::kEvicting;
+  }
+  if (taken < worker.slots) return Room::kFree;
+  return clearing ? Room::kClearing : Room::kFull;
+}
+
+std::vector<SlotKey> CellLeader::PlannedLoads() const {
   std::vector<std::pair<TimeMs, SlotKey>> plans;
   for (const auto& [key, guard] : m_slots) {
     if (guard.planned) plans.emplace_back(FindSlot(key)->since, key);
   }
   std::sort(plans.begin(), plans.end());
+  std::vector<SlotKey> keys;
+  keys.reserve(plans.size());
+  for (const auto& [since, key] : plans) keys.push_back(key);
+  return keys;
+}
+
+void CellLeader::StartPlannedLoads(TimeMs now, CellActions& actions) {
+  if (!m_tokens_at) return;
+  const std::vector<SlotKey> plans = PlannedLoads();
   UpdateBudget(now);
   std::uint32_t in_flight =
       m_state.store.in_flight - static_cast<std::uint32_t>(plans.size());
-  for (const auto& [since, key] : plans) {
+  for (const SlotKey& key : plans) {
     const WorkerState& worker = *FindWorker(key.worker);
-    if (!worker.usable) {
+    const Room room = RoomOn(worker);
+    if (!worker.usable || room == Room::kFull) {
+      // The slot that it was to have is in use again.
       RemoveSlot(key);
       continue;
     }
-    const auto planned_here = static_cast<std::uint32_t>(std::count_if(
-        worker.occupied.begin(), worker.occupied.end(), [&](const auto& slot) {
-          return m_slots.at(SlotKey{worker.id, slot.target}).planned;
-        }));
-    const std::size_t taken = worker.occupied.size() - planned_here;
-    if (taken >= worker.slots || !MayOrderTo(key.worker, now)) continue;
+    if (room != Room::kFree || !MayOrderTo(key.worker, now)) continue;
     if (m_tokens < 1 || in_flight >= m_state.store.max_in_flight) break;
     m_tokens -= 1;
     ++in_flight;
--- a/lib/coordination/cell/cell_reports.cc
+++ b/lib/coordination/cell/cell_reports.cc
@@ -19,14 +19,15 @@
   const auto known = m_workers.find(report.worker);
   if (known == m_workers.end()) return;
   WorkerGuard& guard = known->second;
-  if (!TakeInstance(report, guard)) return;
+  if (!TakeInstance(report, guard, now)) return;
   WorkerState& worker = m_state.workers[guard.index];
   const TimeMs truth = now - report.age;
-  const bool was_trusted = guard.truth > guard.trusted_from;
+  const bool was_trusted = guard.Trusted();
   guard.last_report = report.sequence;
   guard.last_heard = now;
   guard.truth = std::max(guard.truth, truth);
-  if (!was_trusted && guard.truth > guard.trusted_from) m_grants_changed = true;
+  if (!was_trusted && guard.Trusted()) m_grants_changed = true;
+  if (guard.Trusted()) guard.stray_loads = 0;
   if (report.leaving && !guard.leaving) m_sessions.RecallWorker(worker.id);
   guard.leaving = report.leaving;
   worker.slots = report.slots;
@@ -43,7 +44,8 @@
   TakeAllAbsent(report, truth, now);
 }
 
-bool CellLeader::TakeInstance(const EngineReport& report, WorkerGuard& guard) {
+bool CellLeader::TakeInstance(const EngineReport& report, WorkerGuard& guard,
+                              TimeMs now) {
   const auto& past = guard.past_instances;
   if (std::find(past.begin(), past.end(), report.instance) != past.end()) {
     return false;
@@ -55,7 +57,7 @@
   if (!worker.instance.empty()) {
     guard.past_instances.push_back(worker.instance);
     if (past.size() > kMaxPastInstances) guard.past_instances.pop_front();
-    ClearWorker(worker);
+    ClearWorker(worker, guard, now);
     // The new life of the engine has seen no fencing number yet.
     guard.fenced = false;
     guard.fence.reset();
@@ -65,7 +67,8 @@
   return true;
 }
 
-void CellLeader::ClearWorker(const WorkerState& worker) {
+void CellLeader::ClearWorker(const WorkerState& worker, WorkerGuard& guard,
+                             TimeMs now) {
   // The grants stay counted until they are returned: a gateway that does not
   // know of the restart yet may send to the new instance.
   m_sessions.RecallWorker(worker.id);
@@ -73,7 +76,13 @@
   for (const SlotState& slot : worker.occupied) {
     keys.push_back(SlotKey{worker.id, slot.target});
   }
-  for (const SlotKey& key : keys) RemoveSlot(key);
+  for (const SlotKey& key : keys) {
+    if (m_slots.at(key).order) {
+      guard.clear_from = now + m_options.order_timeout + m_options.margin;
+      if (FindSlot(key)->phase == SlotPhase::kLoading) ++guard.stray_loads;
+    }
+    RemoveSlot(key);
+  }
 }
 
 void CellLeader::TakeResident(const SlotKey& key, std::uint32_t running,
@@ -97,14 +106,15 @@
     return;
   }
   const std::optional<OpenOrder>& order = guard.order;
-  const bool loaded =
-      slot->phase == SlotPhase::kLoading && (!order || truth > order->sent);
-  // An eviction that never reached the engine.
-  const bool not_evicted = slot->phase == SlotPhase::kEvicting && order &&
-                           order->unknown && truth > order->latest_end;
-  if (!loaded && !not_evicted) return;
-  guard.order.reset();
-  SetPhase(key, SlotPhase::kReady, now);
+  if (slot->phase == SlotPhase::kLoading && (!order || truth > order->sent)) {
+    guard.order.reset();
+    SetPhase(key, SlotPhase::kReady, now);
+  } else if (slot->phase == SlotPhase::kEvicting && order && order->unknown &&
+             truth > order->latest_end) {
+    // The eviction never reached the engine: it is ordered again.
+    guard.order.reset();
+    SetPhase(key, SlotPhase::kDraining, now);
+  }
 }
 
 void CellLeader::TakeAllAbsent(const EngineReport& report, TimeMs truth,
--- a/lib/coordination/cell/cell_sessions.cc
+++ b/lib/coordination/cell/cell_sessions.cc
@@ -124,10 +124,10 @@
   if (!slot || slot->phase != SlotPhase::kReady || !worker->usable) {
     return false;
   }
-  // An eviction that an earlier leader ordered may be under way, unless a
-  // gateway holds a grant: then there was none.
-  const WorkerGuard& guard = m_workers.at(key.worker);
-  return guard.truth > guard.trusted_from || m_sessions.Outstanding(key) > 0;
+  // An eviction that was ordered earlier may be under way, unless a gateway
+  // holds a grant: then there was none.
+  return m_workers.at(key.worker).Trusted() ||
+         m_sessions.IsHeld(key, worker->instance);
 }
 
 void CellLeader::GrantWants(const NodeId& gateway, Session& session) {
--- a/lib/coordination/cell/session_table.cc
+++ b/lib/coordination/cell/session_table.cc
@@ -152,6 +152,16 @@
          session->second.incarnation == incarnation;
 }
 
+bool SessionTable::IsHeld(const SlotKey& slot,
+                          const InstanceId& instance) const {
+  return std::any_of(
+      m_sessions.begin(), m_sessions.end(), [&](const auto& entry) {
+        const GrantRecord* const record = Find(entry.second, slot);
+        return record && !record->recalled &&
+               record->grant.instance == instance;
+      });
+}
+
 const GrantRecord* SessionTable::Find(const Session& session,
                                       const SlotKey& slot) {
   const auto lease = session.by_slot.find(slot);
--- /dev/null
+++ b/unittests/coordination/cell/cell_schedule_test.cc
@@ -0,0 +1,142 @@
+/// \file
+/// \brief Random fault schedules against election, cell leader and residency
+/// clients together, and the planted mistakes that the checks must see.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "coordination/cell/world/cell_world.h"
+
+namespace yuccamoor::world {
+namespace {
+
+constexpr std::uint64_t kSchedulesPerMode = 5'000;
+
+Schedule RandomSchedule(std::uint64_t seed, bool engines_check_epoch) {
+  Random random(seed * 2 + (engines_check_epoch ? 1 : 0));
+  Schedule schedule;
+  schedule.seed = seed;
+  schedule.engines_check_epoch = engines_check_epoch;
+  const std::int64_t faults = random.Between(0, 8);
+  for (std::int64_t i = 0; i < faults; ++i) {
+    Fault fault;
+    fault.at = TimeMs(1'000) + random.Duration(300, 3'000);
+    fault.kind = static_cast<FaultKind>(
+        random.Between(0, static_cast<std::int64_t>(FaultKind::kCount) - 1));
+    fault.node = static_cast<std::size_t>(random.Between(0, kNodes - 1));
+    fault.other = static_cast<std::size_t>(random.Between(0, kNodes - 1));
+    fault.duration = random.Duration(50, 2'000);
+    schedule.faults.push_back(fault);
+  }
+  return schedule;
+}
+
+Violations Check(const Schedule& schedule) {
+  return CellWorld(schedule).Run().violations;
+}
+
+/// Removes faults as long as the schedule still breaks a promise.
+Schedule Shrink(Schedule schedule) {
+  for (std::size_t i = 0; i < schedule.faults.size();) {
+    Schedule smaller = schedule;
+    smaller.faults.erase(smaller.faults.begin() +
+                         static_cast<std::ptrdiff_t>(i));
+    if (Check(smaller).empty()) {
+      ++i;
+    } else {
+      schedule = std::move(smaller);
+    }
+  }
+  return schedule;
+}
+
+std::string Describe(const Schedule& schedule) {
+  std::string text = "seed " + std::to_string(schedule.seed) +
+                     (schedule.engines_check_epoch ? ", checked" : ", ignored");
+  for (const Fault& fault : schedule.faults) {
+    text += "\n  at " + std::to_string(fault.at.ms()) + " kind " +
+            std::to_string(static_cast<int>(fault.kind)) + " node " +
+            std::to_string(fault.node) + " other " +
+            std::to_string(fault.other) + " for " +
+            std::to_string(fault.duration.ms());
+  }
+  for (const std::string& violation : Check(schedule)) {
+    text += "\n  -> " + violation;
+  }
+  return text;
+}
+
+void CheckSchedules(bool engines_check_epoch) {
+  std::uint64_t served = 0;
+  std::uint64_t evictions = 0;
+  std::uint64_t takeovers = 0;
+  for (std::uint64_t seed = 1; seed <= kSchedulesPerMode; ++seed) {
+    const Schedule schedule = RandomSchedule(seed, engines_check_epoch);
+    const Outcome outcome = CellWorld(schedule).Run();
+    served += outcome.served;
+    evictions += outcome.evictions;
+    takeovers += outcome.takeovers;
+    if (outcome.violations.empty()) continue;
+    FAIL(Describe(Shrink(schedule)));
+  }
+  // The schedules reach what they are to check.
+  CHECK(served > 10 * kSchedulesPerMode);
+  CHECK(evictions > 2 * kSchedulesPerMode);
+  CHECK(takeovers > kSchedulesPerMode);
+}
+
+}  // namespace
+
+TEST_CASE("No promise breaks on engines that check numbers", "[schedule]") {
+  CheckSchedules(true);
+}
+
+TEST_CASE("No promise breaks on engines that ignore numbers", "[schedule]") {
+  CheckSchedules(false);
+}
+
+TEST_CASE("Each planted mistake is found", "[schedule]") {
+  struct Row {
+    Mistake mistake;
+    bool engines_check_epoch;
+    /// A fault that brings the mistake about sooner, on each of the gateways.
+    FaultKind fault;
+    std::string violation;
+  };
+  const std::string old_order = "an order of an old epoch was carried out";
+  const std::string evicted = "evicted";
+  const Row row = GENERATE_COPY(
+      Row{Mistake::kNoFencing, true, FaultKind::kFreeze, old_order},
+      Row{Mistake::kNoWaiting, false, FaultKind::kIsland, old_order},
+      Row{Mistake::kEvictOnReportAlone, true, FaultKind::kFreeze, evicted},
+      Row{Mistake::kNoLoadCap, true, FaultKind::kFreeze, "were in flight"},
+      Row{Mistake::kNoLoadCap, false, FaultKind::kFreeze, "rate was exceeded"},
+      Row{Mistake::kDeadlineFromReceipt, true, FaultKind::kFreeze, evicted},
+      Row{Mistake::kPromiseIgnored, true, FaultKind::kIsland, "two leaders"},
+      Row{Mistake::kNoConfirmation, false, FaultKind::kFreeze, evicted},
+      Row{Mistake::kNoFullSync, true, FaultKind::kIsland, evicted});
+  bool found = false;
+  std::uint64_t seed = 0;
+  while (!found && ++seed <= kSchedulesPerMode) {
+    Schedule schedule = RandomSchedule(seed, row.engines_check_epoch);
+    schedule.mistake = row.mistake;
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      constexpr DurationMs kSpacing{900};
+      const TimeMs at = TimeMs(1'700) + kSpacing * static_cast<std::int64_t>(i);
+      schedule.faults.push_back(
+          Fault{at, row.fault, kFirstGateway + i, 0, DurationMs(1'500)});
+    }
+    const Violations violations = Check(schedule);
+    found =
+        std::any_of(violations.begin(), violations.end(),
+                    [&](const std::string& violation) {
+                      return violation.find(row.violation) != std::string::npos;
+                    });
+  }
+  INFO("mistake " << static_cast<int>(row.mistake) << ": " << row.violation);
+  CHECK(found);
+}
+
+}  // namespace yuccamoor::world
