Rank loads by waiting saved per load and pack batches on few workers

The batch efficiency weight charges for waking an idle worker, less so while no queue stands.

Waiters whose turn comes too late are refused early with the queue's length as retry time.

--- a/benchmarks/placement/measures.cc
+++ b/benchmarks/placement/measures.cc
@@ -3,6 +3,7 @@
 
 #include "measures.h"
 
+#include <algorithm>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
@@ -56,6 +57,11 @@
     figures.answered_share = static_cast<double>(samples.answered) / requests;
     figures.refused_share = static_cast<double>(samples.refused) / requests;
   }
+  if (figures.requests > 0) {
+    const auto warm =
+        std::count(samples.stalls_ms.begin(), samples.stalls_ms.end(), 0.0);
+    figures.warm_share = static_cast<double>(warm) / requests;
+  }
   if (samples.capacity_ms > 0) {
     figures.batch_fill = samples.running_ms / samples.capacity_ms;
   }
--- a/benchmarks/placement/measures.h
+++ b/benchmarks/placement/measures.h
@@ -49,6 +49,8 @@
   Distribution stall_ms;
   double answered_share = 0;
   double refused_share = 0;
+  /// Requests that found their adapter resident and were answered.
+  double warm_share = 0;
   /// Mean of running / batch capacity over workers with work.
   double batch_fill = 0;
   OrderCounts orders;
--- a/benchmarks/placement/report.cc
+++ b/benchmarks/placement/report.cc
@@ -32,6 +32,7 @@
           {"stall_p99_ms", f.stall_ms.p99},
           {"answered_share", f.answered_share},
           {"refused_share", f.refused_share},
+          {"warm_share", f.warm_share},
           {"batch_fill", f.batch_fill},
           {"loads", f.orders.loads},
           {"evictions", f.orders.evictions},
--- a/benchmarks/placement/run.cc
+++ b/benchmarks/placement/run.cc
@@ -48,6 +48,7 @@
   void HandleEngine(const Event& event);
   void ReportWarmDemand(TimeMs now);
   void Decide(TimeMs now);
+  void ScheduleBudget(TimeMs now);
   void CollectRequests();
   void CollectEngines();
 
@@ -60,6 +61,7 @@
   CellExecutor m_executor;
   std::map<TargetIndex, std::uint32_t> m_warm_demand;
   bool m_orders_allowed = true;
+  TimeMs m_budget_at;
   TimeMs m_end;
   Samples m_samples;
 };
@@ -200,12 +202,16 @@
   m_samples.decisions_us.push_back(taken.count());
   if (!decision.loads.empty()) m_samples.proposals_us.push_back(taken.count());
   m_executor.Apply(decision, now);
+  ScheduleBudget(now);
+}
+
+void Run::ScheduleBudget(TimeMs now) {
   const StoreBudget& store = m_executor.state().store;
-  if (decision.loads.empty() || store.tokens >= 1) return;
+  if (store.tokens >= 1 || m_budget_at > now) return;
   const double wait_ms =
       std::ceil((1 - store.tokens) / store.loads_per_second * kMsPerSecond);
-  m_events.Add(now + DurationMs(static_cast<std::int64_t>(wait_ms)),
-               EventKind::kBudget);
+  m_budget_at = now + DurationMs(static_cast<std::int64_t>(wait_ms));
+  m_events.Add(m_budget_at, EventKind::kBudget);
 }
 
 void Run::CollectRequests() {
--- a/include/yuccamoor/coordination/placement/cell_view.h
+++ b/include/yuccamoor/coordination/placement/cell_view.h
@@ -26,6 +26,10 @@
 /// Whether a usable worker holds the target ready and has room in its batch.
 bool HasBatchRoom(const CellState& state, const AdapterVersion& target);
 
+/// Returns how many usable workers hold the target ready or are loading it.
+std::uint32_t CountHolders(const CellState& state,
+                           const AdapterVersion& target);
+
 /// Whether the worker holds the target in any phase.
 bool Holds(const WorkerState& worker, const AdapterVersion& target);
 
--- a/include/yuccamoor/coordination/placement/weighted_policy.h
+++ b/include/yuccamoor/coordination/placement/weighted_policy.h
@@ -12,23 +12,12 @@
 #include <vector>
 
 #include "yuccamoor/coordination/placement/frequency_sketch.h"
+#include "yuccamoor/coordination/placement/weighted_options.h"
 #include "yuccamoor/coordination/placement_policy.h"
 #include "yuccamoor/state/result.h"
 
 namespace yuccamoor {
 
-/// Settings of the weighted policy.
-struct WeightedOptions {
-  /// Counters per row of the frequency sketch.
-  std::size_t sketch_width = 4'096;
-  /// Time in which past demand loses half of its weight.
-  DurationMs half_life{120'000};
-  /// Deadline that is assumed for waiters that name none.
-  DurationMs assumed_deadline{30'000};
-  /// Most loads proposed by one decision.
-  std::uint32_t max_loads_per_decision = 8;
-};
-
 /// Ranks waiting targets by the waiting that a load saves, in waiter
 /// milliseconds: that of the present waiters until their deadlines, and that
 /// of the requests expected while the target stays resident. A slot costs the
@@ -60,18 +49,30 @@
 
   explicit WeightedPolicy(const WeightedOptions& options);
 
+  static bool IsWorthMore(const Candidate& a, const Candidate& b);
   std::vector<Candidate> Rank(const CellState& state, TimeMs now,
                               std::size_t count) const;
+  std::vector<Candidate> RankLoadable(const CellState& state, TimeMs now,
+                                      std::size_t count) const;
   double Worth(const WaitingTarget& waiting, const CellState& state,
                TimeMs now) const;
+  double PriorityWeight(Priority priority) const;
+  double IdleShare(const WorkerState& worker, TimeMs now) const;
+  double BacklogMs(const CellState& state, const WorkerState& worker) const;
   double ReuseWorth(const AdapterVersion& target, TimeMs now) const;
-  LoadPlace FindPlace(const CellState& state, const AdapterVersion& target,
+  std::vector<RefuseDecision> FindHopeless(const CellState& state, TimeMs now);
+  double WaitingWorth(const WaitingTarget& waiting, const CellState& state,
+                      TimeMs now) const;
+  double BatchCost(const CellState& state, const WorkerState& worker,
+                   TimeMs now) const;
+  LoadPlace FindPlace(const CellState& state, const WaitingTarget& waiting,
                       TimeMs now, const PlacementDecision& decided) const;
   LoadPlace PlaceOn(const CellState& state, const WorkerState& worker,
                     TimeMs now, const PlacementDecision& decided) const;
 
   WeightedOptions m_options;
   FrequencySketch m_demand;
+  TimeMs m_refused_at;
 };
 
 }  // namespace yuccamoor
--- a/lib/coordination/placement/cell_view.cc
+++ b/lib/coordination/placement/cell_view.cc
@@ -58,6 +58,20 @@
   return false;
 }
 
+std::uint32_t CountHolders(const CellState& state,
+                           const AdapterVersion& target) {
+  std::uint32_t holders = 0;
+  for (const WorkerState& worker : state.workers) {
+    if (!worker.usable) continue;
+    for (const SlotState& slot : worker.occupied) {
+      const bool serves =
+          slot.phase == SlotPhase::kReady || slot.phase == SlotPhase::kLoading;
+      if (serves && slot.target == target) ++holders;
+    }
+  }
+  return holders;
+}
+
 bool Holds(const WorkerState& worker, const AdapterVersion& target) {
   return std::any_of(
       worker.occupied.begin(), worker.occupied.end(),
--- a/lib/coordination/placement/weighted_policy.cc
+++ b/lib/coordination/placement/weighted_policy.cc
@@ -15,71 +15,22 @@
 /// Candidates looked at beyond the loads allowed, as some may have no place.
 constexpr std::size_t kSpareCandidates = 16;
 
-/// Waiting saved by each request that finds its target resident.
-constexpr double kStallMsPerMiss = 2'000;
-
-/// Time for which a loaded target is expected to stay resident.
-constexpr double kResidenceSeconds = 15;
-
-/// Cost of a full batch, or of an empty one for the batch efficiency weight.
-constexpr double kBatchFillMs = 2'000;
-
-/// Weight of one waiter by its priority class.
-double PriorityWeight(Priority priority) {
-  switch (priority) {
-    case Priority::kInteractive:
-      return 2.0;
-    case Priority::kNormal:
-      return 1.0;
-    case Priority::kBackground:
-      return 0.5;
-  }
-  return 1.0;
-}
-
-double BatchFill(const WorkerState& worker) {
-  if (worker.batch_capacity == 0) return 1;
-  return static_cast<double>(worker.running) / worker.batch_capacity;
-}
-
-/// Returns how many of the decided loads take a free slot of the worker.
-std::uint32_t FreeSlotsTaken(const PlacementDecision& decided,
-                             const WorkerState& worker) {
-  return static_cast<std::uint32_t>(std::count_if(
-      decided.loads.begin(), decided.loads.end(), [&](const LoadDecision& l) {
-        return l.worker == worker.id && !l.victim.has_value();
-      }));
-}
-
-bool IsVictimTaken(const PlacementDecision& decided, const WorkerState& worker,
-                   const SlotState& slot) {
-  return std::any_of(decided.loads.begin(), decided.loads.end(),
-                     [&](const LoadDecision& l) {
-                       return l.worker == worker.id && l.victim == slot.target;
-                     });
-}
-
-Finding BadOption(const char* pointer, const char* message) {
-  return Finding{{"weighted policy", pointer}, message, ""};
+/// How many times faster than the store's rate a waiter's turn would have to
+/// come before it is not refused: targets ahead of it may drop out.
+constexpr double kRefusalCertainty = 4;
+
+bool IsRefused(const PlacementDecision& decision,
+               const AdapterVersion& target) {
+  return std::any_of(
+      decision.refusals.begin(), decision.refusals.end(),
+      [&](const RefuseDecision& r) { return r.target == target; });
 }
 
 }  // namespace
 
 Result<std::unique_ptr<WeightedPolicy>> WeightedPolicy::Create(
     const WeightedOptions& options) {
-  Findings findings;
-  if (options.sketch_width == 0) {
-    findings.Add(BadOption("/sketch_width", "must be at least 1"));
-  }
-  if (options.half_life.ms() <= 0) {
-    findings.Add(BadOption("/half_life", "must be above zero"));
-  }
-  if (options.assumed_deadline.ms() <= 0) {
-    findings.Add(BadOption("/assumed_deadline", "must be above zero"));
-  }
-  if (options.max_loads_per_decision == 0) {
-    findings.Add(BadOption("/max_loads_per_decision", "must be at least 1"));
-  }
+  Findings findings = Check(options);
   if (!findings.empty()) return findings;
   return std::unique_ptr<WeightedPolicy>(new WeightedPolicy(options));
 }
@@ -94,23 +45,69 @@
 
 PlacementDecision WeightedPolicy::Decide(const CellState& state, TimeMs now) {
   PlacementDecision decision;
+  if (now - m_refused_at >= m_options.refusal_interval) {
+    m_refused_at = now;
+    decision.refusals = FindHopeless(state, now);
+  }
   const std::uint32_t allowed =
       std::min(LoadAllowance(state, now), m_options.max_loads_per_decision);
   if (allowed == 0) return decision;
-  for (const Candidate& candidate :
-       Rank(state, now, allowed + kSpareCandidates)) {
+  for (const Candidate& candidate : RankLoadable(state, now, allowed)) {
     if (decision.loads.size() >= allowed) break;
-    const AdapterVersion& target = candidate.waiting->target;
-    if (IsLoadUnderWay(state, target) || HasBatchRoom(state, target)) continue;
-    const LoadPlace place = FindPlace(state, target, now, decision);
+    const WaitingTarget& waiting = *candidate.waiting;
+    if (IsRefused(decision, waiting.target)) continue;
+    const LoadPlace place = FindPlace(state, waiting, now, decision);
     if (place.worker == nullptr || place.cost >= candidate.worth) continue;
-    LoadDecision load{target, place.worker->id, std::nullopt};
+    LoadDecision load{waiting.target, place.worker->id, std::nullopt};
     if (place.victim != nullptr) load.victim = place.victim->target;
     decision.loads.push_back(std::move(load));
   }
   return decision;
 }
 
+std::vector<WeightedPolicy::Candidate> WeightedPolicy::RankLoadable(
+    const CellState& state, TimeMs now, std::size_t count) const {
+  std::vector<Candidate> candidates =
+      Rank(state, now, count + kSpareCandidates);
+  for (Candidate& candidate : candidates) {
+    const AdapterVersion& target = candidate.waiting->target;
+    const bool served =
+        IsLoadUnderWay(state, target) || HasBatchRoom(state, target);
+    // A further replica speeds up the same waiters, so that each is worth less
+    // than the one before.
+    candidate.worth =
+        served ? 0 : candidate.worth / (1.0 + CountHolders(state, target));
+  }
+  std::sort(candidates.begin(), candidates.end(), IsWorthMore);
+  while (!candidates.empty() && candidates.back().worth <= 0) {
+    candidates.pop_back();
+  }
+  return candidates;
+}
+
+std::vector<RefuseDecision> WeightedPolicy::FindHopeless(const CellState& state,
+                                                         TimeMs now) {
+  constexpr double kMsPerSecond = 1'000;
+  std::vector<RefuseDecision> refusals;
+  const double rate = state.store.loads_per_second;
+  if (rate <= 0) return refusals;
+  const std::vector<Candidate> order = Rank(state, now, state.waiting.size());
+  for (std::size_t i = kSpareCandidates; i < order.size(); ++i) {
+    const WaitingTarget& waiting = *order[i].waiting;
+    // The later waiters' deadlines are not known.
+    if (waiting.waiters != 1 || waiting.deadline == TimeMs::Never()) continue;
+    const double turn_ms = static_cast<double>(i - kSpareCandidates) /
+                           (rate * kRefusalCertainty) * kMsPerSecond;
+    const auto left_ms = static_cast<double>((waiting.deadline - now).ms());
+    if (turn_ms <= left_ms || CountHolders(state, waiting.target) > 0) continue;
+    const double queue_ms =
+        static_cast<double>(order.size()) / rate * kMsPerSecond;
+    refusals.push_back(
+        {waiting.target, DurationMs(static_cast<std::int64_t>(queue_ms))});
+  }
+  return refusals;
+}
+
 std::vector<WeightedPolicy::Candidate> WeightedPolicy::Rank(
     const CellState& state, TimeMs now, std::size_t count) const {
   std::vector<Candidate> candidates;
@@ -122,66 +119,59 @@
   count = std::min(count, candidates.size());
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                    candidates.end(),
-                    [](const Candidate& a, const Candidate& b) {
-                      if (a.worth != b.worth) return a.worth > b.worth;
-                      return a.waiting->target < b.waiting->target;
-                    });
+                    candidates.end(), IsWorthMore);
   candidates.resize(count);
   return candidates;
 }
 
+bool WeightedPolicy::IsWorthMore(const Candidate& a, const Candidate& b) {
+  if (a.worth != b.worth) return a.worth > b.worth;
+  return a.waiting->target < b.waiting->target;
+}
+
 double WeightedPolicy::Worth(const WaitingTarget& waiting,
                              const CellState& state, TimeMs now) const {
-  const TimeMs deadline = waiting.deadline == TimeMs::Never()
-                              ? waiting.since + m_options.assumed_deadline
-                              : waiting.deadline;
-  const DurationMs left = deadline - (now + state.store.load_time);
-  if (waiting.deadline != TimeMs::Never() && left.ms() <= 0) return 0;
-  const double saved = std::max<double>(1, static_cast<double>(left.ms()));
-  return PriorityWeight(waiting.priority) * waiting.waiters * saved +
+  const double saved = WaitingWorth(waiting, state, now);
+  if (saved <= 0) return 0;
+  return PriorityWeight(waiting.priority) * saved +
          ReuseWorth(waiting.target, now);
 }
 
-double WeightedPolicy::ReuseWorth(const AdapterVersion& target,
-                                  TimeMs now) const {
-  return m_demand.RatePerSecond(target, now) * kResidenceSeconds *
-         kStallMsPerMiss;
+double WeightedPolicy::WaitingWorth(const WaitingTarget& waiting,
+                                    const CellState& state, TimeMs now) const {
+  const TimeMs deadline = waiting.deadline == TimeMs::Never()
+                              ? now + m_options.assumed_deadline
+                              : waiting.deadline;
+  const TimeMs answer = now + state.store.load_time + m_options.answer_time;
+  const auto first = static_cast<double>((deadline - answer).ms());
+  // Later waiters came on average half way between the first one and now.
+  const auto age = static_cast<double>((now - waiting.since).ms());
+  const double later = first + age / 2;
+  const auto answer_worth = static_cast<double>(m_options.answer_worth.ms());
+  double worth = 0;
+  if (first > 0) worth += first + answer_worth;
+  if (later > 0) worth += (waiting.waiters - 1) * (later + answer_worth);
+  return worth;
 }
 
-WeightedPolicy::LoadPlace WeightedPolicy::FindPlace(
-    const CellState& state, const AdapterVersion& target, TimeMs now,
-    const PlacementDecision& decided) const {
-  LoadPlace best;
-  for (const WorkerState& worker : state.workers) {
-    if (!worker.usable || Holds(worker, target)) continue;
-    const LoadPlace place = PlaceOn(state, worker, now, decided);
-    if (place.worker == nullptr) continue;
-    if (best.worker == nullptr || place.cost < best.cost) best = place;
+double WeightedPolicy::PriorityWeight(Priority priority) const {
+  switch (priority) {
+    case Priority::kInteractive:
+      return m_options.interactive_weight;
+    case Priority::kNormal:
+      return m_options.normal_weight;
+    case Priority::kBackground:
+      return m_options.background_weight;
   }
-  return best;
+  return m_options.normal_weight;
 }
 
-WeightedPolicy::LoadPlace WeightedPolicy::PlaceOn(
-    const CellState& state, const WorkerState& worker, TimeMs now,
-    const PlacementDecision& decided) const {
-  LoadPlace place;
-  const double spread =
-      state.weights.load_stalls - state.weights.batch_efficiency;
-  const double fill_cost = spread * BatchFill(worker) * kBatchFillMs;
-  if (worker.FreeSlots() > FreeSlotsTaken(decided, worker)) {
-    place.worker = &worker;
-    place.cost = fill_cost;
-    return place;
-  }
-  for (const SlotState& slot : worker.occupied) {
-    if (!IsEvictable(state, slot)) continue;
-    if (IsVictimTaken(decided, worker, slot)) continue;
-    const double cost = ReuseWorth(slot.target, now) + fill_cost;
-    if (place.worker != nullptr && place.cost <= cost) continue;
-    place = LoadPlace{&worker, &slot, cost};
-  }
-  return place;
+double WeightedPolicy::ReuseWorth(const AdapterVersion& target,
+                                  TimeMs now) const {
+  constexpr double kMsPerSecond = 1'000;
+  return m_demand.RatePerSecond(target, now) *
+         static_cast<double>(m_options.residence.ms()) / kMsPerSecond *
+         static_cast<double>(m_options.stall_per_miss.ms());
 }
 
 }  // namespace yuccamoor
--- /dev/null
+++ b/lib/coordination/placement/weighted_policy_places.cc
@@ -0,0 +1,124 @@
+/// \file
+/// \brief Implementation of the weighted policy: where to load, and what to
+/// evict for it.
+
+#include <algorithm>
+#include <cmath>
+
+#include "yuccamoor/coordination/placement/cell_view.h"
+#include "yuccamoor/coordination/placement/weighted_policy.h"
+
+namespace yuccamoor {
+namespace {
+
+/// Cost of giving work to a worker with a full batch.
+constexpr double kFullBatchMs = 2'000;
+
+/// A queue that the store needs this long for counts as long.
+constexpr double kLongQueueSeconds = 5;
+
+/// Share of the idle worker's cost that counts without a queue.
+constexpr double kLeastPressure = 0.04;
+
+double BatchFill(const WorkerState& worker) {
+  if (worker.batch_capacity == 0) return 1;
+  return static_cast<double>(worker.running) / worker.batch_capacity;
+}
+
+/// Returns how many of the decided loads take a free slot of the worker.
+std::uint32_t FreeSlotsTaken(const PlacementDecision& decided,
+                             const WorkerState& worker) {
+  return static_cast<std::uint32_t>(std::count_if(
+      decided.loads.begin(), decided.loads.end(), [&](const LoadDecision& l) {
+        return l.worker == worker.id && !l.victim.has_value();
+      }));
+}
+
+bool IsVictimTaken(const PlacementDecision& decided, const WorkerState& worker,
+                   const SlotState& slot) {
+  return std::any_of(decided.loads.begin(), decided.loads.end(),
+                     [&](const LoadDecision& l) {
+                       return l.worker == worker.id && l.victim == slot.target;
+                     });
+}
+
+}  // namespace
+
+double WeightedPolicy::BacklogMs(const CellState& state,
+                                 const WorkerState& worker) const {
+  double backlog = worker.running;
+  for (const SlotState& slot : worker.occupied) {
+    const auto found = state.waiting.find(slot.target);
+    if (found == state.waiting.end()) continue;
+    const std::uint32_t holders = CountHolders(state, slot.target);
+    backlog +=
+        static_cast<double>(found->second.waiters) / std::max(1U, holders);
+  }
+  const double capacity = std::max(1U, worker.batch_capacity);
+  return std::max(0.0, backlog / capacity - 1) *
+         static_cast<double>(m_options.answer_time.ms());
+}
+
+double WeightedPolicy::BatchCost(const CellState& state,
+                                 const WorkerState& worker, TimeMs now) const {
+  const double spread =
+      state.weights.load_stalls * BatchFill(worker) * kFullBatchMs;
+  if (state.weights.batch_efficiency <= 0) return spread;
+  // Without a queue the slots of quiet workers are worth more than full
+  // batches, as evictions elsewhere would only add misses.
+  const double queue = static_cast<double>(state.waiting.size()) /
+                       (state.store.loads_per_second * kLongQueueSeconds);
+  const double pressure = std::clamp(queue, kLeastPressure, 1.0);
+  return spread + state.weights.batch_efficiency * pressure *
+                      IdleShare(worker, now) *
+                      static_cast<double>(m_options.idle_worker_cost.ms());
+}
+
+double WeightedPolicy::IdleShare(const WorkerState& worker, TimeMs now) const {
+  constexpr double kMsPerSecond = 1'000;
+  const double answer_seconds =
+      static_cast<double>(m_options.answer_time.ms()) / kMsPerSecond;
+  double load = worker.running;
+  for (const SlotState& slot : worker.occupied) {
+    if (slot.phase == SlotPhase::kLoading) load += 1;
+    load += m_demand.RatePerSecond(slot.target, now) * answer_seconds;
+  }
+  // The chance that none of the requests arrives while it would run.
+  return std::exp(-load);
+}
+
+WeightedPolicy::LoadPlace WeightedPolicy::FindPlace(
+    const CellState& state, const WaitingTarget& waiting, TimeMs now,
+    const PlacementDecision& decided) const {
+  LoadPlace best;
+  for (const WorkerState& worker : state.workers) {
+    if (!worker.usable || Holds(worker, waiting.target)) continue;
+    LoadPlace place = PlaceOn(state, worker, now, decided);
+    if (place.worker == nullptr) continue;
+    place.cost += waiting.waiters * BacklogMs(state, worker);
+    if (best.worker == nullptr || place.cost < best.cost) best = place;
+  }
+  return best;
+}
+
+WeightedPolicy::LoadPlace WeightedPolicy::PlaceOn(
+    const CellState& state, const WorkerState& worker, TimeMs now,
+    const PlacementDecision& decided) const {
+  LoadPlace place;
+  const double fill_cost = BatchCost(state, worker, now);
+  if (worker.FreeSlots() > FreeSlotsTaken(decided, worker)) {
+    place.worker = &worker;
+    place.cost = fill_cost;
+    return place;
+  }
+  for (const SlotState& slot : worker.occupied) {
+    if (!IsEvictable(state, slot)) continue;
+    if (IsVictimTaken(decided, worker, slot)) continue;
+    const double cost = ReuseWorth(slot.target, now) + fill_cost;
+    if (place.worker != nullptr && place.cost <= cost) continue;
+    place = LoadPlace{&worker, &slot, cost};
+  }
+  return place;
+}
+
+}  // namespace yuccamoor
