--- a/unittests/coordination/placement/frequency_sketch_test.cc
+++ b/unittests/coordination/placement/frequency_sketch_test.cc
@@ -45,7 +45,7 @@
     const double exact = wide.RatePerSecond(Target(i), now);
     CHECK(narrow.RatePerSecond(Target(i), now) >= exact * 0.999);
   }
-  CHECK(narrow.Bytes() == 32 * 3 * sizeof(double));
+  CHECK(narrow.Bytes() == std::size_t{32} * 3 * sizeof(double));
 }
 
 }  // namespace
--- a/unittests/coordination/placement/policy_properties_test.cc
+++ b/unittests/coordination/placement/policy_properties_test.cc
@@ -83,7 +83,9 @@
       policy->OnDemand(Target(static_cast<int>(random(80))), 1, now);
       const PlacementDecision decision = policy->Decide(state, now);
       INFO(policy->Name() << " state " << i);
-      REQUIRE(CheckDecision(state, decision) == std::vector<std::string>{});
+      const std::vector<std::string> wrong = CheckDecision(state, decision);
+      for (const std::string& rule : wrong) FAIL_CHECK(rule);
+      REQUIRE(wrong.empty());
       loads += decision.loads.size();
       for (const LoadDecision& load : decision.loads) {
         victims += load.victim.has_value() ? 1 : 0;
