--- a/unittests/coordination/request/idempotency_shard_test.cc
+++ b/unittests/coordination/request/idempotency_shard_test.cc
@@ -87,6 +87,31 @@
   }
 }
 
+TEST_CASE("A read that is older than what is known is not believed",
+          "[shard]") {
+  Bench t;
+  t.a.Begin("k", "r1");
+  t.a.Run(kSettle);
+  KvReply old = t.record.Apply(KvGet{"shard/0"});
+  t.a.Finish("k", Outcome::kAnswered, "paid");
+  t.a.Run(kSettle);
+  t.a.Begin("k2", "r2");
+  t.a.Pass(DurationMs(60));
+  t.a.Fail(KvStatus::kConflict);
+  REQUIRE(t.a.calls().size() == 1);
+  SECTION("absent") { t.a.Fail(KvStatus::kNotFound); }
+  SECTION("an earlier version") {
+    const std::uint64_t number = t.a.calls()[0].number;
+    t.a.calls().clear();
+    t.a.Take(t.a.shard().OnKvReply(number, old, TimeMs(2'100)));
+  }
+  t.a.Pass(DurationMs(500));
+  REQUIRE(t.a.calls().size() == 1);
+  CHECK(std::holds_alternative<KvGet>(t.a.calls()[0].request));
+  t.a.Run(kSettle);
+  CHECK(t.a.log() == Log{"r1:run", "r2:run"});
+}
+
 TEST_CASE("With the service down a first sending is refused as not run",
           "[shard]") {
   for (const KvStatus status :
