--- a/include/yuccamoor/coordination/request/admission_queue.h
+++ b/include/yuccamoor/coordination/request/admission_queue.h
@@ -23,6 +23,9 @@
   /// Requests that may run at once.
   std::uint32_t max_running = 64;
   std::size_t max_queued = 256;
+  /// The queue is no longer than what is served within this time, so that a
+  /// queued request that has to give way hears of it in about this time.
+  DurationMs max_refusal_delay{50};
   /// Retry-After of a refusal: this much, plus a random share of the same.
   DurationMs retry_after{1'000};
   /// The service time that is assumed before one was measured.
@@ -84,6 +87,7 @@
  private:
   static constexpr std::size_t kClasses = 3;
 
+  std::size_t MaxQueued() const;
   DurationMs ExpectedWait(std::size_t ahead) const;
   DurationMs RetryAfter(double random) const;
   void Expire(TimeMs now, AdmissionChange& change);
--- a/include/yuccamoor/coordination/request/idempotency_shard.h
+++ b/include/yuccamoor/coordination/request/idempotency_shard.h
@@ -115,6 +115,8 @@
   void DispatchOrRefuse(const Waiting& waiting, const ShardEntry& entry,
                         TimeMs now, ShardActions& actions);
 
+  bool IsServiceDown(TimeMs now) const;
+  void NoteService(const KvReply& reply, TimeMs now);
   void OnReadReply(const KvReply& reply, TimeMs now);
   void OnWriteReply(const KvReply& reply, TimeMs now);
   bool AdoptEntry(const KvEntry& entry, TimeMs now);
@@ -197,6 +199,9 @@
   TimeMs m_last_write;
   TimeMs m_write_wanted = TimeMs::Never();
   TimeMs m_paused_until;
+  /// Whether every call since the given time has failed.
+  bool m_failing = false;
+  TimeMs m_failing_since;
   std::uint64_t m_last_nonce = 0;
   std::uint64_t m_writes = 0;
 };
--- a/lib/coordination/request/admission_queue.cc
+++ b/lib/coordination/request/admission_queue.cc
@@ -27,6 +27,14 @@
   return DurationMs(static_cast<std::int64_t>(m_service_ms));
 }
 
+std::size_t AdmissionQueue::MaxQueued() const {
+  const auto delay = static_cast<double>(m_options.max_refusal_delay.ms());
+  const double turns = delay / std::max(m_service_ms, 1.0);
+  const auto drained = static_cast<std::size_t>(turns * m_options.max_running);
+  // One may always wait, else a slow service would never queue at all.
+  return std::clamp<std::size_t>(drained, 1, m_options.max_queued);
+}
+
 DurationMs AdmissionQueue::ExpectedWait(std::size_t ahead) const {
   const double places = std::max<std::uint32_t>(m_options.max_running, 1);
   const double turns = static_cast<double>(ahead + 1) / places;
@@ -56,7 +64,7 @@
     ++m_running;
     return {AdmissionVerdict::kRun, DurationMs(0)};
   }
-  if (queued() >= m_options.max_queued) {
+  if (queued() >= MaxQueued()) {
     *displaced = DisplaceBelow(priority);
     if (!*displaced) return {AdmissionVerdict::kRefused, RetryAfter(random)};
   }
--- a/lib/coordination/request/idempotency_replies.cc
+++ b/lib/coordination/request/idempotency_replies.cc
@@ -19,6 +19,7 @@
   ShardActions actions;
   if (m_call == CallKind::kNone || number != m_call_number) return actions;
   const CallKind kind = std::exchange(m_call, CallKind::kNone);
+  NoteService(reply, now);
   switch (kind) {
     case CallKind::kRead:
       OnReadReply(reply, now);
@@ -42,6 +43,14 @@
   return actions;
 }
 
+void IdempotencyShard::NoteService(const KvReply& reply, TimeMs now) {
+  const bool failed = reply.status == KvStatus::kUnavailable ||
+                      reply.status == KvStatus::kRateLimited ||
+                      reply.status == KvStatus::kUnknown;
+  if (failed && !m_failing) m_failing_since = now;
+  m_failing = failed;
+}
+
 void IdempotencyShard::OnReadReply(const KvReply& reply, TimeMs now) {
   if (reply.status == KvStatus::kOk && !reply.entries.empty() &&
       AdoptEntry(reply.entries.front(), now)) {
--- a/lib/coordination/request/idempotency_shard.cc
+++ b/lib/coordination/request/idempotency_shard.cc
@@ -113,13 +113,23 @@
   waiting.since = now;
   waiting.nonce = {m_owner, ++m_last_nonce};
   waiting.arrived_after = m_call_number;
-  if (!SettleWaiting(waiting, now, actions)) {
-    m_waiting.emplace(begin.key, std::move(waiting));
+  if (SettleWaiting(waiting, now, actions)) return actions;
+  // One request waits, so that the service is still tried.
+  if (IsServiceDown(now) && !m_waiting.empty()) {
+    actions.push_back(Refusal(begin, waiting.needs_read
+                                         ? ShardRefusal::kRunning
+                                         : ShardRefusal::kServiceDown));
+    return actions;
   }
+  m_waiting.emplace(begin.key, std::move(waiting));
   Advance(now, actions);
   return actions;
 }
 
+bool IdempotencyShard::IsServiceDown(TimeMs now) const {
+  return m_failing && now - m_failing_since >= m_options.max_commit_wait;
+}
+
 bool IdempotencyShard::AnswerFromWaiting(const ShardBegin& begin,
                                          ShardActions& actions) const {
   const auto found = m_waiting.find(begin.key);
--- a/unittests/coordination/request/idempotency_shard_test.cc
+++ b/unittests/coordination/request/idempotency_shard_test.cc
@@ -125,6 +125,14 @@
     }
     CHECK(t.a.log() == Log{"r1:key_value_service_down,not_run",
                            "r2:key_value_service_down,unknown"});
+    // Now that it is known to be down, one waits and the others hear at once.
+    t.a.Begin("k3", "r3");
+    t.a.Begin("k4", "r4");
+    CHECK(t.a.log().back() == "r4:key_value_service_down,not_run");
+    t.a.Run(kSettle);
+    t.a.Begin("k4", "r4");
+    t.a.Run(kSettle);
+    CHECK(t.a.log().back() == "r4:run");
   }
 }
 
--- a/unittests/coordination/request/overload_test.cc
+++ b/unittests/coordination/request/overload_test.cc
@@ -123,7 +123,6 @@
 OverloadOptions DefaultOverload() {
   OverloadOptions options;
   options.admission.max_running = kPlaces;
-  options.admission.max_queued = kPlaces;
   options.admission.first_service_time = kServiceTime;
   return options;
 }
@@ -148,6 +147,7 @@
 TEST_CASE("The overload check fails for queues without bounds", "[overload]") {
   OverloadOptions options = DefaultOverload();
   options.admission.max_queued = 1'000'000;
+  options.admission.max_refusal_delay = DurationMs(1'000'000);
   SECTION("refusals come late") {
     CHECK(Overload(options).Run().refused_late > 0);
   }
@@ -162,6 +162,7 @@
   AdmissionOptions options;
   options.max_running = 1;
   options.max_queued = 2;
+  options.max_refusal_delay = DurationMs(100);
   AdmissionQueue queue(options);
   std::optional<RequestId> displaced;
   const auto offer = [&](const char* id, Priority priority) {
