--- a/include/yuccamoor/coordination/cell/cell_leader.h
+++ b/include/yuccamoor/coordination/cell/cell_leader.h
@@ -92,9 +92,14 @@
   /// Notes that a gateway's VM is gone: nothing is sent or served by it.
   void OnGatewayGone(const NodeId& gateway, TimeMs now);
 
-  /// Names every gateway that may live; call it only with a list that is known
-  /// to be complete. Nothing is evicted until each of them
-  /// has sent a full sync, or every session of an earlier leader has expired.
+  /// Takes a newer configuration of the cell. A worker that is gone from it
+  /// gets nothing new.
+  void OnConfig(const CellConfig& config);
+
+  /// Names every gateway that may live, from a read that began after this
+  /// leader's start. Nothing is evicted until each of them has sent a full
+  /// sync, or every session of an earlier leader has expired. An empty list
+  /// says nothing.
   void OnGateways(std::vector<NodeId> gateways);
 
   /// Does what is due. \p order_deadline is the election's: no order is sent
@@ -103,6 +108,9 @@
 
   const CellState& state() const { return m_state; }
   Epoch epoch() const { return m_epoch; }
+  /// Whether something waits for the worker's next report, so that it should be
+  /// read soon.
+  bool NeedsReport(const WorkerId& worker) const;
   /// Whether an engine has refused an order as one of an old epoch.
   bool Superseded() const { return m_superseded; }
 
@@ -134,6 +142,8 @@
     Sequence last_report;
     TimeMs last_heard;
     bool leaving = false;
+    /// No longer in the configuration.
+    bool removed = false;
     /// When the newest report was true, at the least.
     TimeMs truth;
     /// Only what was true after this excludes orders of earlier leaders.
@@ -208,6 +218,7 @@
   SendOrder MakeOrder(OrderKind kind, const SlotKey& key, TimeMs now,
                       std::optional<OpenOrder>& open);
 
+  void AddWorker(const WorkerConfig& config);
   WorkerState* FindWorker(const WorkerId& id);
   const WorkerState* FindWorker(const WorkerId& id) const;
   SlotState* FindSlot(const SlotKey& key);
--- a/lib/coordination/cell/cell_leader.cc
+++ b/lib/coordination/cell/cell_leader.cc
@@ -53,21 +53,41 @@
       m_fencing(config.engines_check_epoch),
       m_policy(std::move(policy)) {
   m_state.cell = config.id;
+  OnConfig(config);
+}
+
+void CellLeader::OnConfig(const CellConfig& config) {
   m_state.weights = config.weights;
   m_state.store.loads_per_second = config.store_loads_per_second;
   m_state.store.max_in_flight = config.store_max_in_flight;
   m_state.store.load_time = config.load_time;
-  for (const WorkerConfig& worker : config.workers) {
-    WorkerGuard guard;
+  for (auto& [id, guard] : m_workers) guard.removed = true;
+  for (const WorkerConfig& worker : config.workers) AddWorker(worker);
+  for (const auto& [id, guard] : m_workers) {
+    if (guard.removed) m_sessions.RecallWorker(id);
+  }
+}
+
+void CellLeader::AddWorker(const WorkerConfig& config) {
+  const auto [it, added] = m_workers.try_emplace(config.id);
+  WorkerGuard& guard = it->second;
+  guard.removed = false;
+  if (added) {
     guard.index = m_state.workers.size();
-    guard.trusted_from = m_fencing ? TimeMs::Never() : may_order_from;
-    m_workers.emplace(worker.id, std::move(guard));
-    WorkerState state;
-    state.id = worker.id;
-    state.address = worker.address;
-    state.failure_domain = worker.failure_domain;
-    m_state.workers.push_back(std::move(state));
+    guard.trusted_from = m_fencing ? TimeMs::Never() : m_may_order_from;
+    m_state.workers.emplace_back().id = config.id;
   }
+  WorkerState& worker = m_state.workers[guard.index];
+  worker.address = config.address;
+  worker.failure_domain = config.failure_domain;
+}
+
+bool CellLeader::NeedsReport(const WorkerId& worker) const {
+  const auto guard = m_workers.find(worker);
+  if (guard == m_workers.end()) return false;
+  if (!FindWorker(worker)->usable || !guard->second.Trusted()) return true;
+  return std::any_of(m_changing.begin(), m_changing.end(),
+                     [&](const SlotKey& key) { return key.worker == worker; });
 }
 
 CellActions CellLeader::Tick(TimeMs now, TimeMs order_deadline) {
--- a/lib/coordination/cell/cell_orders.cc
+++ b/lib/coordination/cell/cell_orders.cc
@@ -27,7 +27,7 @@
     WorkerState& worker = m_state.workers[guard.index];
     const bool heard = !worker.instance.empty() &&
                        now - guard.last_heard < m_options.worker_silence;
-    const bool usable = heard && !guard.leaving;
+    const bool usable = heard && !guard.leaving && !guard.removed;
     if (usable && !worker.usable) m_grants_changed = true;
     worker.usable = usable;
   }
@@ -71,9 +71,9 @@
 
 void CellLeader::LiftEvictionFence(TimeMs now) {
   if (!m_evictions_fenced) return;
-  const bool all_synced =
-      m_gateways && std::includes(m_synced.begin(), m_synced.end(),
-                                  m_gateways->begin(), m_gateways->end());
+  const bool all_synced = m_gateways && !m_gateways->empty() &&
+                          std::includes(m_synced.begin(), m_synced.end(),
+                                        m_gateways->begin(), m_gateways->end());
   if (all_synced) {
     m_evictions_fenced = false;
     return;
--- a/unittests/coordination/cell/cell_leader_test.cc
+++ b/unittests/coordination/cell/cell_leader_test.cc
@@ -155,6 +155,23 @@
   CHECK(placement->instance == pair.instance);
 }
 
+TEST_CASE("A worker that leaves the configuration gets nothing new", "[cell]") {
+  Pair pair;
+  pair.client.AddWaiter(kFirst, Priority::kNormal,
+                        pair.now + DurationMs(60'000), pair.now);
+  pair.Run(DurationMs(1'000));
+  REQUIRE(pair.client.TryAcquire(kFirst, pair.now));
+  CellConfig config = OneWorker();
+  config.workers[0].id = WorkerId("other");
+  pair.leader.OnConfig(config);
+  pair.Run(DurationMs(1'000));
+  CHECK_FALSE(pair.client.TryAcquire(kFirst, pair.now));
+  CHECK(pair.orders.size() == 1);
+  pair.leader.OnConfig(OneWorker());
+  pair.Run(DurationMs(1'000));
+  CHECK(pair.leader.state().workers[0].usable);
+}
+
 TEST_CASE("A session lapses at the gateway first", "[cell]") {
   Pair pair;
   pair.client.AddWaiter(kFirst, Priority::kNormal,
--- a/unittests/coordination/cell/world/world_schedulers.cc
+++ b/unittests/coordination/cell/world/world_schedulers.cc
@@ -68,7 +68,8 @@
   if (!scheduler.leader || !Running(node)) return;
   std::vector<NodeId> gateways;
   for (std::size_t i = kFirstGateway; i < kFirstWorker; ++i) {
-    const bool listed = m_schedule.mistake != Mistake::kNoFullSync;
+    const bool listed =
+        i == kFirstGateway || m_schedule.mistake != Mistake::kNoFullSync;
     if (m_processes[i].alive && listed) gateways.push_back(NameOf(i));
   }
   scheduler.leader->OnGateways(std::move(gateways));
