--- a/benchmarks/placement/event_queue.h
+++ b/benchmarks/placement/event_queue.h
@@ -27,8 +27,6 @@
   kLoadEnd,
   /// Reports of every worker arrive.
   kReport,
-  /// Gateways report the requests that they ran without asking.
-  kWarmDemand,
   /// Worker `subject` restarts empty.
   kRestart,
   /// Worker `subject` takes orders again.
--- a/benchmarks/placement/run.cc
+++ b/benchmarks/placement/run.cc
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <cmath>
-#include <map>
 #include <utility>
 
 #include "cell_executor.h"
@@ -15,7 +14,6 @@
 namespace {
 
 constexpr DurationMs kReportInterval{200};
-constexpr DurationMs kWarmDemandInterval{1'000};
 constexpr DurationMs kTickInterval{100};
 constexpr DurationMs kRestartInterval{30'000};
 constexpr DurationMs kRestartTime{5'000};
@@ -46,7 +44,6 @@
   void HandleCaller(const Event& event);
   void HandleFault(const Event& event);
   void HandleEngine(const Event& event);
-  void ReportWarmDemand(TimeMs now);
   void Decide(TimeMs now);
   void ScheduleBudget(TimeMs now);
   void CollectRequests();
@@ -59,7 +56,6 @@
   EventQueue m_events;
   std::unique_ptr<PlacementPolicy> m_policy;
   CellExecutor m_executor;
-  std::map<TargetIndex, std::uint32_t> m_warm_demand;
   bool m_orders_allowed = true;
   TimeMs m_budget_at;
   TimeMs m_end;
@@ -91,7 +87,6 @@
   }
   m_end = m_end + kRunOut;
   m_events.Add(TimeMs(), EventKind::kReport);
-  m_events.Add(TimeMs(), EventKind::kWarmDemand);
   m_events.Add(TimeMs(), EventKind::kTick);
   ScheduleFaults();
 }
@@ -121,7 +116,6 @@
   switch (event.kind) {
     case EventKind::kArrival:
     case EventKind::kDeadline:
-    case EventKind::kWarmDemand:
       return HandleCaller(event);
     case EventKind::kRestart:
     case EventKind::kWorkerUp:
@@ -144,10 +138,9 @@
   if (event.kind == EventKind::kDeadline) {
     return m_executor.OnDeadline(event.subject, event.at);
   }
-  if (event.kind == EventKind::kWarmDemand) return ReportWarmDemand(event.at);
   const TargetIndex target = m_workload.requests[event.subject].target;
+  // Gateways run warm requests without a word to the leader.
   if (m_executor.StartWarm(event.subject, event.at) == StartResult::kStarted) {
-    ++m_warm_demand[target];
     return;
   }
   m_executor.Wait(event.subject, event.at, false);
@@ -185,14 +178,6 @@
   }
 }
 
-void Run::ReportWarmDemand(TimeMs now) {
-  for (const auto& [target, requests] : m_warm_demand) {
-    m_policy->OnDemand(m_workload.targets[target], requests, now);
-  }
-  m_warm_demand.clear();
-  m_events.Add(now + kWarmDemandInterval, EventKind::kWarmDemand);
-}
-
 void Run::Decide(TimeMs now) {
   m_executor.RefillBudget(now);
   const auto begin = std::chrono::steady_clock::now();
--- a/include/yuccamoor/coordination/placement/frequency_sketch.h
+++ b/include/yuccamoor/coordination/placement/frequency_sketch.h
@@ -21,8 +21,9 @@
   /// \p width is the number of counters of each row, at least 1.
   FrequencySketch(std::size_t width, DurationMs half_life);
 
-  /// Counts requests for the target. Times must not go back.
-  void Add(const AdapterVersion& target, std::uint32_t requests, TimeMs now);
+  /// Counts requests for the target; estimates may be fractions. Times must not
+  /// go back.
+  void Add(const AdapterVersion& target, double requests, TimeMs now);
 
   /// Returns the target's recent rate in requests per second.
   double RatePerSecond(const AdapterVersion& target, TimeMs now) const;
--- a/include/yuccamoor/coordination/placement/weighted_policy.h
+++ b/include/yuccamoor/coordination/placement/weighted_policy.h
@@ -60,6 +60,7 @@
   double IdleShare(const WorkerState& worker, TimeMs now) const;
   double BacklogMs(const CellState& state, const WorkerState& worker) const;
   double ReuseWorth(const AdapterVersion& target, TimeMs now) const;
+  void CountRunning(const CellState& state, TimeMs now);
   std::vector<RefuseDecision> FindHopeless(const CellState& state, TimeMs now);
   double WaitingWorth(const WaitingTarget& waiting, const CellState& state,
                       TimeMs now) const;
@@ -73,6 +74,7 @@
   WeightedOptions m_options;
   FrequencySketch m_demand;
   TimeMs m_refused_at;
+  TimeMs m_counted_at;
 };
 
 }  // namespace yuccamoor
--- a/lib/coordination/placement/frequency_sketch.cc
+++ b/lib/coordination/placement/frequency_sketch.cc
@@ -24,7 +24,7 @@
   assert(half_life.ms() > 0 && "counts must age");
 }
 
-void FrequencySketch::Add(const AdapterVersion& target, std::uint32_t requests,
+void FrequencySketch::Add(const AdapterVersion& target, double requests,
                           TimeMs now) {
   if (now - m_origin > m_half_life * kRescaleHalfLives) Rescale(now);
   const Cells cells = CellsOf(target);
--- a/lib/coordination/placement/weighted_policy.cc
+++ b/lib/coordination/placement/weighted_policy.cc
@@ -19,6 +19,10 @@
 /// come before it is not refused: targets ahead of it may drop out.
 constexpr double kRefusalCertainty = 4;
 
+/// Gateways run warm requests without asking, so that these are counted from
+/// what runs: as many arrive in a time as end in it.
+constexpr DurationMs kCountInterval{1'000};
+
 bool IsRefused(const PlacementDecision& decision,
                const AdapterVersion& target) {
   return std::any_of(
@@ -45,6 +49,7 @@
 
 PlacementDecision WeightedPolicy::Decide(const CellState& state, TimeMs now) {
   PlacementDecision decision;
+  if (now - m_counted_at >= kCountInterval) CountRunning(state, now);
   if (now - m_refused_at >= m_options.refusal_interval) {
     m_refused_at = now;
     decision.refusals = FindHopeless(state, now);
@@ -65,6 +70,19 @@
   return decision;
 }
 
+void WeightedPolicy::CountRunning(const CellState& state, TimeMs now) {
+  m_counted_at = now;
+  const double requests_per_running =
+      static_cast<double>(kCountInterval.ms()) /
+      static_cast<double>(m_options.answer_time.ms());
+  for (const WorkerState& worker : state.workers) {
+    for (const SlotState& slot : worker.occupied) {
+      if (slot.running == 0) continue;
+      m_demand.Add(slot.target, slot.running * requests_per_running, now);
+    }
+  }
+}
+
 std::vector<WeightedPolicy::Candidate> WeightedPolicy::RankLoadable(
     const CellState& state, TimeMs now, std::size_t count) const {
   std::vector<Candidate> candidates =
