Look at one place per target when deciding on a load

A decision with a load took 72 us at 36 workers with 8 slots: every candidate was looked up in every slot three times, and each slot's demand was read with its own exponential.

--- a/include/yuccamoor/coordination/placement/cell_view.h
+++ b/include/yuccamoor/coordination/placement/cell_view.h
@@ -20,16 +20,26 @@
 /// budget, less the proposals under way, within the limit of loads in flight.
 std::uint32_t LoadAllowance(const CellState& state, TimeMs now);
 
+/// Where a target stands in a cell.
+struct TargetPresence {
+  /// It is being loaded, or waits for a slot to be freed.
+  bool load_under_way = false;
+  /// A usable worker holds it ready and has room in its batch.
+  bool has_batch_room = false;
+  /// Usable workers that hold it ready or are loading it.
+  std::uint32_t holders = 0;
+};
+
+/// Returns where the target stands, in one pass over all slots.
+TargetPresence FindPresence(const CellState& state,
+                            const AdapterVersion& target);
+
 /// Whether the target is being loaded, or waits for a slot to be freed.
 bool IsLoadUnderWay(const CellState& state, const AdapterVersion& target);
 
 /// Whether a usable worker holds the target ready and has room in its batch.
 bool HasBatchRoom(const CellState& state, const AdapterVersion& target);
 
-/// Returns how many usable workers hold the target ready or are loading it.
-std::uint32_t CountHolders(const CellState& state,
-                           const AdapterVersion& target);
-
 /// Whether the worker holds the target in any phase.
 bool Holds(const WorkerState& worker, const AdapterVersion& target);
 
--- a/include/yuccamoor/coordination/placement/frequency_sketch.h
+++ b/include/yuccamoor/coordination/placement/frequency_sketch.h
@@ -18,7 +18,8 @@
 /// overestimated where targets collide, never underestimated but by rounding.
 class FrequencySketch {
  public:
-  /// \p width is the number of counters of each row, at least 1.
+  /// \p width is the number of counters of each row, at least 1; it is rounded
+  /// up to a power of two.
   FrequencySketch(std::size_t width, DurationMs half_life);
 
   /// Counts requests for the target; estimates may be fractions. Times must not
@@ -45,6 +46,9 @@
   /// nothing: a later request counts for more.
   TimeMs m_origin;
   std::vector<double> m_counters;
+  /// The scale at the last time asked for: a decision asks for one time only.
+  mutable TimeMs m_scaled_at;
+  mutable double m_scale = 1;
 };
 
 }  // namespace yuccamoor
--- a/include/yuccamoor/coordination/placement/weighted_policy.h
+++ b/include/yuccamoor/coordination/placement/weighted_policy.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -38,6 +39,8 @@
   struct Candidate {
     const WaitingTarget* waiting = nullptr;
     double worth = 0;
+    /// Whether the worth takes account of where the target is already.
+    bool adjusted = false;
   };
 
   /// A place for a load and its cost, in the unit of Candidate::worth.
@@ -49,11 +52,14 @@
 
   explicit WeightedPolicy(const WeightedOptions& options);
 
-  static bool IsWorthMore(const Candidate& a, const Candidate& b);
-  std::vector<Candidate> Rank(const CellState& state, TimeMs now,
-                              std::size_t count) const;
-  std::vector<Candidate> RankLoadable(const CellState& state, TimeMs now,
-                                      std::size_t count) const;
+  static bool IsWorthLess(const Candidate& a, const Candidate& b);
+  std::vector<Candidate> FindCandidates(const CellState& state,
+                                        TimeMs now) const;
+  std::vector<LoadDecision> ChooseLoads(const CellState& state, TimeMs now,
+                                        std::uint32_t allowed) const;
+  std::optional<LoadDecision> PlaceTarget(
+      const CellState& state, const WaitingTarget& waiting, double worth,
+      TimeMs now, const std::vector<LoadDecision>& decided) const;
   double Worth(const WaitingTarget& waiting, const CellState& state,
                TimeMs now) const;
   double PriorityWeight(Priority priority) const;
@@ -67,9 +73,10 @@
   double BatchCost(const CellState& state, const WorkerState& worker,
                    TimeMs now) const;
   LoadPlace FindPlace(const CellState& state, const WaitingTarget& waiting,
-                      TimeMs now, const PlacementDecision& decided) const;
+                      TimeMs now,
+                      const std::vector<LoadDecision>& decided) const;
   LoadPlace PlaceOn(const CellState& state, const WorkerState& worker,
-                    TimeMs now, const PlacementDecision& decided) const;
+                    TimeMs now, const std::vector<LoadDecision>& decided) const;
 
   WeightedOptions m_options;
   FrequencySketch m_demand;
--- a/lib/coordination/placement/cell_view.cc
+++ b/lib/coordination/placement/cell_view.cc
@@ -36,40 +36,32 @@
   return pending < room ? room - pending : 0;
 }
 
-bool IsLoadUnderWay(const CellState& state, const AdapterVersion& target) {
+TargetPresence FindPresence(const CellState& state,
+                            const AdapterVersion& target) {
+  TargetPresence presence;
   for (const WorkerState& worker : state.workers) {
     for (const SlotState& slot : worker.occupied) {
-      if (slot.successor == target) return true;
-      if (slot.phase == SlotPhase::kLoading && slot.target == target) {
-        return true;
+      if (slot.successor == target) presence.load_under_way = true;
+      if (slot.target != target) continue;
+      const bool loading = slot.phase == SlotPhase::kLoading;
+      const bool ready = slot.phase == SlotPhase::kReady;
+      if (loading) presence.load_under_way = true;
+      if (!worker.usable) continue;
+      if (loading || ready) ++presence.holders;
+      if (ready && worker.running < worker.batch_capacity) {
+        presence.has_batch_room = true;
       }
     }
   }
-  return false;
+  return presence;
 }
 
-bool HasBatchRoom(const CellState& state, const AdapterVersion& target) {
-  for (const WorkerState& worker : state.workers) {
-    if (!worker.usable || worker.running >= worker.batch_capacity) continue;
-    for (const SlotState& slot : worker.occupied) {
-      if (slot.phase == SlotPhase::kReady && slot.target == target) return true;
-    }
-  }
-  return false;
+bool IsLoadUnderWay(const CellState& state, const AdapterVersion& target) {
+  return FindPresence(state, target).load_under_way;
 }
 
-std::uint32_t CountHolders(const CellState& state,
-                           const AdapterVersion& target) {
-  std::uint32_t holders = 0;
-  for (const WorkerState& worker : state.workers) {
-    if (!worker.usable) continue;
-    for (const SlotState& slot : worker.occupied) {
-      const bool serves =
-          slot.phase == SlotPhase::kReady || slot.phase == SlotPhase::kLoading;
-      if (serves && slot.target == target) ++holders;
-    }
-  }
-  return holders;
+bool HasBatchRoom(const CellState& state, const AdapterVersion& target) {
+  return FindPresence(state, target).has_batch_room;
 }
 
 bool Holds(const WorkerState& worker, const AdapterVersion& target) {
--- a/lib/coordination/placement/frequency_sketch.cc
+++ b/lib/coordination/placement/frequency_sketch.cc
@@ -4,6 +4,7 @@
 #include "yuccamoor/coordination/placement/frequency_sketch.h"
 
 #include <algorithm>
+#include <bit>
 #include <cassert>
 #include <cmath>
 #include <limits>
@@ -19,7 +20,9 @@
 }  // namespace
 
 FrequencySketch::FrequencySketch(std::size_t width, DurationMs half_life)
-    : m_width(width), m_half_life(half_life), m_counters(width * kRows, 0.0) {
+    : m_width(std::bit_ceil(width)),
+      m_half_life(half_life),
+      m_counters(m_width * kRows, 0.0) {
   assert(width > 0 && "a sketch needs counters");
   assert(half_life.ms() > 0 && "counts must age");
 }
@@ -60,20 +63,25 @@
   Cells cells{};
   for (std::size_t row = 0; row < kRows; ++row) {
     const std::uint64_t mixed = hash + row * step;
-    cells[row] = row * m_width + (mixed ^ (mixed >> kFold)) % m_width;
+    cells[row] = row * m_width + ((mixed ^ (mixed >> kFold)) & (m_width - 1));
   }
   return cells;
 }
 
 double FrequencySketch::Scale(TimeMs now) const {
-  return std::exp2(static_cast<double>((now - m_origin).ms()) /
-                   static_cast<double>(m_half_life.ms()));
+  if (now == m_scaled_at) return m_scale;
+  m_scale = std::exp2(static_cast<double>((now - m_origin).ms()) /
+                      static_cast<double>(m_half_life.ms()));
+  m_scaled_at = now;
+  return m_scale;
 }
 
 void FrequencySketch::Rescale(TimeMs now) {
   const double scale = Scale(now);
   for (double& counter : m_counters) counter /= scale;
   m_origin = now;
+  m_scaled_at = now;
+  m_scale = 1;
 }
 
 }  // namespace yuccamoor
--- a/lib/coordination/placement/weighted_policy.cc
+++ b/lib/coordination/placement/weighted_policy.cc
@@ -23,11 +23,10 @@
 /// what runs: as many arrive in a time as end in it.
 constexpr DurationMs kCountInterval{1'000};
 
-bool IsRefused(const PlacementDecision& decision,
-               const AdapterVersion& target) {
-  return std::any_of(
-      decision.refusals.begin(), decision.refusals.end(),
-      [&](const RefuseDecision& r) { return r.target == target; });
+bool IsLoaded(const std::vector<LoadDecision>& loads,
+              const AdapterVersion& target) {
+  return std::any_of(loads.begin(), loads.end(),
+                     [&](const LoadDecision& l) { return l.target == target; });
 }
 
 }  // namespace
@@ -57,19 +56,55 @@
   const std::uint32_t allowed =
       std::min(LoadAllowance(state, now), m_options.max_loads_per_decision);
   if (allowed == 0) return decision;
-  for (const Candidate& candidate : RankLoadable(state, now, allowed)) {
-    if (decision.loads.size() >= allowed) break;
-    const WaitingTarget& waiting = *candidate.waiting;
-    if (IsRefused(decision, waiting.target)) continue;
-    const LoadPlace place = FindPlace(state, waiting, now, decision);
-    if (place.worker == nullptr || place.cost >= candidate.worth) continue;
-    LoadDecision load{waiting.target, place.worker->id, std::nullopt};
-    if (place.victim != nullptr) load.victim = place.victim->target;
-    decision.loads.push_back(std::move(load));
-  }
+  decision.loads = ChooseLoads(state, now, allowed);
+  std::erase_if(decision.refusals, [&](const RefuseDecision& refusal) {
+    return IsLoaded(decision.loads, refusal.target);
+  });
   return decision;
 }
 
+std::vector<LoadDecision> WeightedPolicy::ChooseLoads(
+    const CellState& state, TimeMs now, std::uint32_t allowed) const {
+  std::vector<LoadDecision> loads;
+  std::vector<Candidate> heap = FindCandidates(state, now);
+  std::make_heap(heap.begin(), heap.end(), IsWorthLess);
+  std::size_t tries = allowed + kSpareCandidates;
+  while (loads.size() < allowed && !heap.empty() && tries > 0) {
+    std::pop_heap(heap.begin(), heap.end(), IsWorthLess);
+    Candidate& best = heap.back();
+    const WaitingTarget& waiting = *best.waiting;
+    if (!best.adjusted) {
+      const TargetPresence presence = FindPresence(state, waiting.target);
+      if (presence.load_under_way || presence.has_batch_room) {
+        heap.pop_back();
+        continue;
+      }
+      // A further replica speeds up the same waiters, so that each is worth
+      // less than the one before.
+      best.worth /= 1.0 + presence.holders;
+      best.adjusted = true;
+      std::push_heap(heap.begin(), heap.end(), IsWorthLess);
+      continue;
+    }
+    --tries;
+    std::optional<LoadDecision> load =
+        PlaceTarget(state, waiting, best.worth, now, loads);
+    heap.pop_back();
+    if (load.has_value()) loads.push_back(*std::move(load));
+  }
+  return loads;
+}
+
+std::optional<LoadDecision> WeightedPolicy::PlaceTarget(
+    const CellState& state, const WaitingTarget& waiting, double worth,
+    TimeMs now, const std::vector<LoadDecision>& decided) const {
+  const LoadPlace place = FindPlace(state, waiting, now, decided);
+  if (place.worker == nullptr || place.cost >= worth) return std::nullopt;
+  LoadDecision load{waiting.target, place.worker->id, std::nullopt};
+  if (place.victim != nullptr) load.victim = place.victim->target;
+  return load;
+}
+
 void WeightedPolicy::CountRunning(const CellState& state, TimeMs now) {
   m_counted_at = now;
   const double requests_per_running =
@@ -83,33 +118,16 @@
   }
 }
 
-std::vector<WeightedPolicy::Candidate> WeightedPolicy::RankLoadable(
-    const CellState& state, TimeMs now, std::size_t count) const {
-  std::vector<Candidate> candidates =
-      Rank(state, now, count + kSpareCandidates);
-  for (Candidate& candidate : candidates) {
-    const AdapterVersion& target = candidate.waiting->target;
-    const bool served =
-        IsLoadUnderWay(state, target) || HasBatchRoom(state, target);
-    // A further replica speeds up the same waiters, so that each is worth less
-    // than the one before.
-    candidate.worth =
-        served ? 0 : candidate.worth / (1.0 + CountHolders(state, target));
-  }
-  std::sort(candidates.begin(), candidates.end(), IsWorthMore);
-  while (!candidates.empty() && candidates.back().worth <= 0) {
-    candidates.pop_back();
-  }
-  return candidates;
-}
-
 std::vector<RefuseDecision> WeightedPolicy::FindHopeless(const CellState& state,
                                                          TimeMs now) {
   constexpr double kMsPerSecond = 1'000;
   std::vector<RefuseDecision> refusals;
   const double rate = state.store.loads_per_second;
   if (rate <= 0) return refusals;
-  const std::vector<Candidate> order = Rank(state, now, state.waiting.size());
+  std::vector<Candidate> order = FindCandidates(state, now);
+  std::sort(
+      order.begin(), order.end(),
+      [](const Candidate& a, const Candidate& b) { return IsWorthLess(b, a); });
   for (std::size_t i = kSpareCandidates; i < order.size(); ++i) {
     const WaitingTarget& waiting = *order[i].waiting;
     // The later waiters' deadlines are not known.
@@ -117,7 +135,9 @@
     const double turn_ms = static_cast<double>(i - kSpareCandidates) /
                            (rate * kRefusalCertainty) * kMsPerSecond;
     const auto left_ms = static_cast<double>((waiting.deadline - now).ms());
-    if (turn_ms <= left_ms || CountHolders(state, waiting.target) > 0) continue;
+    if (turn_ms <= left_ms) continue;
+    const TargetPresence presence = FindPresence(state, waiting.target);
+    if (presence.holders > 0 || presence.load_under_way) continue;
     const double queue_ms =
         static_cast<double>(order.size()) / rate * kMsPerSecond;
     refusals.push_back(
@@ -126,25 +146,21 @@
   return refusals;
 }
 
-std::vector<WeightedPolicy::Candidate> WeightedPolicy::Rank(
-    const CellState& state, TimeMs now, std::size_t count) const {
+std::vector<WeightedPolicy::Candidate> WeightedPolicy::FindCandidates(
+    const CellState& state, TimeMs now) const {
   std::vector<Candidate> candidates;
+  candidates.reserve(state.waiting.size());
   for (const auto& [target, waiting] : state.waiting) {
     if (!IsDue(waiting, now)) continue;
     const double worth = Worth(waiting, state, now);
-    if (worth > 0) candidates.push_back(Candidate{&waiting, worth});
+    if (worth > 0) candidates.push_back(Candidate{&waiting, worth, false});
   }
-  count = std::min(count, candidates.size());
-  std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
-                    candidates.end(), IsWorthMore);
-  candidates.resize(count);
   return candidates;
 }
 
-bool WeightedPolicy::IsWorthMore(const Candidate& a, const Candidate& b) {
-  if (a.worth != b.worth) return a.worth > b.worth;
-  return a.waiting->target < b.waiting->target;
+bool WeightedPolicy::IsWorthLess(const Candidate& a, const Candidate& b) {
+  if (a.worth != b.worth) return a.worth < b.worth;
+  return b.waiting->target < a.waiting->target;
 }
 
 double WeightedPolicy::Worth(const WaitingTarget& waiting,
--- a/lib/coordination/placement/weighted_policy_places.cc
+++ b/lib/coordination/placement/weighted_policy_places.cc
@@ -17,6 +17,9 @@
 /// A queue that the store needs this long for counts as long.
 constexpr double kLongQueueSeconds = 5;
 
+/// A worker that runs this many requests hardly ever falls idle.
+constexpr std::uint32_t kNeverIdle = 4;
+
 /// Share of the idle worker's cost that counts without a queue.
 constexpr double kLeastPressure = 0.04;
 
@@ -26,17 +29,17 @@
 }
 
 /// Returns how many of the decided loads take a free slot of the worker.
-std::uint32_t FreeSlotsTaken(const PlacementDecision& decided,
+std::uint32_t FreeSlotsTaken(const std::vector<LoadDecision>& decided,
                              const WorkerState& worker) {
-  return static_cast<std::uint32_t>(std::count_if(
-      decided.loads.begin(), decided.loads.end(), [&](const LoadDecision& l) {
+  return static_cast<std::uint32_t>(
+      std::count_if(decided.begin(), decided.end(), [&](const LoadDecision& l) {
         return l.worker == worker.id && !l.victim.has_value();
       }));
 }
 
-bool IsVictimTaken(const PlacementDecision& decided, const WorkerState& worker,
-                   const SlotState& slot) {
-  return std::any_of(decided.loads.begin(), decided.loads.end(),
+bool IsVictimTaken(const std::vector<LoadDecision>& decided,
+                   const WorkerState& worker, const SlotState& slot) {
+  return std::any_of(decided.begin(), decided.end(),
                      [&](const LoadDecision& l) {
                        return l.worker == worker.id && l.victim == slot.target;
                      });
@@ -46,11 +49,12 @@
 
 double WeightedPolicy::BacklogMs(const CellState& state,
                                  const WorkerState& worker) const {
+  if (worker.running < worker.batch_capacity) return 0;
   double backlog = worker.running;
   for (const SlotState& slot : worker.occupied) {
     const auto found = state.waiting.find(slot.target);
     if (found == state.waiting.end()) continue;
-    const std::uint32_t holders = CountHolders(state, slot.target);
+    const std::uint32_t holders = FindPresence(state, slot.target).holders;
     backlog +=
         static_cast<double>(found->second.waiters) / std::max(1U, holders);
   }
@@ -78,6 +82,7 @@
   constexpr double kMsPerSecond = 1'000;
   const double answer_seconds =
       static_cast<double>(m_options.answer_time.ms()) / kMsPerSecond;
+  if (worker.running >= kNeverIdle) return 0;
   double load = worker.running;
   for (const SlotState& slot : worker.occupied) {
     if (slot.phase == SlotPhase::kLoading) load += 1;
@@ -89,13 +94,17 @@
 
 WeightedPolicy::LoadPlace WeightedPolicy::FindPlace(
     const CellState& state, const WaitingTarget& waiting, TimeMs now,
-    const PlacementDecision& decided) const {
+    const std::vector<LoadDecision>& decided) const {
   LoadPlace best;
   for (const WorkerState& worker : state.workers) {
-    if (!worker.usable || Holds(worker, waiting.target)) continue;
+    if (!worker.usable) continue;
+    const double cost = BatchCost(state, worker, now) +
+                        waiting.waiters * BacklogMs(state, worker);
+    if (best.worker != nullptr && cost >= best.cost) continue;
+    if (Holds(worker, waiting.target)) continue;
     LoadPlace place = PlaceOn(state, worker, now, decided);
     if (place.worker == nullptr) continue;
-    place.cost += waiting.waiters * BacklogMs(state, worker);
+    place.cost += cost;
     if (best.worker == nullptr || place.cost < best.cost) best = place;
   }
   return best;
@@ -103,19 +112,18 @@
 
 WeightedPolicy::LoadPlace WeightedPolicy::PlaceOn(
     const CellState& state, const WorkerState& worker, TimeMs now,
-    const PlacementDecision& decided) const {
+    const std::vector<LoadDecision>& decided) const {
   LoadPlace place;
-  const double fill_cost = BatchCost(state, worker, now);
   if (worker.FreeSlots() > FreeSlotsTaken(decided, worker)) {
     place.worker = &worker;
-    place.cost = fill_cost;
     return place;
   }
   for (const SlotState& slot : worker.occupied) {
+    if (slot.phase != SlotPhase::kReady || slot.running > 0) continue;
+    const double cost = ReuseWorth(slot.target, now);
+    if (place.worker != nullptr && place.cost <= cost) continue;
     if (!IsEvictable(state, slot)) continue;
     if (IsVictimTaken(decided, worker, slot)) continue;
-    const double cost = ReuseWorth(slot.target, now) + fill_cost;
-    if (place.worker != nullptr && place.cost <= cost) continue;
     place = LoadPlace{&worker, &slot, cost};
   }
   return place;
