--- a/include/yuccamoor/coordination/placement/weighted_policy.h
+++ b/include/yuccamoor/coordination/placement/weighted_policy.h
@@ -63,15 +63,14 @@
   double Worth(const WaitingTarget& waiting, const CellState& state,
                TimeMs now) const;
   double PriorityWeight(Priority priority) const;
-  double IdleShare(const WorkerState& worker, TimeMs now) const;
+  double IdleShare(const CellState& state, const WorkerState& worker) const;
   double BacklogMs(const CellState& state, const WorkerState& worker) const;
   double ReuseWorth(const AdapterVersion& target, TimeMs now) const;
   void CountRunning(const CellState& state, TimeMs now);
   std::vector<RefuseDecision> FindHopeless(const CellState& state, TimeMs now);
   double WaitingWorth(const WaitingTarget& waiting, const CellState& state,
                       TimeMs now) const;
-  double BatchCost(const CellState& state, const WorkerState& worker,
-                   TimeMs now) const;
+  double BatchCost(const CellState& state, const WorkerState& worker) const;
   LoadPlace FindPlace(const CellState& state, const WaitingTarget& waiting,
                       TimeMs now,
                       const std::vector<LoadDecision>& decided) const;
@@ -82,6 +81,9 @@
   FrequencySketch m_demand;
   TimeMs m_refused_at;
   TimeMs m_counted_at;
+  /// Requests expected to run at once for what is resident, by worker, as of
+  /// the last count.
+  std::vector<double> m_expected_running;
 };
 
 }  // namespace yuccamoor
--- a/lib/coordination/placement/weighted_policy.cc
+++ b/lib/coordination/placement/weighted_policy.cc
@@ -15,6 +15,8 @@
 /// Candidates looked at beyond the loads allowed, as some may have no place.
 constexpr std::size_t kSpareCandidates = 16;
 
+constexpr double kMsPerSecond = 1'000;
+
 /// How many times faster than the store's rate a waiter's turn would have to
 /// come before it is not refused: targets ahead of it may drop out.
 constexpr double kRefusalCertainty = 4;
@@ -110,17 +112,22 @@
   const double requests_per_running =
       static_cast<double>(kCountInterval.ms()) /
       static_cast<double>(m_options.answer_time.ms());
-  for (const WorkerState& worker : state.workers) {
-    for (const SlotState& slot : worker.occupied) {
-      if (slot.running == 0) continue;
-      m_demand.Add(slot.target, slot.running * requests_per_running, now);
+  const double answer_seconds =
+      static_cast<double>(m_options.answer_time.ms()) / kMsPerSecond;
+  m_expected_running.assign(state.workers.size(), 0);
+  for (std::size_t i = 0; i < state.workers.size(); ++i) {
+    for (const SlotState& slot : state.workers[i].occupied) {
+      if (slot.running > 0) {
+        m_demand.Add(slot.target, slot.running * requests_per_running, now);
+      }
+      m_expected_running[i] +=
+          m_demand.RatePerSecond(slot.target, now) * answer_seconds;
     }
   }
 }
 
 std::vector<RefuseDecision> WeightedPolicy::FindHopeless(const CellState& state,
                                                          TimeMs now) {
-  constexpr double kMsPerSecond = 1'000;
   std::vector<RefuseDecision> refusals;
   const double rate = state.store.loads_per_second;
   if (rate <= 0) return refusals;
@@ -202,7 +209,6 @@
 
 double WeightedPolicy::ReuseWorth(const AdapterVersion& target,
                                   TimeMs now) const {
-  constexpr double kMsPerSecond = 1'000;
   return m_demand.RatePerSecond(target, now) *
          static_cast<double>(m_options.residence.ms()) / kMsPerSecond *
          static_cast<double>(m_options.stall_per_miss.ms());
--- a/lib/coordination/placement/weighted_policy_places.cc
+++ b/lib/coordination/placement/weighted_policy_places.cc
@@ -64,7 +64,7 @@
 }
 
 double WeightedPolicy::BatchCost(const CellState& state,
-                                 const WorkerState& worker, TimeMs now) const {
+                                 const WorkerState& worker) const {
   const double spread =
       state.weights.load_stalls * BatchFill(worker) * kFullBatchMs;
   if (state.weights.batch_efficiency <= 0) return spread;
@@ -74,19 +74,18 @@
                        (state.store.loads_per_second * kLongQueueSeconds);
   const double pressure = std::clamp(queue, kLeastPressure, 1.0);
   return spread + state.weights.batch_efficiency * pressure *
-                      IdleShare(worker, now) *
+                      IdleShare(state, worker) *
                       static_cast<double>(m_options.idle_worker_cost.ms());
 }
 
-double WeightedPolicy::IdleShare(const WorkerState& worker, TimeMs now) const {
-  constexpr double kMsPerSecond = 1'000;
-  const double answer_seconds =
-      static_cast<double>(m_options.answer_time.ms()) / kMsPerSecond;
+double WeightedPolicy::IdleShare(const CellState& state,
+                                 const WorkerState& worker) const {
   if (worker.running >= kNeverIdle) return 0;
+  const auto index = static_cast<std::size_t>(&worker - state.workers.data());
   double load = worker.running;
+  if (index < m_expected_running.size()) load += m_expected_running[index];
   for (const SlotState& slot : worker.occupied) {
     if (slot.phase == SlotPhase::kLoading) load += 1;
-    load += m_demand.RatePerSecond(slot.target, now) * answer_seconds;
   }
   // The chance that none of the requests arrives while it would run.
   return std::exp(-load);
@@ -98,8 +97,8 @@
   LoadPlace best;
   for (const WorkerState& worker : state.workers) {
     if (!worker.usable) continue;
-    const double cost = BatchCost(state, worker, now) +
-                        waiting.waiters * BacklogMs(state, worker);
+    const double cost =
+        BatchCost(state, worker) + waiting.waiters * BacklogMs(state, worker);
     if (best.worker != nullptr && cost >= best.cost) continue;
     if (Holds(worker, waiting.target)) continue;
     LoadPlace place = PlaceOn(state, worker, now, decided);
