--- a/lib/coordination/placement/weighted_policy_places.cc
+++ b/lib/coordination/placement/weighted_policy_places.cc
@@ -21,7 +21,7 @@
 constexpr std::uint32_t kNeverIdle = 4;
 
 /// Share of the idle worker's cost that counts without a queue.
-constexpr double kLeastPressure = 0.04;
+constexpr double kLeastPressure = 0.15;
 
 double BatchFill(const WorkerState& worker) {
   if (worker.batch_capacity == 0) return 1;
