--- /dev/null
+++ b/lib/coordination/request/shutdown_sequence.cc
@@ -0,0 +1,30 @@
+/// \file
+/// \brief The phases of a graceful shutdown.
+
+#include "yuccamoor/coordination/request/shutdown_sequence.h"
+
+namespace yuccamoor {
+
+void ShutdownSequence::Begin(TimeMs now) {
+  if (m_phase != ShutdownPhase::kServing) return;
+  m_phase = ShutdownPhase::kUnready;
+  m_begun = now;
+}
+
+ShutdownPhase ShutdownSequence::Advance(const ShutdownLoad& load, TimeMs now) {
+  const DurationMs elapsed = now - m_begun;
+  if (m_phase == ShutdownPhase::kUnready && elapsed >= m_options.unready_time) {
+    m_phase = ShutdownPhase::kDraining;
+  }
+  if (m_phase != ShutdownPhase::kDraining) return m_phase;
+  const bool ended = load.requests_in_flight == 0 && !load.unwritten_outcomes &&
+                     !load.unreleased;
+  if (ended) {
+    m_phase = ShutdownPhase::kDone;
+  } else if (elapsed >= m_options.grace) {
+    m_phase = ShutdownPhase::kGraceOver;
+  }
+  return m_phase;
+}
+
+}  // namespace yuccamoor
