--- a/lib/protocol/config/config_json.cc
+++ b/lib/protocol/config/config_json.cc
@@ -30,9 +30,10 @@
 
 template <class Place>
 Json PlaceToJson(const Place& place) {
-  return Json{{"address", place.address},
-              {"failure_domain", place.failure_domain},
-              {"vm", place.vm}};
+  Json json{{"address", place.address},
+            {"failure_domain", place.failure_domain}};
+  if (!place.vm.empty()) json["vm"] = place.vm;
+  return json;
 }
 
 template <class Place>
--- a/lib/protocol/json.cc
+++ b/lib/protocol/json.cc
@@ -67,6 +67,10 @@
   } catch (const Json::parse_error& error) {
     return Findings(Finding{PlaceOfByte(text, error.byte, source),
                             "JSON syntax error", error.what()});
+  } catch (const Json::exception& error) {
+    // A number that no double holds; the parser tells no place for it.
+    return Findings(Finding{Place{source, "", 0, 0}, "unreadable JSON value",
+                            error.what()});
   }
 }
 
--- a/unittests/protocol/config/config_files_test.cc
+++ b/unittests/protocol/config/config_files_test.cc
@@ -47,6 +47,7 @@
      "/cells/asistan-model/workers/w1/address", "not an address", "ip:port"},
     {"2.5", "0", "/cells/asistan-model/weight_store/loads_per_second",
      "out of range", "from 0.001"},
+    {"2.5", "1e999", "", "unreadable JSON value", "overflow"},
     {"2.5", "\"2.5\"", "/cells/asistan-model/weight_store/loads_per_second",
      "wrong type", "a number"},
     {"[\"v1\", \"v2\"]", "[]", "/adapters/diary/versions", "0 entries",
