Say ready only with a session for every cell; test processes under faults

Cause: a gateway that had just restarted was ready by its configuration, but its sessions with the cells' leaders were opened a moment later, and in between it told callers 404 for adapters that exist. A cell without a session is now 503 not_ready, and the gateway is not ready before it has all of them.

--- a/include/yuccamoor/transport/daemon/daemon.h
+++ b/include/yuccamoor/transport/daemon/daemon.h
@@ -47,6 +47,11 @@
   void SetPeerHandler(HttpHandler handler) {
     m_peer_handler = std::move(handler);
   }
+  /// Sets what the role needs besides a configuration to be ready. Before
+  /// Start.
+  void SetReadyCheck(std::function<bool()> check) {
+    m_ready_check = std::move(check);
+  }
   /// Adds what operators reach under exactly this path or, if it ends with a
   /// slash, under all paths that begin with it. Before Start.
   void AddOperatorPath(const std::string& path, OperatorHandler handler);
@@ -98,6 +103,7 @@
   std::shared_ptr<ConfigHost> m_config;
   JsonRpcDispatcher m_dispatcher;
   HttpHandler m_peer_handler;
+  std::function<bool()> m_ready_check = [] { return true; };
   std::map<std::string, OperatorHandler, std::less<>> m_operator_paths;
   std::unique_ptr<HttpServer> m_peer_server;
   std::unique_ptr<HttpServer> m_operator_server;
--- a/include/yuccamoor/transport/gateway/gateway.h
+++ b/include/yuccamoor/transport/gateway/gateway.h
@@ -54,6 +54,8 @@
   void SpreadGossip();
   /// Opens a session for each cell of the configuration.
   void OpenSessions();
+  /// Whether every cell of the configuration has one.
+  bool HasSessions() const;
   RequestId NewRequestId(const HttpRequest& request);
 
   GatewaySettings m_settings;
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -158,7 +158,9 @@
   m_pool->Every(kConfigInterval, [this] { m_config->Tick(); });
 }
 
-bool Daemon::Ready() const { return !m_draining && m_config->Ready(); }
+bool Daemon::Ready() const {
+  return !m_draining && m_config->Ready() && m_ready_check();
+}
 
 void Daemon::Stop() {
   m_members->Remove();
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -28,6 +28,12 @@
   return error;
 }
 
+ApiError NotReady(std::string message) {
+  ApiError error = MakeError(503, "not_ready", std::move(message));
+  error.retry_after = kRetryAfterOverload;
+  return error;
+}
+
 /// Gathers a whole answer.
 class TextSink final : public TokenSink {
  public:
@@ -215,11 +221,7 @@
   }
   job.request = std::move(parsed).value();
   const auto config = m_services.directory.Config();
-  if (!config) {
-    ApiError error = MakeError(503, "not_ready", "no configuration is known");
-    error.retry_after = kRetryAfterOverload;
-    return error;
-  }
+  if (!config) return NotReady("no configuration is known");
   const std::string& user = job.request.user;
   const auto target =
       config->Resolve(job.request.model, user.empty() ? job.id.str() : user);
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -117,7 +117,17 @@
       });
 }
 
+bool Gateway::HasSessions() const {
+  const auto config = Config();
+  if (!config) return false;
+  const std::shared_lock lock(m_sessions_mutex);
+  return std::all_of(
+      config->cells.begin(), config->cells.end(),
+      [this](const auto& cell) { return m_sessions.contains(cell.first); });
+}
+
 void Gateway::AddOperatorPaths() {
+  m_daemon->SetReadyCheck([this] { return HasSessions(); });
   m_daemon->AddOperatorPath("/admin/drain", [this](const HttpRequest& request) {
     if (request.method != "POST") return MethodNotAllowed();
     m_daemon->SetDraining();
--- a/unittests/process/cluster.cc
+++ b/unittests/process/cluster.cc
@@ -15,6 +15,7 @@
 
 constexpr const char* kLoopback = "127.0.0.1:";
 constexpr auto kPollInterval = std::chrono::milliseconds(20);
+constexpr int kEndpoints = 2;
 /// Far above what any wait takes, so that only a failure reaches it.
 constexpr auto kLongestWait = std::chrono::seconds(60);
 
@@ -41,8 +42,12 @@
     : m_shape(shape), m_folder(MakeFolder()) {
   AddStandIn("kv", "kv", {});
   AddStandIn("vms", "vms", {});
+  ListVms("");
   AddStandIn("store", "store", {"--loads-per-second", "0"});
-  AddStandIn("service", "service", {"--endpoint", "booking-0"});
+  for (int i = 0; i < kEndpoints; ++i) {
+    AddStandIn("service" + std::to_string(i), "service",
+               {"--endpoint", "booking-" + std::to_string(i)});
+  }
   for (int i = 0; i < shape.engines; ++i) {
     AddStandIn("engine" + std::to_string(i), "engine",
                {"--worker", "w" + std::to_string(i), "--slots",
@@ -164,10 +169,15 @@
       {"workers", std::move(workers)},
       {"weight_store", {{"loads_per_second", 20}}},
       {"engines_check_epoch", m_shape.engines_check_epoch}};
+  Json endpoints = Json::object();
+  for (int i = 0; i < kEndpoints; ++i) {
+    const std::string suffix = std::to_string(i);
+    endpoints["booking-" + suffix] = {{"address", Address("service" + suffix)},
+                                      {"failure_domain", "domain-" + suffix},
+                                      {"vm", "vm-service" + suffix}};
+  }
   config["services"]["booking"] = {
-      {"endpoints",
-       {{"booking-0",
-         {{"address", Address("service")}, {"failure_domain", "domain-0"}}}}},
+      {"endpoints", std::move(endpoints)},
       {"non_idempotent",
        Json::array({{{"method", "POST"}, {"path_prefix", "/charges"}}})}};
   const std::string file = WriteFile("config.json", config.dump(1));
@@ -218,15 +228,48 @@
 }
 
 int Cluster::RunsOf(const std::string& key) {
-  const Json ledger = ParseOrNull(m_http.Get(Address("service"), "/ledger"));
-  if (!ledger.is_object()) return -1;
   int runs = 0;
-  for (const Json& entry : ledger.at("entries")) {
-    if (entry.at("key") == key) ++runs;
+  for (int i = 0; i < kEndpoints; ++i) {
+    const Json ledger = Ledger(i);
+    for (const Json& entry : ledger.at("entries")) {
+      if (entry.at("key") == key) ++runs;
+    }
   }
   return runs;
 }
 
+Json Cluster::Ledger(int endpoint) {
+  const std::string address = Address("service" + std::to_string(endpoint));
+  return Json::parse(m_http.Get(address, "/ledger"));
+}
+
+void Cluster::ListVms(const std::string& leaving) {
+  std::vector<std::string> ids;
+  for (int i = 0; i < kEndpoints; ++i) {
+    ids.push_back("vm-service" + std::to_string(i));
+  }
+  for (int i = 0; i < m_shape.gateways; ++i) {
+    ids.push_back("vm-gateway" + std::to_string(i));
+  }
+  for (int i = 0; i < m_shape.schedulers; ++i) {
+    ids.push_back("vm-scheduler" + std::to_string(i));
+  }
+  Json vms = Json::array();
+  for (const std::string& id : ids) {
+    vms.push_back({{"id", id},
+                   {"failure_domain", "domain-" + id.substr(id.size() - 1)},
+                   {"leaving", id == leaving}});
+  }
+  m_http.Post(Address("vms"), "/vms", Json{{"vms", std::move(vms)}}.dump());
+}
+
+void Cluster::SetFaults(const std::string& name, const Json& faults) {
+  const HttpReply reply = m_http.Post(Address(name), "/faults", faults.dump());
+  if (reply.response.status != 200) {
+    throw std::runtime_error(name + " took no faults");
+  }
+}
+
 std::string Cluster::LeaderName() {
   for (int i = 0; i < m_shape.schedulers; ++i) {
     const std::string name = "scheduler" + std::to_string(i);
--- a/unittests/process/cluster.h
+++ b/unittests/process/cluster.h
@@ -44,7 +44,7 @@
   void Restart(const std::string& name);
   void Start(const std::string& name);
 
-  /// The address of "kv", "store", "vms", "service", "engine0", "gateway0", or
+  /// The address of "kv", "store", "vms", "service0", "engine0", "gateway0", or
   /// with a listener, "gateway0/operator".
   std::string Address(const std::string& name) const;
 
@@ -54,8 +54,14 @@
   /// Sends a charge with an idempotency key through a gateway.
   HttpReply Charge(int gateway, const std::string& key,
                    const std::string& body);
-  /// The runs of the key in the service's ledger.
+  /// The runs of the key in the ledgers of both endpoints.
   int RunsOf(const std::string& key);
+  /// One endpoint's ledger.
+  Json Ledger(int endpoint);
+  /// Gives the platform's list of VMs, one of which may be leaving.
+  void ListVms(const std::string& leaving);
+  /// Sets faults of a stand-in.
+  void SetFaults(const std::string& name, const Json& faults);
   /// The name of the scheduler that leads and may order, or an empty string.
   std::string LeaderName();
   /// The sum of a counter over all engines.
--- a/unittests/process/whole_path_test.cc
+++ b/unittests/process/whole_path_test.cc
@@ -5,23 +5,10 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 
+#include "process/answers.h"
 #include "process/cluster.h"
 
 namespace yuccamoor {
-namespace {
-
-/// Checks that the reply is the whole answer of the model to the text. The
-/// engine stand-in's tokens name the target and the prompt.
-void CheckAnswer(const HttpReply& reply, const std::string& model) {
-  INFO(reply.error << reply.response.body);
-  REQUIRE(reply.progress == HttpProgress::kAnswered);
-  REQUIRE(reply.response.status == 200);
-  const Json json = Json::parse(reply.response.body);
-  CHECK(json.at("model") == model);
-  CHECK(json.at("usage").at("completion_tokens") == 8);
-}
-
-}  // namespace
 
 TEST_CASE("A request is served through each gateway", "[process]") {
   Cluster cluster(ClusterShape{});
--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -69,6 +69,9 @@
 kv=$ADDRESS
 stand_in vms vms
 vms=$ADDRESS
+curl -fsS "http://$vms/vms" -d '{"vms":[
+  {"id":"vm-0","failure_domain":"domain-0"},
+  {"id":"vm-1","failure_domain":"domain-1"}]}' >/dev/null
 stand_in store store --loads-per-second 2.5
 store=$ADDRESS
 stand_in booking service --endpoint booking-0
