Hold the in-memory key-value fake to the contract

The contract ran over the stand-in's table and the HTTP driver only. The fake that other tests use took values above the service's limit, which the contract showed; it now refuses them.

--- a/unittests/support/memory_key_value.h
+++ b/unittests/support/memory_key_value.h
@@ -1,6 +1,6 @@
 /// \file
 /// \brief A key-value service in memory, for tests: handles one request at a
-/// time and never fails.
+/// time and never fails. It keeps the contract but for leases.
 
 #ifndef YUCCAMOOR_UNITTESTS_SUPPORT_MEMORY_KEY_VALUE_H_
 #define YUCCAMOOR_UNITTESTS_SUPPORT_MEMORY_KEY_VALUE_H_
@@ -62,6 +62,9 @@
   }
 
   KvReply Handle(const KvCompareAndSwap& write) {
+    if (write.value.size() > kKvMaxValueBytes) {
+      return Status(KvStatus::kTooLarge);
+    }
     if (VersionOf(write.key) != write.expected) return Conflict(write.key);
     m_version = m_version.Next();
     m_entries[write.key] = KvEntry{write.key, write.value, m_version};
--- a/unittests/transport/platform/key_value_contract_test.cc
+++ b/unittests/transport/platform/key_value_contract_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "support/memory_key_value.h"
 #include "transport/platform/stand_in_fixture.h"
 #include "yuccamoor/transport/platform/http_key_value_service.h"
 #include "yuccamoor/transport/standins/key_value_stand_in.h"
@@ -17,15 +18,17 @@
 /// Makes a call and returns its reply.
 using Caller = std::function<KvReply(KvRequest)>;
 
-/// What the contract checks; empty if a caller keeps it.
-std::vector<std::string> Breaches(const Caller& call) {
-  std::vector<std::string> breaches;
+using Rules = std::vector<std::string>;
+
+/// The rules on keys and versions that a caller breaks.
+Rules RecordBreaches(const Caller& call) {
+  Rules breaches;
   const auto expect = [&breaches](bool kept, const std::string& rule) {
     if (!kept) breaches.push_back(rule);
   };
   const auto cas = [&call](const std::string& key, KvVersion expected,
-                           const std::string& value, KvLease lease = {}) {
-    return call(KvCompareAndSwap{key, expected, value, lease});
+                           const std::string& value) {
+    return call(KvCompareAndSwap{key, expected, value, KvLease()});
   };
   expect(call(KvGet{"a/1"}).status == KvStatus::kNotFound, "missing key");
   const KvReply made = cas("a/1", KvVersion(), "one");
@@ -54,14 +57,31 @@
       "large value");
   const KvReply watched = call(KvWatch{"a/", KvVersion(), DurationMs(0)});
   expect(watched.entries.size() == 2, "a watch reads the prefix");
+  return breaches;
+}
+
+/// The rules on leases that a caller breaks.
+Rules LeaseBreaches(const Caller& call) {
+  Rules breaches;
+  const auto expect = [&breaches](bool kept, const std::string& rule) {
+    if (!kept) breaches.push_back(rule);
+  };
+  const auto bind = [&call](const std::string& key, KvLease lease) {
+    return call(KvCompareAndSwap{key, KvVersion(), "held", lease}).status;
+  };
   const KvReply lease = call(KvLeaseGrant{DurationMs(60'000)});
-  expect(cas("c", KvVersion(), "held", lease.lease).status == KvStatus::kOk,
-         "bind to a lease");
+  expect(bind("c", lease.lease) == KvStatus::kOk, "bind to a lease");
   expect(call(KvLeaseRenew{lease.lease}).status == KvStatus::kOk, "renew");
   expect(call(KvLeaseRenew{KvLease(999)}).status == KvStatus::kNotFound,
          "renew an unknown lease");
-  expect(cas("d", KvVersion(), "x", KvLease(999)).status != KvStatus::kOk,
-         "bind to an unknown lease");
+  expect(bind("d", KvLease(999)) != KvStatus::kOk, "bind to an unknown lease");
+  return breaches;
+}
+
+Rules Breaches(const Caller& call) {
+  Rules breaches = RecordBreaches(call);
+  const Rules of_leases = LeaseBreaches(call);
+  breaches.insert(breaches.end(), of_leases.begin(), of_leases.end());
   return breaches;
 }
 
@@ -86,6 +106,10 @@
 }  // namespace
 
 TEST_CASE("The key-value contract holds in memory and over HTTP", "[kv]") {
+  MemoryKeyValue memory;
+  CHECK(RecordBreaches([&](const KvRequest& request) {
+          return memory.Apply(request);
+        }).empty());
   KeyValueTable table;
   CHECK(Breaches([&](const KvRequest& request) {
           return table.Apply(request, TimeMs(1));
