--- a/include/yuccamoor/transport/standins/engine_core.h
+++ b/include/yuccamoor/transport/standins/engine_core.h
@@ -54,6 +54,11 @@
   std::uint64_t busy_steps = 0;
 };
 
+/// Returns the counters' JSON text, with the instance and the batch's size.
+std::string EncodeEngineCounters(const EngineCounters& counters,
+                                 const InstanceId& instance,
+                                 std::uint32_t batch);
+
 /// How far a stream is.
 enum class StreamPhase : std::uint8_t {
   kQueued,
--- a/lib/transport/standins/engine_stand_in.cc
+++ b/lib/transport/standins/engine_stand_in.cc
@@ -53,15 +53,21 @@
   return JsonResponse(kHttpBadRequest, R"({"error":"request_id_reused"})");
 }
 
-/// Returns the events of the tokens from \p first to before \p end.
-std::string TokenEvents(const GenerateRequest& request,
-                        const InstanceId& instance, std::uint32_t first,
-                        std::uint32_t end) {
+/// Returns an event of this answer, without a token.
+TokenEvent EventOf(const GenerateRequest& request, const InstanceId& instance) {
   TokenEvent event;
   event.request_id = request.request_id;
   event.attempt = request.attempt;
   event.target = request.target;
   event.instance = instance;
+  return event;
+}
+
+/// Returns the events of the tokens from \p first to before \p end.
+std::string TokenEvents(const GenerateRequest& request,
+                        const InstanceId& instance, std::uint32_t first,
+                        std::uint32_t end) {
+  TokenEvent event = EventOf(request, instance);
   std::string text;
   for (event.index = first; event.index < end; ++event.index) {
     event.token = ExpectedToken(request.target, request.prompt, event.index);
@@ -72,11 +78,7 @@
 
 std::string DoneEvent(const GenerateRequest& request,
                       const InstanceId& instance, std::uint32_t tokens) {
-  TokenEvent event;
-  event.request_id = request.request_id;
-  event.attempt = request.attempt;
-  event.target = request.target;
-  event.instance = instance;
+  TokenEvent event = EventOf(request, instance);
   event.index = tokens;
   event.done = true;
   return EncodeTokenEvent(event);
@@ -286,22 +288,8 @@
 
 std::string EngineStandIn::CountersJson() const {
   const std::lock_guard lock(m_mutex);
-  const EngineCounters& c = m_core.counters();
-  return Json{{"instance", m_core.instance()},
-              {"loads_done", c.loads_done},
-              {"loads_failed", c.loads_failed},
-              {"evictions", c.evictions},
-              {"evictions_in_use", c.evictions_in_use},
-              {"stale_orders", c.stale_orders},
-              {"streams_started", c.streams_started},
-              {"streams_finished", c.streams_finished},
-              {"streams_cut", c.streams_cut},
-              {"streams_cancelled", c.streams_cancelled},
-              {"not_resident", c.not_resident},
-              {"tokens", c.tokens},
-              {"busy_steps", c.busy_steps},
-              {"batch_capacity", m_options.batch}}
-      .dump();
+  return EncodeEngineCounters(m_core.counters(), m_core.instance(),
+                              m_options.batch);
 }
 
 }  // namespace yuccamoor
