Keep daemons ready that reach each other without the service

With the key-value service down, a daemon is ready while it reaches most failure domains. A daemon that was unconfirmed for half of the bound asks the other domains in turn. The new test fails without it.

--- a/include/yuccamoor/coordination/config/config_replica.h
+++ b/include/yuccamoor/coordination/config/config_replica.h
@@ -62,13 +62,13 @@
   DurationMs exchange_interval{2'000};
   DurationMs first_exchange_interval{200};
   /// The longest that a watch of the root waits.
-  DurationMs watch_wait{2'000};
+  DurationMs watch_wait{4'000};
   /// Daemons of a failure domain that watch the root at all times.
   std::size_t watchers_per_domain = 2;
   /// Peers of the own failure domain that hear of a new revision at once.
   std::size_t push_fanout = 3;
   /// Time without confirmation after which any daemon watches the root itself.
-  DurationMs confirmation_patience{6'000};
+  DurationMs confirmation_patience{8'000};
   /// Time that peers have to give a revision before any daemon reads it from
   /// the service.
   DurationMs peer_patience{3'000};
@@ -183,6 +183,10 @@
     std::uint32_t service_failures = 0;
   };
 
+  /// The peer to exchange with next, or an empty address.
+  std::string NextPeer(TimeMs now);
+  /// A peer of the other failure domain that was asked least recently.
+  std::string PeerOfNextDomain(TimeMs now);
   void StartWatch(TimeMs now, ConfigReplicaActions& actions);
   void StartExchange(const std::string& address, TimeMs now,
                      ConfigReplicaActions& actions);
@@ -241,6 +245,8 @@
   std::uint32_t m_watch_failures = 0;
   TimeMs m_next_exchange;
   std::map<FailureDomainId, TimeMs> m_contacts;
+  /// When a peer of each other failure domain was last asked for its currency.
+  std::map<FailureDomainId, TimeMs> m_asked;
 
   KvCallId m_last_kv_call;
   std::map<KvCallId, KvPending> m_kv_pending;
--- a/lib/coordination/config/config_replica.cc
+++ b/lib/coordination/config/config_replica.cc
@@ -95,9 +95,7 @@
   m_was_ready = m_was_ready || ready(now);
   if (MustWatch(now)) StartWatch(now, actions);
   if (now >= m_next_exchange) {
-    const bool foreign = Random() < kForeignShare;
-    std::string peer = Pick(PeersOf(!foreign), Random());
-    if (peer.empty()) peer = Pick(PeersOf(foreign), Random());
+    const std::string peer = NextPeer(now);
     if (!peer.empty()) StartExchange(peer, now, actions);
     const DurationMs interval = m_snapshot ? m_options.exchange_interval
                                            : m_options.first_exchange_interval;
@@ -110,6 +108,34 @@
   return actions;
 }
 
+std::string ConfigReplica::NextPeer(TimeMs now) {
+  // Without confirmation, readiness depends on contact to most domains.
+  const DurationMs patience = m_options.currency_bound / 2;
+  if (m_snapshot && (!m_confirmed || now - *m_confirmed > patience)) {
+    std::string peer = PeerOfNextDomain(now);
+    if (!peer.empty()) return peer;
+  }
+  const bool foreign = Random() < kForeignShare;
+  std::string peer = Pick(PeersOf(!foreign), Random());
+  return peer.empty() ? Pick(PeersOf(foreign), Random()) : peer;
+}
+
+std::string ConfigReplica::PeerOfNextDomain(TimeMs now) {
+  std::map<FailureDomainId, std::vector<std::string>> domains;
+  for (const auto& [address, peer] : m_peers) {
+    const bool foreign = !peer.failure_domain.empty() &&
+                         peer.failure_domain != m_options.failure_domain;
+    if (foreign) domains[peer.failure_domain].push_back(address);
+  }
+  if (domains.empty()) return {};
+  const auto next = std::min_element(
+      domains.begin(), domains.end(), [this](const auto& a, const auto& b) {
+        return m_asked[a.first] < m_asked[b.first];
+      });
+  m_asked[next->first] = now;
+  return Pick(next->second, Random());
+}
+
 bool ConfigReplica::MustWatch(TimeMs now) const {
   if (m_watch_pending || now < m_next_watch) return false;
   const std::size_t rank = Rank();
--- a/unittests/protocol/config/config_replica_test.cc
+++ b/unittests/protocol/config/config_replica_test.cc
@@ -159,6 +159,41 @@
   CHECK_FALSE(replica.ready(kStart + bound + DurationMs(1)));
 }
 
+TEST_CASE("Daemons that reach each other stay ready without the service",
+          "[config]") {
+  constexpr int kPeers = 24;
+  // A sixth of the peers is in the own domain.
+  const auto domain_of = [](int peer) {
+    constexpr int kDomains = 6;
+    const int domain = peer % kDomains;
+    return domain == 0 ? std::string("a") : std::to_string(domain);
+  };
+  const DurationMs bound = ConfigReplicaOptions{}.currency_bound;
+  const Published published = Publish(1);
+  ConfigReplica replica(Options({}), Codec(), kStart);
+  for (int i = 0; i < kPeers; ++i) {
+    const std::string peer = std::to_string(i);
+    Serve(replica,
+          replica.OnExchange(AnnounceOf(published, peer, domain_of(i)), kStart),
+          published, kStart);
+  }
+  constexpr DurationMs kTick{100};
+  constexpr DurationMs kOutage{120'000};
+  for (TimeMs now = kStart; now < kStart + kOutage; now = now + kTick) {
+    const auto actions = replica.Tick(now);
+    for (const KvCall& call : actions.kv) {
+      replica.OnKvReply(call.id, KvReply{}, now);
+    }
+    for (const ConfigExchangeCall& call : actions.exchanges) {
+      ConfigAnnounce reply =
+          AnnounceOf(published, call.to, domain_of(std::stoi(call.to)));
+      reply.confirmed_age.reset();
+      replica.OnExchangeReply(call.id, reply, now);
+    }
+    if (now - kStart > bound) REQUIRE(replica.ready(now));
+  }
+}
+
 TEST_CASE("A service's answer from the past confirms nothing", "[config]") {
   const DurationMs bound = ConfigReplicaOptions{}.currency_bound;
   ConfigReplica replica(Options({}), Codec(), kStart);
@@ -173,6 +208,7 @@
 TEST_CASE("Few daemons of a failure domain watch the root", "[config]") {
   constexpr int kDaemons = 57;
   std::vector<std::string> addresses;
+  addresses.reserve(kDaemons);
   for (int i = 0; i < kDaemons; ++i) {
     addresses.push_back("node-" + std::to_string(i));
   }
