Keep sendings apart that share a request id, and not-run honest in the proxy

Two sendings with one X-Request-Id and key at one gateway shared a place among the shard's waiters: the second's refusal went to the first, the second waited for ever, and the right to dispatch reached nobody. The shard host now names each arrival itself; the test saw one verdict of two before, and two now.

A keyed request whose hand-over to the shard's home was lost after it was sent ran on here as a first sending and could be told "not run", while a paused home still held it. It counts as a repeat from then on. Refusals before any dispatch tell repeats "unknown" too, and a malformed first-sent header is refused instead of being taken for a first sending.

--- a/include/yuccamoor/transport/gateway/shard_host.h
+++ b/include/yuccamoor/transport/gateway/shard_host.h
@@ -5,7 +5,9 @@
 #ifndef YUCCAMOOR_TRANSPORT_GATEWAY_SHARD_HOST_H_
 #define YUCCAMOOR_TRANSPORT_GATEWAY_SHARD_HOST_H_
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -36,12 +38,13 @@
   /// The services must outlive the host.
   static Result<std::shared_ptr<ShardHost>> Create(KeyValueService& key_value,
                                                    const Clock& clock,
-                                                   ShardOwner owner);
+                                                   const ShardOwner& owner);
 
   /// Returns the shard that the key belongs to; the same in every process.
   static std::size_t ShardOf(const IdempotencyKey& key);
 
-  /// Waits for the shard's word on the request.
+  /// Waits for the shard's word on the request. The request's id need not be
+  /// unique; the verdict names the arrival by another one.
   Awaitable<ShardVerdict> Begin(ShardBegin begin);
   /// Tells the shard how a dispatched request ended.
   void Finish(const IdempotencyKey& key, Outcome outcome, StoredAnswer answer);
@@ -78,6 +81,7 @@
   const Clock& m_clock;
   JsonShardRecordCodec m_codec;
   std::vector<std::unique_ptr<Slot>> m_slots;
+  std::atomic<std::uint64_t> m_arrivals{0};
 };
 
 }  // namespace yuccamoor
--- a/lib/transport/gateway/service_proxy.cc
+++ b/lib/transport/gateway/service_proxy.cc
@@ -37,6 +37,16 @@
   return ErrorResponse(error);
 }
 
+/// What a refusal before any dispatch says of the request. A repeat cannot
+/// speak for earlier sendings that may wait elsewhere.
+Outcome RefusedOutcome(bool repeat) {
+  return repeat ? Outcome::kUnknown : Outcome::kNotRun;
+}
+
+bool IsRepeat(const HttpRequest& request) {
+  return !request.headers.Find(kFirstSentAgoHeader).empty();
+}
+
 /// What an endpoint says of itself and of the request.
 bool SaysTrue(const HttpResponse& response, std::string_view header) {
   return response.headers.Find(header) == "true";
@@ -200,7 +210,11 @@
       co_await exchange.Send(WithoutHopHeaders(std::move(reply.response)));
       co_return;
     }
-    // The home may hold the key. The shard's record decides, here as there.
+    // The home may hold the key, or come to hold it. The shard's record
+    // decides, here as there, but this sending is no longer the only one.
+    if (reply.progress != HttpProgress::kNotSent && !job.spec.first_sent_ago) {
+      job.spec.first_sent_ago = DurationMs(0);
+    }
   }
   refusal = Admit(job);
   if (refusal) {
@@ -224,13 +238,14 @@
     const std::lock_guard lock(m_mutex);
     if (!m_config) {
       return MakeError(kServiceUnavailable, "not_ready",
-                       "no configuration is known", Outcome::kNotRun,
-                       DurationMs(1'000));
+                       "no configuration is known",
+                       RefusedOutcome(IsRepeat(request)), DurationMs(1'000));
     }
     const auto it = m_config->services.find(service);
     if (it == m_config->services.end()) {
       return MakeError(404, "service_not_found",
-                       "no such service: " + service.str());
+                       "no such service: " + service.str(),
+                       RefusedOutcome(IsRepeat(request)));
     }
     job.service = it->second;
     job.state = m_states.at(service);
@@ -242,7 +257,8 @@
                                       m_services.clock.Now(), valid_limit);
   if (!valid_limit) {
     return MakeError(400, "invalid_request",
-                     std::string(kTimeoutHeader) + " is not a time limit");
+                     std::string(kTimeoutHeader) + " is not a time limit",
+                     RefusedOutcome(IsRepeat(request)));
   }
   return CheckKey(request, job);
 }
@@ -257,10 +273,17 @@
   job.spec.body_hash = HashRequest(request);
   job.spec.first_sent_ago =
       ParseFirstSentAgo(request.headers.Find(kFirstSentAgoHeader));
+  if (IsRepeat(request) && !job.spec.first_sent_ago) {
+    return MakeError(
+        400, "invalid_request",
+        std::string(kFirstSentAgoHeader) + " is not a number of milliseconds",
+        Outcome::kUnknown);
+  }
   if (job.spec.key.empty()) {
     return MakeError(
         400, "missing_idempotency_key",
-        "this call needs the header " + std::string(kIdempotencyKeyHeader));
+        "this call needs the header " + std::string(kIdempotencyKeyHeader),
+        RefusedOutcome(IsRepeat(request)));
   }
   return std::nullopt;
 }
@@ -270,7 +293,8 @@
   const TimeMs now = m_services.clock.Now();
   if (job.state->share.TryTake(now)) return std::nullopt;
   return MakeError(429, "rate_limited", "the service's limit is used up",
-                   Outcome::kNotRun, job.state->share.WaitTime(now));
+                   RefusedOutcome(job.spec.first_sent_ago.has_value()),
+                   job.state->share.WaitTime(now));
 }
 
 std::optional<std::string> ServiceProxy::HomeElsewhere(
--- a/lib/transport/gateway/shard_host.cc
+++ b/lib/transport/gateway/shard_host.cc
@@ -22,7 +22,7 @@
 
 Result<std::shared_ptr<ShardHost>> ShardHost::Create(KeyValueService& key_value,
                                                      const Clock& clock,
-                                                     ShardOwner owner) {
+                                                     const ShardOwner& owner) {
   std::shared_ptr<ShardHost> host(new ShardHost(key_value, clock));
   for (std::size_t i = 0; i < kShardCount; ++i) {
     ShardOptions options;
@@ -48,6 +48,9 @@
   const auto self = shared_from_this();
   const std::size_t index = ShardOf(begin.key);
   Slot& slot = *m_slots[index];
+  // Callers may use a request id for several sendings at once; the shard needs
+  // one for each arrival.
+  begin.request = RequestId(std::to_string(++m_arrivals));
   auto waiter = std::make_shared<Waiter>();
   waiter->event = AsyncEvent::Create(co_await asio::this_coro::executor);
   std::vector<ShardKvCall> calls;
