Shut down in phases, and tell a running leader of a new configuration

Causes, each seen by a process test or named by the leadership tests: a gateway that was asked to stop closed its listener at once, before the balancer could have noticed; a leader did not see workers that came or went; reports were read every second although the leader waited for one; and a new leader was given a list of gateways from before its start, which may miss one that only the earlier leader knew.

A gateway now walks through the shutdown sequence: unready and serving, then draining, then done. The shard of a key and its home have one implementation.

--- a/include/yuccamoor/protocol/daemon_settings.h
+++ b/include/yuccamoor/protocol/daemon_settings.h
@@ -38,6 +38,9 @@
   std::vector<std::string> peers;
   /// Threads that carry I/O.
   std::size_t threads = 2;
+  /// How long a process that shuts down says that it is not ready, and still
+  /// serves, so that the balancer can notice.
+  DurationMs unready_time{3'000};
   /// How long a graceful shutdown may take.
   DurationMs shutdown_grace{30'000};
   /// The file that spans are written to; empty: no traces.
--- a/include/yuccamoor/transport/daemon/member_registry.h
+++ b/include/yuccamoor/transport/daemon/member_registry.h
@@ -36,6 +36,8 @@
   std::vector<Member> Live(MemberRole role) const;
   /// Whether the table has been read at least once.
   bool Known() const;
+  /// When the read began that gave the table.
+  TimeMs ListedAt() const;
   Incarnation incarnation() const;
   /// The last list of VMs; empty before the first.
   std::vector<VmEntry> Vms() const;
@@ -44,7 +46,7 @@
   MemberRegistry(Member self, KeyValueService& key_value, VmList* vms,
                  const Clock& clock);
 
-  void OnMembers(const KvReply& reply);
+  void OnMembers(const KvReply& reply, TimeMs sent);
 
   KeyValueService& m_key_value;
   VmList* m_vm_list;
@@ -52,6 +54,7 @@
   JsonMemberCodec m_codec;
   mutable std::mutex m_mutex;
   MemberTable m_table;
+  TimeMs m_listed_at;
   std::vector<VmEntry> m_vms;
 };
 
--- a/include/yuccamoor/transport/gateway/gateway.h
+++ b/include/yuccamoor/transport/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <shared_mutex>
 #include <vector>
 
+#include "yuccamoor/coordination/request/shutdown_sequence.h"
 #include "yuccamoor/protocol/daemon_settings.h"
 #include "yuccamoor/state/result.h"
 #include "yuccamoor/transport/daemon/daemon.h"
@@ -47,6 +48,8 @@
   void AddPeerMethods();
   void AddOperatorPaths();
   Awaitable<void> Handle(HttpExchange& exchange);
+  /// What must end before a shutdown may.
+  ShutdownLoad Load() const;
   void Tick();
   /// Passes membership and the list of VMs on to the proxy and the shards.
   void RefreshMembers();
--- a/include/yuccamoor/transport/gateway/shard_host.h
+++ b/include/yuccamoor/transport/gateway/shard_host.h
@@ -33,16 +33,13 @@
 class ShardHost : public std::enable_shared_from_this<ShardHost> {
  public:
   /// The number of shards that keys are divided over; the same everywhere.
-  static constexpr std::size_t kShardCount = 8;
+  static constexpr std::uint32_t kShardCount = 8;
 
   /// The services must outlive the host.
   static Result<std::shared_ptr<ShardHost>> Create(KeyValueService& key_value,
                                                    const Clock& clock,
                                                    const ShardOwner& owner);
 
-  /// Returns the shard that the key belongs to; the same in every process.
-  static std::size_t ShardOf(const IdempotencyKey& key);
-
   /// Waits for the shard's word on the request. The request's id need not be
   /// unique; the verdict names the arrival by another one.
   Awaitable<ShardVerdict> Begin(ShardBegin begin);
--- a/include/yuccamoor/transport/scheduler/cell_host.h
+++ b/include/yuccamoor/transport/scheduler/cell_host.h
@@ -62,8 +62,9 @@
   void OnConfig(std::shared_ptr<const CellConfig> config);
   /// Takes the live candidates for the cell's leadership.
   void OnCandidates(std::vector<Candidate> live);
-  /// Takes the gateways that may live.
-  void OnGateways(std::vector<NodeId> gateways);
+  /// Takes the gateways that may live, from a list whose read began at
+  /// \p listed_at.
+  void OnGateways(std::vector<NodeId> gateways, TimeMs listed_at);
 
   /// Handles a gateway's sync; returns an update or a NotLeader, encoded.
   std::string HandleSync(const ResidencySync& sync);
@@ -87,8 +88,9 @@
     CellActions cell;
     std::vector<WorkerConfig> reports;
   };
-  /// When a worker's next report is due.
+  /// When a worker's reports were and are to be read.
   struct ReportSchedule {
+    TimeMs last;
     TimeMs next;
     bool running = false;
   };
@@ -118,7 +120,7 @@
   std::optional<BecameLeader> m_pending_start;
   std::optional<CellLeader> m_leader;
   std::shared_ptr<const CellConfig> m_config;
-  std::vector<NodeId> m_gateways;
+  TimeMs m_leading_since;
   std::map<NodeId, std::string> m_reply_to;
   std::map<WorkerId, ReportSchedule> m_reports;
 };
--- a/lib/protocol/daemon_settings.cc
+++ b/lib/protocol/daemon_settings.cc
@@ -91,6 +91,8 @@
   std::uint64_t threads = settings.threads;
   reader.OptionalCount("threads", 1, kMaxThreads, threads);
   settings.threads = threads;
+  reader.OptionalDuration("unready_time_ms", DurationMs(0), kLongestGrace,
+                          settings.unready_time);
   reader.OptionalDuration("shutdown_grace_ms", DurationMs(0), kLongestGrace,
                           settings.shutdown_grace);
   reader.OptionalString("trace_file", settings.trace_file);
--- a/lib/transport/daemon/member_registry.cc
+++ b/lib/transport/daemon/member_registry.cc
@@ -3,6 +3,7 @@
 
 #include "yuccamoor/transport/daemon/member_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "yuccamoor/coordination/key_value_service.h"
@@ -28,9 +29,9 @@
       m_table(std::move(self), m_codec) {}
 
 void MemberRegistry::Refresh() {
-  m_key_value.Call(
-      KvList{kMemberPrefix}, kCallTimeout,
-      [self = shared_from_this()](const KvReply& r) { self->OnMembers(r); });
+  m_key_value.Call(KvList{kMemberPrefix}, kCallTimeout,
+                   [self = shared_from_this(), sent = m_clock.Now()](
+                       const KvReply& reply) { self->OnMembers(reply, sent); });
   if (m_vm_list == nullptr) return;
   m_vm_list->Read(kCallTimeout, [self = shared_from_this()](
                                     std::optional<std::vector<VmEntry>> vms) {
@@ -41,13 +42,14 @@
   });
 }
 
-void MemberRegistry::OnMembers(const KvReply& reply) {
+void MemberRegistry::OnMembers(const KvReply& reply, TimeMs sent) {
   std::vector<KvRequest> writes;
   {
     const std::lock_guard lock(m_mutex);
     const TimeMs now = m_clock.Now();
     m_table.OnList(reply, now);
     if (reply.status != KvStatus::kOk) return;
+    m_listed_at = std::max(m_listed_at, sent);
     writes = m_table.Cleanups(now);
     if (auto registration = m_table.Registration()) {
       writes.push_back(std::move(*registration));
@@ -79,6 +81,11 @@
   return m_table.Known();
 }
 
+TimeMs MemberRegistry::ListedAt() const {
+  const std::lock_guard lock(m_mutex);
+  return m_listed_at;
+}
+
 Incarnation MemberRegistry::incarnation() const {
   const std::lock_guard lock(m_mutex);
   return m_table.self().incarnation;
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -267,21 +267,30 @@
   co_await SendError(exchange, std::move(error));
 }
 
+ShutdownLoad Gateway::Load() const {
+  ShutdownLoad load;
+  load.requests_in_flight = m_server->active_exchanges();
+  load.unwritten_outcomes = !m_shards->Idle();
+  return load;
+}
+
 bool Gateway::Shutdown() {
   constexpr auto kPollInterval = std::chrono::milliseconds(20);
+  const Clock& clock = m_daemon->clock();
+  ShutdownOptions options;
+  options.unready_time = m_settings.daemon.unready_time;
+  options.grace = m_settings.daemon.shutdown_grace;
+  ShutdownSequence sequence(options);
   m_daemon->SetDraining();
-  m_server->Drain();
-  const TimeMs deadline =
-      m_daemon->clock().Now() + m_settings.daemon.shutdown_grace;
-  const auto idle = [this] {
-    return m_server->active_exchanges() == 0 && m_shards->Idle();
-  };
-  while (!idle() && m_daemon->clock().Now() < deadline) {
+  sequence.Begin(clock.Now());
+  for (;;) {
+    const ShutdownPhase phase = sequence.Advance(Load(), clock.Now());
+    if (phase == ShutdownPhase::kDraining) m_server->Drain();
+    if (phase >= ShutdownPhase::kDone) break;
     std::this_thread::sleep_for(kPollInterval);
   }
-  const bool whole = idle();
   m_daemon->Stop();
-  return whole;
+  return sequence.phase() == ShutdownPhase::kDone;
 }
 
 }  // namespace yuccamoor
--- a/lib/transport/gateway/service_proxy.cc
+++ b/lib/transport/gateway/service_proxy.cc
@@ -3,11 +3,10 @@
 
 #include "yuccamoor/transport/gateway/service_proxy.h"
 
-#include <xxhash.h>
-
 #include <deque>
 #include <utility>
 
+#include "yuccamoor/coordination/request/shard_home.h"
 #include "yuccamoor/protocol/api_error.h"
 #include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
@@ -75,12 +74,6 @@
   return stored;
 }
 
-BodyHash HashRequest(const HttpRequest& request) {
-  const std::string text =
-      request.method + '\n' + request.target + '\n' + request.body;
-  return BodyHash(XXH3_64bits(text.data(), text.size()));
-}
-
 HttpResponse ToResponse(const CallEnd& end, const RequestId& id) {
   CallResponse call = ResponseOf(end);
   HttpResponse response;
@@ -284,7 +277,8 @@
   if (job.spec.idempotent) return std::nullopt;
   job.spec.key =
       IdempotencyKey(std::string(request.headers.Find(kIdempotencyKeyHeader)));
-  job.spec.body_hash = HashRequest(request);
+  job.spec.body_hash =
+      HashRequest(request.method, request.target, request.body);
   job.spec.first_sent_ago =
       ParseFirstSentAgo(request.headers.Find(kFirstSentAgoHeader));
   if (IsRepeat(request) && !job.spec.first_sent_ago) {
@@ -315,21 +309,12 @@
     const HttpRequest& request, const Job& job) const {
   if (job.spec.idempotent) return std::nullopt;
   if (!request.headers.Find(kForwardedHeader).empty()) return std::nullopt;
-  const std::size_t shard = ShardHost::ShardOf(job.spec.key);
   const std::lock_guard lock(m_mutex);
-  // Rendezvous hashing: each gateway that comes or goes moves few shards.
-  std::uint64_t best = 0;
-  const std::pair<const NodeId, std::string>* home = nullptr;
-  for (const auto& gateway : m_gateways) {
-    const std::string& id = gateway.first.str();
-    const std::uint64_t weight =
-        XXH3_64bits_withSeed(id.data(), id.size(), shard);
-    if (home != nullptr && weight <= best) continue;
-    best = weight;
-    home = &gateway;
-  }
-  if (home == nullptr || home->first == m_self) return std::nullopt;
-  return home->second;
+  std::vector<NodeId> live;
+  for (const auto& [id, address] : m_gateways) live.push_back(id);
+  const auto home = HomeOf(ShardOf(job.spec.key, ShardHost::kShardCount), live);
+  if (!home || *home == m_self) return std::nullopt;
+  return m_gateways.at(*home);
 }
 
 Awaitable<HttpReply> ServiceProxy::Forward(const HttpRequest& request,
--- a/lib/transport/gateway/shard_host.cc
+++ b/lib/transport/gateway/shard_host.cc
@@ -3,12 +3,11 @@
 
 #include "yuccamoor/transport/gateway/shard_host.h"
 
-#include <xxhash.h>
-
 #include <boost/asio/this_coro.hpp>
 #include <utility>
 
 #include "yuccamoor/coordination/key_value_service.h"
+#include "yuccamoor/coordination/request/shard_home.h"
 #include "yuccamoor/transport/async_event.h"
 
 namespace yuccamoor {
@@ -18,6 +17,10 @@
 /// The shard itself ends each wait; this only bounds one sleep.
 constexpr DurationMs kWakeInterval(1'000);
 
+std::size_t IndexOf(const IdempotencyKey& key) {
+  return ShardOf(key, ShardHost::kShardCount).value();
+}
+
 }  // namespace
 
 Result<std::shared_ptr<ShardHost>> ShardHost::Create(KeyValueService& key_value,
@@ -40,13 +43,9 @@
 ShardHost::ShardHost(KeyValueService& key_value, const Clock& clock)
     : m_key_value(key_value), m_clock(clock) {}
 
-std::size_t ShardHost::ShardOf(const IdempotencyKey& key) {
-  return XXH3_64bits(key.str().data(), key.str().size()) % kShardCount;
-}
-
 Awaitable<ShardVerdict> ShardHost::Begin(ShardBegin begin) {
   const auto self = shared_from_this();
-  const std::size_t index = ShardOf(begin.key);
+  const std::size_t index = IndexOf(begin.key);
   Slot& slot = *m_slots[index];
   // Callers may use a request id for several sendings at once; the shard needs
   // one for each arrival.
@@ -71,7 +70,7 @@
 
 void ShardHost::Finish(const IdempotencyKey& key, Outcome outcome,
                        StoredAnswer answer) {
-  const std::size_t index = ShardOf(key);
+  const std::size_t index = IndexOf(key);
   Slot& slot = *m_slots[index];
   std::vector<ShardKvCall> calls;
   {
--- a/lib/transport/observability/daemon_setting_infos.cc
+++ b/lib/transport/observability/daemon_setting_infos.cc
@@ -19,6 +19,8 @@
       {"vm_list", kString, "The list of VMs, ip:port"},
       {"peers", kList, "Peers to ask for the configuration, ip:port,..."},
       {"threads", kScalar, "Threads that carry I/O, 1 to 256"},
+      {"unready_time_ms", kScalar,
+       "How long it serves on after it says that it is not ready, in ms"},
       {"shutdown_grace_ms", kScalar, "How long a shutdown may take, in ms"},
       {"trace_file", kString, "File for spans; empty: no traces"},
   };
--- a/lib/transport/scheduler/cell_host.cc
+++ b/lib/transport/scheduler/cell_host.cc
@@ -19,7 +19,7 @@
 constexpr DurationMs kKvTimeout(500);
 constexpr DurationMs kPeerTimeout(500);
 constexpr DurationMs kReportTimeout(500);
-/// Reports are read often while a worker loads, drains or evicts.
+/// Reports are read often while the leader waits for one.
 constexpr DurationMs kBusyReportInterval(100);
 constexpr DurationMs kIdleReportInterval(1'000);
 
@@ -36,18 +36,6 @@
   std::move(from.begin(), from.end(), std::back_inserter(to));
 }
 
-bool IsBusy(const CellState& state, const WorkerId& id) {
-  for (const WorkerState& worker : state.workers) {
-    if (worker.id != id) continue;
-    if (!worker.usable) return true;
-    for (const SlotState& slot : worker.occupied) {
-      if (slot.phase != SlotPhase::kReady) return true;
-    }
-    return false;
-  }
-  return true;
-}
-
 }  // namespace
 
 Result<std::shared_ptr<CellHost>> CellHost::Create(CellHostServices services,
@@ -71,7 +59,9 @@
 
 void CellHost::OnConfig(std::shared_ptr<const CellConfig> config) {
   const std::lock_guard lock(m_mutex);
+  if (m_config == config) return;
   m_config = std::move(config);
+  if (m_leader) m_leader->OnConfig(*m_config);
 }
 
 void CellHost::OnCandidates(std::vector<Candidate> live) {
@@ -79,10 +69,11 @@
   m_election->OnCandidates(std::move(live));
 }
 
-void CellHost::OnGateways(std::vector<NodeId> gateways) {
+void CellHost::OnGateways(std::vector<NodeId> gateways, TimeMs listed_at) {
   const std::lock_guard lock(m_mutex);
-  m_gateways = std::move(gateways);
-  if (m_leader) m_leader->OnGateways(m_gateways);
+  // An older list may miss a gateway that only the earlier leader knew.
+  if (!m_leader || listed_at < m_leading_since) return;
+  m_leader->OnGateways(std::move(gateways));
 }
 
 std::string CellHost::HandleSync(const ResidencySync& sync) {
@@ -184,7 +175,7 @@
     return;
   }
   m_leader.emplace(std::move(leader).value());
-  m_leader->OnGateways(m_gateways);
+  m_leading_since = m_services.clock.Now();
   m_reports.clear();
 }
 
@@ -197,11 +188,13 @@
   if (!m_leader) return;
   for (const WorkerConfig& worker : m_config->workers) {
     ReportSchedule& schedule = m_reports[worker.id];
-    if (schedule.running || now < schedule.next) continue;
+    const bool due =
+        now >= schedule.next || (m_leader->NeedsReport(worker.id) &&
+                                 now >= schedule.last + kBusyReportInterval);
+    if (schedule.running || !due) continue;
     schedule.running = true;
-    schedule.next =
-        now + (IsBusy(m_leader->state(), worker.id) ? kBusyReportInterval
-                                                    : kIdleReportInterval);
+    schedule.last = now;
+    schedule.next = now + kIdleReportInterval;
     outbox.reports.push_back(worker);
   }
 }
--- a/lib/transport/scheduler/scheduler.cc
+++ b/lib/transport/scheduler/scheduler.cc
@@ -222,6 +222,7 @@
 
 void Scheduler::RefreshMembers() {
   if (!m_daemon->members().Known()) return;
+  const TimeMs listed_at = m_daemon->members().ListedAt();
   std::vector<Candidate> candidates;
   for (const Member& member :
        m_daemon->members().Live(MemberRole::kScheduler)) {
@@ -233,7 +234,7 @@
   }
   for (const auto& host : Hosts()) {
     host->OnCandidates(candidates);
-    host->OnGateways(gateways);
+    host->OnGateways(gateways, listed_at);
   }
 }
 
--- a/unittests/process/cluster.cc
+++ b/unittests/process/cluster.cc
@@ -64,10 +64,7 @@
   }
   for (int i = 0; i < shape.gateways; ++i) {
     const std::string name = "gateway" + std::to_string(i);
-    Await(name + " is ready", [&] {
-      return m_http.Get(Address(name + "/operator"), "/readyz") ==
-             R"({"ready":true})";
-    });
+    Await(name + " is ready", [&] { return IsReady(name); });
   }
 }
 
@@ -109,6 +106,7 @@
                 {"failure_domain", "domain-" + suffix},
                 {"key_value_service", Address("kv")},
                 {"vm_list", Address("vms")},
+                {"unready_time_ms", 500},
                 {"shutdown_grace_ms", 30'000}};
   Command command;
   command.program = ProgramPath("yuccamoor-" + role);
@@ -206,6 +204,11 @@
   return m_addresses.at(name);
 }
 
+bool Cluster::IsReady(const std::string& name) {
+  return m_http.Get(Address(name + "/operator"), "/readyz") ==
+         R"({"ready":true})";
+}
+
 HttpReply Cluster::Chat(int gateway, const std::string& model,
                         const std::string& text) {
   const Json body{
--- a/unittests/process/cluster.h
+++ b/unittests/process/cluster.h
@@ -48,6 +48,8 @@
   /// with a listener, "gateway0/operator".
   std::string Address(const std::string& name) const;
 
+  /// Whether the daemon says that it is ready.
+  bool IsReady(const std::string& name);
   /// Asks a gateway for a chat answer.
   HttpReply Chat(int gateway, const std::string& model,
                  const std::string& text);
--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -57,7 +57,7 @@
   cat >"$run/$name.json" <<JSON
 {
   "node": "$name", "vm": "vm-$2", "failure_domain": "domain-$2",
-  "key_value_service": "$kv", "vm_list": "$vms",
+  "key_value_service": "$kv", "vm_list": "$vms", "unready_time_ms": 100,
   "trace_file": "$run/$name.traces.jsonl"
 }
 JSON
