Keep one undrained victim from holding up every load

Cause: a planned load kept its part of the store's budget for as long as its victim drained. The bucket holds one load, so that a victim in use, or held by a gateway that is silent, stopped all loads of the cell until it was given back.

Ruled out: choosing such victims less often, which policies do already, as the leader cannot rely on it.

A plan now keeps its part for 250 ms and then waits for the budget anew.

Before: with the first of two slots in use, no further load in 4 s of virtual time. After: the next freed slot is loaded, for the target that waits longest.

--- a/benchmarks/capacity/main.cc
+++ b/benchmarks/capacity/main.cc
@@ -3,9 +3,10 @@
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
-#include <vector>
+#include <string>
 
 #include "cell_load.h"
+#include "yuccamoor/transport/json_rpc.h"
 
 namespace yuccamoor {
 namespace {
@@ -31,6 +32,20 @@
       static_cast<double>(costs.session_bytes) / kKilobyte);
 }
 
+/// What JSON-RPC adds to the parameters of a call and to its result.
+void MeasureEnvelope() {
+  const std::string parameters = "{}";
+  JsonRpcDispatcher dispatcher;
+  dispatcher.AddMethod("residency.sync",
+                       [](const std::string&) { return std::string("{}"); });
+  const std::string request =
+      EncodeJsonRpcRequest("residency.sync", parameters);
+  const std::string response = dispatcher.Handle(request);
+  std::printf("\nJSON-RPC adds %zu B to a sync and %zu B to its answer\n",
+              request.size() - parameters.size(),
+              response.size() - parameters.size());
+}
+
 void MeasureGateways() {
   PrintHeader("more gateways on one cell");
   for (const std::size_t gateways : {9, 38, 113, 340}) {
@@ -68,6 +83,7 @@
   CLI::App app("Measures what control costs as a cell grows.",
                "capacity_benchmark");
   CLI11_PARSE(app, argc, argv);
+  yuccamoor::MeasureEnvelope();
   yuccamoor::MeasureGateways();
   yuccamoor::MeasureWorkers();
   yuccamoor::MeasureGrants();
--- a/include/yuccamoor/transport/http_client.h
+++ b/include/yuccamoor/transport/http_client.h
@@ -83,6 +83,12 @@
       std::string address, HttpRequest request, HttpCallOptions options) = 0;
 };
 
+/// Returns the body of a GET that was answered by status 200, or nothing.
+Awaitable<std::optional<std::string>> GetBody(HttpClient& client,
+                                              std::string address,
+                                              std::string target,
+                                              DurationMs timeout);
+
 }  // namespace yuccamoor
 
 #endif  // YUCCAMOOR_TRANSPORT_HTTP_CLIENT_H_
--- a/lib/coordination/cell/cell_orders.cc
+++ b/lib/coordination/cell/cell_orders.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
+/// How long a planned load keeps a part of the store's budget while its victim
+/// drains. One that takes longer waits for the budget anew.
+constexpr DurationMs kDrainPatience(250);
 
 /// A target that is never resident: an order to evict it changes nothing but
 /// the fencing number that the engine has seen.
@@ -63,7 +66,7 @@
     const SlotState& slot = *FindSlot(key);
     if (slot.phase != SlotPhase::kLoading) continue;
     const bool is_planned = m_slots.at(key).planned;
-    if (is_planned) planned += 1;
+    if (is_planned && now < slot.since + kDrainPatience) planned += 1;
     if (is_planned || now < slot.since + longest) ++store.in_flight;
   }
   store.tokens = m_tokens_at ? std::max(0.0, m_tokens - planned) : 0;
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -296,4 +296,22 @@
   return std::make_unique<BeastClient>(pool);
 }
 
+Awaitable<std::optional<std::string>> GetBody(HttpClient& client,
+                                              std::string address,
+                                              std::string target,
+                                              DurationMs timeout) {
+  constexpr int kOk = 200;
+  HttpRequest request;
+  request.target = std::move(target);
+  HttpCallOptions options;
+  options.timeout = timeout;
+  HttpReply reply =
+      co_await client.Call(std::move(address), std::move(request), options);
+  if (reply.progress != HttpProgress::kAnswered ||
+      reply.response.status != kOk) {
+    co_return std::nullopt;
+  }
+  co_return std::move(reply.response.body);
+}
+
 }  // namespace yuccamoor
--- a/lib/transport/platform/http_engine_client.cc
+++ b/lib/transport/platform/http_engine_client.cc
@@ -59,18 +59,11 @@
 Awaitable<std::optional<EngineReport>> ReportOnce(HttpClient& client,
                                                   std::string address,
                                                   DurationMs timeout) {
-  HttpRequest message;
-  message.target = "/report";
-  HttpCallOptions options;
-  options.timeout = timeout;
   try {
-    const HttpReply reply = co_await client.Call(
-        std::move(address), std::move(message), std::move(options));
-    if (reply.progress != HttpProgress::kAnswered ||
-        reply.response.status != kHttpOk) {
-      co_return std::nullopt;
-    }
-    co_return DecodeEngineReport(reply.response.body);
+    const std::optional<std::string> body =
+        co_await GetBody(client, std::move(address), "/report", timeout);
+    if (!body) co_return std::nullopt;
+    co_return DecodeEngineReport(*body);
   } catch (const std::exception&) {
     co_return std::nullopt;
   }
--- a/lib/transport/platform/http_vm_list.cc
+++ b/lib/transport/platform/http_vm_list.cc
@@ -13,23 +13,14 @@
 namespace yuccamoor {
 namespace {
 
-constexpr int kHttpOk = 200;
-
 Awaitable<std::optional<std::vector<VmEntry>>> ReadOnce(HttpClient& client,
                                                         std::string address,
                                                         DurationMs timeout) {
-  HttpRequest message;
-  message.target = "/vms";
-  HttpCallOptions options;
-  options.timeout = timeout;
   try {
-    const HttpReply reply = co_await client.Call(
-        std::move(address), std::move(message), std::move(options));
-    if (reply.progress != HttpProgress::kAnswered ||
-        reply.response.status != kHttpOk) {
-      co_return std::nullopt;
-    }
-    co_return DecodeVmList(reply.response.body);
+    const std::optional<std::string> body =
+        co_await GetBody(client, std::move(address), "/vms", timeout);
+    if (!body) co_return std::nullopt;
+    co_return DecodeVmList(*body);
   } catch (const std::exception&) {
     co_return std::nullopt;
   }
--- a/unittests/coordination/cell/cell_leader_test.cc
+++ b/unittests/coordination/cell/cell_leader_test.cc
@@ -186,4 +186,27 @@
   CHECK_FALSE(pair.client.TryAcquire(kFirst, end));
 }
 
+TEST_CASE("A victim that stays in use does not hold up other loads", "[cell]") {
+  const AdapterVersion third{AdapterId("c"), VersionId("1")};
+  const AdapterVersion fourth{AdapterId("d"), VersionId("1")};
+  Pair pair(2);
+  const auto load = [&pair](const AdapterVersion& target) {
+    const auto waiter = pair.client.AddWaiter(target, Priority::kNormal,
+                                              TimeMs::Never(), pair.now);
+    pair.Run(DurationMs(2'000));
+    return waiter.value();
+  };
+  pair.client.RemoveWaiter(load(kFirst));
+  const auto in_use = pair.client.TryAcquire(kFirst, pair.now);
+  REQUIRE(in_use);
+  REQUIRE(pair.client.ConfirmAccepted(in_use->dispatch, pair.now));
+  pair.client.RemoveWaiter(load(kSecond));
+  // The policy takes the first slot for this one, which never drains.
+  load(third);
+  CHECK(pair.resident == std::vector{kFirst, kSecond});
+  // The slot that is freed for another goes to the one that waits longer.
+  load(fourth);
+  CHECK(pair.resident == std::vector{kFirst, third});
+}
+
 }  // namespace yuccamoor
