Keep periodic tasks running, and space attempts of a chat

Found by reading: a periodic task that threw once never ran again, so that one bad message could have stopped a session's renewals for good; a chat whose engine failed at once was tried again every 20 ms until its deadline; and the leader remembered the address of every gateway it had ever heard.

Attempts are spaced from 20 ms up to 1 s, with jitter. Addresses of gateways that are gone are dropped. Events are logged through the one builder.

--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -3,8 +3,6 @@
 
 #include "yuccamoor/transport/daemon/daemon.h"
 
-#include <glog/logging.h>
-
 #include <boost/asio/signal_set.hpp>
 #include <cassert>
 #include <chrono>
@@ -17,6 +15,7 @@
 #include "yuccamoor/transport/daemon/member_registry.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/http_client.h"
+#include "yuccamoor/transport/observability/log_event.h"
 #include "yuccamoor/transport/platform/http_key_value_service.h"
 #include "yuccamoor/transport/platform/http_vm_list.h"
 
@@ -220,7 +219,7 @@
   }
   // Renamed when complete, so that a reader never sees a part of it.
   if (std::rename(partial.c_str(), path.c_str()) != 0) {
-    LOG(ERROR) << "event=port_file_failed path=" << path;
+    LogEvent("port_file_failed", LogLevel::kError).Field("path", path);
   }
 }
 
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -3,21 +3,21 @@
 
 #include "chat_run.h"
 
-#include <glog/logging.h>
-
+#include "yuccamoor/coordination/backoff.h"
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/generation.h"
 #include "yuccamoor/protocol/sse.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/http_client.h"
+#include "yuccamoor/transport/observability/log_event.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
 namespace {
 
 constexpr std::size_t kMaxHeldFrames = 256;
-constexpr DurationMs kPauseBetweenAttempts(20);
+constexpr BackoffLimits kAttemptBackoff{DurationMs(20), DurationMs(1'000)};
 /// The longest time between two frames of a stream.
 constexpr DurationMs kFrameTimeout(30'000);
 constexpr DurationMs kHeaderTimeout(5'000);
@@ -68,6 +68,7 @@
     : m_services(services),
       m_job(job),
       m_sink(sink),
+      m_random(std::hash<RequestId>()(job.id)),
       m_assembler(job.id, job.target, kMaxHeldFrames) {}
 
 Awaitable<std::optional<ApiError>> ChatRun::Execute() {
@@ -81,7 +82,8 @@
     if (m_services.clock.Now() >= m_job.deadline) {
       co_return FailureOf(AcquireResult());
     }
-    co_await SleepFor(kPauseBetweenAttempts);
+    const auto failures = static_cast<std::uint32_t>(m_attempt.value());
+    co_await SleepFor(BackoffDelay(kAttemptBackoff, failures, Random()));
   }
 }
 
@@ -104,6 +106,10 @@
   return true;
 }
 
+double ChatRun::Random() {
+  return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
 void ChatRun::BeginAnew() {
   m_sink.Reset();
   m_assembler = StreamAssembler(m_job.id, m_job.target, kMaxHeldFrames);
@@ -151,9 +157,10 @@
       placement.address, std::move(request), std::move(options));
   if (stream->progress() != HttpProgress::kAnswered) {
     m_dispatched |= stream->progress() == HttpProgress::kNoAnswer;
-    VLOG(1) << "event=attempt_failed request=" << m_job.id
-            << " worker=" << placement.worker << " error=\"" << stream->error()
-            << '"';
+    LogEvent("attempt_failed", LogLevel::kWarning)
+        .Field("request", m_job.id)
+        .Field("worker", placement.worker)
+        .Field("error", stream->error());
     co_return AttemptEnd::kRetry;
   }
   const int status = stream->head().status;
@@ -202,8 +209,10 @@
     if (!token) continue;
     const FrameVerdict verdict = m_assembler.OnFrame(ToFrame(*token));
     if (verdict == FrameVerdict::kMismatch || verdict == FrameVerdict::kVoid) {
-      LOG(ERROR) << "event=answer_mismatch request=" << m_job.id
-                 << " wanted=" << m_job.target << " got=" << token->target;
+      LogEvent("answer_mismatch", LogLevel::kError)
+          .Field("request", m_job.id)
+          .Field("wanted", m_job.target)
+          .Field("got", token->target);
       co_return false;
     }
     std::uint64_t index = m_assembler.next().value();
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "yuccamoor/coordination/request/stream_assembler.h"
@@ -61,6 +62,8 @@
   Awaitable<bool> TakeFrames(std::string piece, class SseParser& parser);
   bool PrepareAssembler(const InstanceId& instance);
   void BeginAnew();
+  /// Returns a number in [0, 1).
+  double Random();
   void CancelAt(const std::string& address);
   ApiError FailureOf(const AcquireResult& result) const;
   ApiError Cut() const;
@@ -68,6 +71,8 @@
   const ChatServices& m_services;
   const ChatJob& m_job;
   TokenSink& m_sink;
+  /// For the jitter between attempts.
+  std::minstd_rand m_random;
   StreamAssembler m_assembler;
   AttemptNumber m_attempt;
   /// Some engine has accepted the request.
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -3,8 +3,6 @@
 
 #include "yuccamoor/transport/gateway/gateway.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <chrono>
 #include <random>
@@ -19,6 +17,7 @@
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/gateway/service_proxy.h"
 #include "yuccamoor/transport/gateway/shard_host.h"
+#include "yuccamoor/transport/observability/log_event.h"
 
 namespace yuccamoor {
 namespace {
@@ -231,8 +230,9 @@
                             m_daemon->key_value(), m_daemon->clock()},
         std::move(options), m_daemon->peer_address());
     if (!session) {
-      LOG(ERROR) << "event=session_failed cell=" << id << " findings=\""
-                 << session.error().ToString() << '"';
+      LogEvent("session_failed", LogLevel::kError)
+          .Field("cell", id)
+          .Field("findings", session.error().ToString());
       continue;
     }
     const std::unique_lock lock(m_sessions_mutex);
--- a/lib/transport/scheduler/cell_host.cc
+++ b/lib/transport/scheduler/cell_host.cc
@@ -3,8 +3,7 @@
 
 #include "yuccamoor/transport/scheduler/cell_host.h"
 
-#include <glog/logging.h>
-
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -12,6 +11,7 @@
 #include "yuccamoor/coordination/key_value_service.h"
 #include "yuccamoor/coordination/peer_channel.h"
 #include "yuccamoor/protocol/residency_codec.h"
+#include "yuccamoor/transport/observability/log_event.h"
 
 namespace yuccamoor {
 namespace {
@@ -73,6 +73,10 @@
   const std::lock_guard lock(m_mutex);
   // An older list may miss a gateway that only the earlier leader knew.
   if (!m_leader || listed_at < m_leading_since) return;
+  std::erase_if(m_reply_to, [&gateways](const auto& entry) {
+    return std::find(gateways.begin(), gateways.end(), entry.first) ==
+           gateways.end();
+  });
   m_leader->OnGateways(std::move(gateways));
 }
 
@@ -151,13 +155,13 @@
   for (ElectionAction& action : actions) {
     if (const auto* start = std::get_if<BecameLeader>(&action)) {
       m_pending_start = *start;
-      LOG(INFO) << "event=became_leader epoch=" << start->epoch;
+      LogEvent("became_leader").Field("epoch", start->epoch);
       continue;
     }
     if (const auto* lost = std::get_if<LostLeadership>(&action)) {
       m_pending_start.reset();
       m_leader.reset();
-      LOG(INFO) << "event=lost_leadership epoch=" << lost->epoch;
+      LogEvent("lost_leadership").Field("epoch", lost->epoch);
       continue;
     }
     outbox.election.push_back(std::move(action));
@@ -170,8 +174,9 @@
                                    m_services.clock.Now());
   m_pending_start.reset();
   if (!leader) {
-    LOG(ERROR) << "event=cannot_lead cell=" << m_config->id << " findings=\""
-               << leader.error().ToString() << '"';
+    LogEvent("cannot_lead", LogLevel::kError)
+        .Field("cell", m_config->id)
+        .Field("findings", leader.error().ToString());
     return;
   }
   m_leader.emplace(std::move(leader).value());
--- a/lib/transport/scheduler/scheduler.cc
+++ b/lib/transport/scheduler/scheduler.cc
@@ -3,8 +3,6 @@
 
 #include "yuccamoor/transport/scheduler/scheduler.h"
 
-#include <glog/logging.h>
-
 #include <algorithm>
 #include <chrono>
 #include <thread>
@@ -16,6 +14,7 @@
 #include "yuccamoor/transport/daemon/config_host.h"
 #include "yuccamoor/transport/daemon/member_registry.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
+#include "yuccamoor/transport/observability/log_event.h"
 #include "yuccamoor/transport/platform/http_engine_client.h"
 
 namespace yuccamoor {
@@ -210,8 +209,9 @@
           return WeightedPolicy::Create(WeightedOptions()).value();
         });
     if (!host) {
-      LOG(ERROR) << "event=cell_failed cell=" << id << " findings=\""
-                 << host.error().ToString() << '"';
+      LogEvent("cell_failed", LogLevel::kError)
+          .Field("cell", id)
+          .Field("findings", host.error().ToString());
       continue;
     }
     host.value()->OnConfig(cell);
--- a/lib/transport/worker_pool.cc
+++ b/lib/transport/worker_pool.cc
@@ -3,8 +3,6 @@
 
 #include "yuccamoor/transport/worker_pool.h"
 
-#include <glog/logging.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,6 +12,8 @@
 #include <chrono>
 #include <exception>
 
+#include "yuccamoor/transport/observability/log_event.h"
+
 namespace yuccamoor {
 namespace {
 
@@ -22,14 +22,24 @@
   try {
     std::rethrow_exception(exception);
   } catch (const std::exception& error) {
-    LOG(ERROR) << "event=coroutine_failed error=\"" << error.what() << '"';
+    LogEvent("coroutine_failed", LogLevel::kError).Field("error", error.what());
+  }
+}
+
+/// Runs the task; one that throws is run again at its next time.
+void RunTask(const std::function<void()>& task) {
+  try {
+    task();
+  } catch (const std::exception& error) {
+    LogEvent("periodic_task_failed", LogLevel::kError)
+        .Field("error", error.what());
   }
 }
 
 Awaitable<void> Repeat(DurationMs interval, std::function<void()> task) {
   for (;;) {
     co_await SleepFor(interval);
-    task();
+    RunTask(task);
   }
 }
 
