--- a/include/yuccamoor/transport/scheduler/cell_host.h
+++ b/include/yuccamoor/transport/scheduler/cell_host.h
@@ -102,7 +102,7 @@
   void StartLeading(const BecameLeader& start);
   void TickLeader(TimeMs now, Outbox& outbox);
   void CollectDueReports(TimeMs now, Outbox& outbox);
-  void Send(Outbox outbox);
+  void Send(const Outbox& outbox);
   void SendKvCall(const KvCall& call);
   void SendHold(const SendHoldRequest& request);
   void SendUpdateTo(const SendUpdate& action);
--- a/lib/transport/scheduler/cell_host.cc
+++ b/lib/transport/scheduler/cell_host.cc
@@ -98,7 +98,7 @@
     Append(outbox.cell, std::move(actions));
     TickLeader(now, outbox);
   }
-  Send(std::move(outbox));
+  Send(outbox);
   return answer.empty() ? EncodeNotLeader(NotLeader{}) : answer;
 }
 
@@ -117,7 +117,7 @@
     TickLeader(now, outbox);
     CollectDueReports(now, outbox);
   }
-  Send(std::move(outbox));
+  Send(outbox);
 }
 
 void CellHost::Resign() {
@@ -126,7 +126,7 @@
     const std::lock_guard lock(m_mutex);
     Apply(m_election->Resign(m_services.clock.Now()), outbox);
   }
-  Send(std::move(outbox));
+  Send(outbox);
 }
 
 bool CellHost::Resigned() const {
@@ -204,7 +204,7 @@
   }
 }
 
-void CellHost::Send(Outbox outbox) {
+void CellHost::Send(const Outbox& outbox) {
   for (const ElectionAction& action : outbox.election) {
     std::visit(
         Overloaded{[this](const KvCall& call) { SendKvCall(call); },
@@ -231,7 +231,7 @@
           const TimeMs now = self->m_services.clock.Now();
           self->Apply(self->m_election->OnKvReply(id, reply, now), outbox);
         }
-        self->Send(std::move(outbox));
+        self->Send(outbox);
       });
 }
 
@@ -274,7 +274,7 @@
           self->m_leader->OnOrderResult(result, now);
           self->TickLeader(now, outbox);
         }
-        self->Send(std::move(outbox));
+        self->Send(outbox);
       });
 }
 
@@ -292,7 +292,7 @@
           self->m_leader->OnReport(*report, now);
           self->TickLeader(now, outbox);
         }
-        self->Send(std::move(outbox));
+        self->Send(outbox);
       });
 }
 
