Give each test program one label, so that the concurrency tests run

Cause: of the two labels that each program was given only the first one was registered, so that the run under ThreadSanitizer found no test and passed (seen: 'No tests were found'). Also mends eight findings of the linter in the daemons and the process tests.

--- a/cmake/yuccamoor_targets.cmake
+++ b/cmake/yuccamoor_targets.cmake
@@ -49,16 +49,19 @@
                                            ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
-# yuccamoor_test(<name> LAYER <layer> [LABELS ...] SOURCES ...)
+# yuccamoor_test(<name> LAYER <layer> [LABEL <label>] SOURCES ... [LIBS ...])
 #
-# Declares one Catch2 program and registers each of its test cases with CTest.
+# Declares one Catch2 program and registers each of its test cases with CTest
+# under one label: the layer's name unless another is given.
 function(yuccamoor_test NAME)
-  cmake_parse_arguments(ARG "" "LAYER" "LABELS;SOURCES;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "" "LAYER;LABEL" "SOURCES;LIBS" ${ARGN})
+  if(NOT ARG_LABEL)
+    set(ARG_LABEL ${ARG_LAYER})
+  endif()
   add_executable(${NAME} ${ARG_SOURCES})
   target_include_directories(${NAME} PRIVATE ${PROJECT_SOURCE_DIR}/unittests)
   target_link_libraries(${NAME} PRIVATE yuccamoor::${ARG_LAYER} ${ARG_LIBS}
                                         yuccamoor_test_main yuccamoor_flags)
-  catch_discover_tests(${NAME} PROPERTIES LABELS
-                       "${ARG_LAYER};${ARG_LABELS}" TIMEOUT 600
+  catch_discover_tests(${NAME} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 600
                        DISCOVERY_MODE PRE_TEST)
 endfunction()
--- a/include/yuccamoor/transport/daemon/config_host.h
+++ b/include/yuccamoor/transport/daemon/config_host.h
@@ -56,7 +56,7 @@
   /// Applies one input to the replica and carries out what it asks for.
   template <class Input>
   void Apply(Input input);
-  void Send(ConfigReplicaActions actions);
+  void Send(const ConfigReplicaActions& actions);
   void SendKvCall(const KvCall& call);
   void SendExchange(const ConfigExchangeCall& call);
   void SendFetch(const ConfigFetchCall& call);
--- a/lib/transport/daemon/config_host.cc
+++ b/lib/transport/daemon/config_host.cc
@@ -58,7 +58,7 @@
     const std::lock_guard lock(m_mutex);
     actions = input(m_replica, m_services.clock.Now());
   }
-  Send(std::move(actions));
+  Send(actions);
 }
 
 void ConfigHost::AddPeerMethods(JsonRpcDispatcher& dispatcher) {
@@ -103,7 +103,7 @@
   return m_replica.ready(m_services.clock.Now());
 }
 
-void ConfigHost::Send(ConfigReplicaActions actions) {
+void ConfigHost::Send(const ConfigReplicaActions& actions) {
   for (const KvCall& call : actions.kv) SendKvCall(call);
   for (const ConfigExchangeCall& call : actions.exchanges) SendExchange(call);
   for (const ConfigFetchCall& call : actions.fetches) SendFetch(call);
--- a/lib/transport/daemon/daemon_program.cc
+++ b/lib/transport/daemon/daemon_program.cc
@@ -19,9 +19,9 @@
     LogEvent("listening").Field("listener", listener).Field("port", port);
   }
   WaitForShutdownSignal();
-  LogEvent("shutdown_started");
+  LogEvent("shutdown").Field("phase", "started");
   const bool whole = daemon.Shutdown();
-  LogEvent("shutdown_ended").Field("whole", whole);
+  LogEvent("shutdown").Field("phase", "ended").Field("whole", whole);
   return whole ? kExitOk : kExitFailure;
 }
 
--- a/unittests/process/child_process.cc
+++ b/unittests/process/child_process.cc
@@ -7,11 +7,10 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <stdexcept>
 
-extern char** environ;
-
 namespace yuccamoor {
 
 ChildProcess::ChildProcess(const std::string& program,
--- a/unittests/process/cluster.cc
+++ b/unittests/process/cluster.cc
@@ -76,7 +76,7 @@
 
 std::string Cluster::WriteFile(const std::string& name,
                                const std::string& text) {
-  const std::string path = m_folder + "/" + name;
+  std::string path = m_folder + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
@@ -140,8 +140,8 @@
       continue;
     }
     const std::string listener = line.substr(0, equals);
-    const std::string key =
-        listener == "callers" ? name : name + "/" + listener;
+    std::string key = name;
+    if (listener != "callers") key.append("/").append(listener);
     m_addresses[key] = kLoopback + line.substr(equals + 1);
   }
 }
@@ -248,6 +248,8 @@
 
 void Cluster::ListVms(const std::string& leaving) {
   std::vector<std::string> ids;
+  constexpr std::size_t kMostVms = 64;
+  ids.reserve(kMostVms);
   for (int i = 0; i < kEndpoints; ++i) {
     ids.push_back("vm-service" + std::to_string(i));
   }
@@ -275,7 +277,7 @@
 
 std::string Cluster::LeaderName() {
   for (int i = 0; i < m_shape.schedulers; ++i) {
-    const std::string name = "scheduler" + std::to_string(i);
+    std::string name = "scheduler" + std::to_string(i);
     const Json status =
         ParseOrNull(m_http.Get(Address(name + "/operator"), "/admin/status"));
     if (!status.is_object()) continue;
