Give tests under the sanitizers more time before they count as hung

The random schedules take up to 94 s under AddressSanitizer on a busy machine, and those of publishing longer; on a slower one the limit of 600 s could be reached. It only ends tests that hang, and checks nothing else.

--- a/cmake/yuccamoor_targets.cmake
+++ b/cmake/yuccamoor_targets.cmake
@@ -62,6 +62,6 @@
   target_include_directories(${NAME} PRIVATE ${PROJECT_SOURCE_DIR}/unittests)
   target_link_libraries(${NAME} PRIVATE yuccamoor::${ARG_LAYER} ${ARG_LIBS}
                                         yuccamoor_test_main yuccamoor_flags)
-  catch_discover_tests(${NAME} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 600
+  catch_discover_tests(${NAME} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 1800
                        DISCOVERY_MODE PRE_TEST)
 endfunction()
