--- a/unittests/coordination/membership/member_table_test.cc
+++ b/unittests/coordination/membership/member_table_test.cc
@@ -49,6 +49,7 @@
 
 std::vector<VmEntry> Vms(const std::vector<const char*>& ids) {
   std::vector<VmEntry> vms;
+  vms.reserve(ids.size());
   for (const char* id : ids) {
     vms.push_back(VmEntry{VmId(id), FailureDomainId("d"), false});
   }
