Test clients that stop in mid-request, do not read, or are too many

Cause: the server's timeouts and its limit on connections had no test; a slow or half-open caller is an everyday case at the edge.

Ruled out: a fault in the server; the tests pass on it unchanged. Before: no test. After: three.

--- a/unittests/transport/http_test.cc
+++ b/unittests/transport/http_test.cc
@@ -2,8 +2,15 @@
 /// \brief Contract tests of the HTTP server and client against each other.
 
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
 
 #include "yuccamoor/transport/http_client.h"
 #include "yuccamoor/transport/http_server.h"
@@ -28,6 +35,7 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(m_server->port());
   }
+  std::uint16_t port() const { return m_server->port(); }
 
   /// Runs a coroutine on the pool and waits for its value.
   template <class T>
@@ -52,6 +60,38 @@
   std::unique_ptr<HttpServer> m_server;
 };
 
+/// A client below HTTP, which sends and reads only what a test says.
+class RawClient {
+ public:
+  explicit RawClient(std::uint16_t port) : m_socket(m_context) {
+    m_socket.connect({asio::ip::address_v4::loopback(), port});
+  }
+
+  void Send(std::string_view text) {
+    asio::write(m_socket, asio::buffer(text));
+  }
+
+  /// Returns all that comes until the server closes the connection.
+  std::string ReadAll() {
+    std::string text;
+    boost::system::error_code error;
+    asio::read(m_socket, asio::dynamic_buffer(text), error);
+    return text;
+  }
+
+ private:
+  asio::io_context m_context;
+  asio::ip::tcp::socket m_socket;
+};
+
+HttpServerOptions ImpatientOptions() {
+  HttpServerOptions options;
+  options.read_timeout = DurationMs(30);
+  options.write_timeout = DurationMs(30);
+  options.idle_timeout = DurationMs(30);
+  return options;
+}
+
 Awaitable<void> Echo(HttpExchange& exchange) {
   HttpResponse response;
   response.body = exchange.request().body;
@@ -135,6 +175,73 @@
   CHECK(loopback.Call({}, options).progress == HttpProgress::kNoAnswer);
 }
 
+TEST_CASE("A client that stops in mid-request is cut off", "[http]") {
+  const std::string_view sent =
+      GENERATE("", "PO", "POST / HTTP/1.1\r\nContent-Length: 9\r\n",
+               "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+  std::atomic<int> handled{0};
+  Loopback loopback(
+      [&handled](HttpExchange& exchange) {
+        ++handled;
+        return Echo(exchange);
+      },
+      ImpatientOptions());
+  RawClient client(loopback.port());
+  client.Send(sent);
+  CHECK(client.ReadAll().empty());
+  CHECK(handled == 0);
+  CHECK(loopback.Call({}).progress == HttpProgress::kAnswered);
+}
+
+TEST_CASE("A client that does not read holds no handler for ever", "[http]") {
+  std::promise<std::size_t> written;
+  Loopback loopback(
+      [&written](HttpExchange& exchange) -> Awaitable<void> {
+        if (exchange.request().target != "/endless") {
+          co_await Echo(exchange);
+          co_return;
+        }
+        const std::string chunk(65'536, 'x');
+        std::size_t bytes = 0;
+        try {
+          co_await exchange.StartStream(200, HttpHeaders());
+          for (;;) {
+            co_await exchange.Write(chunk);
+            bytes += chunk.size();
+          }
+        } catch (const boost::system::system_error&) {
+          written.set_value(bytes);
+          throw;
+        }
+      },
+      ImpatientOptions());
+  RawClient client(loopback.port());
+  client.Send("GET /endless HTTP/1.1\r\n\r\n");
+  // What the sockets' buffers take, and no more.
+  constexpr std::size_t kMaxSocketBuffers = 64U << 20;
+  CHECK(written.get_future().get() < kMaxSocketBuffers);
+  CHECK(loopback.Call({}).progress == HttpProgress::kAnswered);
+}
+
+TEST_CASE(
+    "Connections above the limit are closed, and one that ends makes "
+    "room",
+    "[http]") {
+  HttpServerOptions options;
+  options.max_connections = 1;
+  Loopback loopback(Echo, options);
+  {
+    RawClient first(loopback.port());
+    first.Send("GET / HTTP/1.1\r\n\r\n");
+    RawClient second(loopback.port());
+    CHECK(second.ReadAll().empty());
+  }
+  // The server learns of the end a little later.
+  HttpReply reply;
+  while (reply.progress != HttpProgress::kAnswered) reply = loopback.Call({});
+  CHECK(reply.response.status == 200);
+}
+
 TEST_CASE("A busy port is a finding that names the address", "[http]") {
   WorkerPool pool(1);
   const auto first = HttpServer::Create(pool, {}, Echo);
