Post spans to a collector, and count what is dropped

Cause: spans could go to a file only, which VMs without disks cannot keep, and the number of dropped spans was known to the exporter alone.

MakeCollectorSpanExporter gathers spans for 50 ms and posts them as OTLP/JSON to /v1/traces, one request at a time, from the daemon's own threads. A batch that the collector does not accept is dropped and counted, not sent again: it may have been taken. Ruled out: a thread of its own as the file exporter has, since the daemon's pool already carries I/O; sending again, which shows spans twice. yuccamoor_spans_dropped_total is in /metrics. Settings refuse a file and a collector together.

Before: no collector.

--- a/include/yuccamoor/protocol/daemon_settings.h
+++ b/include/yuccamoor/protocol/daemon_settings.h
@@ -43,8 +43,11 @@
   DurationMs unready_time{3'000};
   /// How long a graceful shutdown may take.
   DurationMs shutdown_grace{30'000};
-  /// The file that spans are written to; empty: no traces.
+  /// The file that spans are written to; empty: none.
   std::string trace_file;
+  /// The collector that spans are posted to, as "ip:port"; empty: none. At most
+  /// one of the two is set.
+  std::string trace_collector;
 };
 
 /// Settings of a gateway.
--- a/include/yuccamoor/transport/daemon/daemon.h
+++ b/include/yuccamoor/transport/daemon/daemon.h
@@ -27,6 +27,7 @@
 class HttpClient;
 class KeyValueService;
 class MemberRegistry;
+class SpanExporter;
 class Telemetry;
 
 /// Answers an operator's request.
@@ -85,6 +86,9 @@
 
   Findings Listen();
   Findings OpenTelemetry(MemberRole role);
+  /// Returns null if the settings name no place for spans.
+  Result<std::unique_ptr<SpanExporter>> MakeSpanExporter(
+      const std::string& service);
   void JoinCluster(MemberRole role);
   Awaitable<void> HandlePeer(HttpExchange& exchange);
   Awaitable<void> HandleOperator(HttpExchange& exchange);
--- a/include/yuccamoor/transport/daemon/telemetry.h
+++ b/include/yuccamoor/transport/daemon/telemetry.h
@@ -11,7 +11,6 @@
 #include <string_view>
 
 #include "yuccamoor/state/clock.h"
-#include "yuccamoor/state/result.h"
 #include "yuccamoor/transport/daemon/request_log.h"
 #include "yuccamoor/transport/observability/metrics.h"
 #include "yuccamoor/transport/observability/tracer.h"
@@ -21,11 +20,9 @@
 /// All of a daemon's telemetry. Safe to use from several threads.
 class Telemetry {
  public:
-  /// Writes spans to \p trace_file unless it is empty. The clock must outlive
-  /// the telemetry.
-  static Result<std::unique_ptr<Telemetry>> Create(
-      const Clock& clock, const std::string& service,
-      const std::string& trace_file);
+  /// Without an exporter no spans are recorded. The clock must outlive the
+  /// telemetry.
+  Telemetry(const Clock& clock, std::unique_ptr<SpanExporter> exporter);
 
   MetricsRegistry& metrics() { return m_metrics; }
   ServingMetrics& serving() { return m_serving; }
@@ -34,8 +31,6 @@
   const Clock& clock() const { return m_clock; }
 
  private:
-  Telemetry(const Clock& clock, std::unique_ptr<SpanExporter> exporter);
-
   const Clock& m_clock;
   std::unique_ptr<SpanExporter> m_exporter;
   MetricsRegistry m_metrics;
--- a/lib/protocol/daemon_settings.cc
+++ b/lib/protocol/daemon_settings.cc
@@ -96,6 +96,11 @@
   reader.OptionalDuration("shutdown_grace_ms", DurationMs(0), kLongestGrace,
                           settings.shutdown_grace);
   reader.OptionalString("trace_file", settings.trace_file);
+  ReadAddress(reader, "trace_collector", false, settings.trace_collector);
+  if (!settings.trace_file.empty() && !settings.trace_collector.empty()) {
+    reader.Report("trace_collector", "is given beside trace_file",
+                  "give one of the two");
+  }
 }
 
 void ReadRole(const Json& /*root*/, FieldReader& reader,
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -15,6 +15,7 @@
 #include "yuccamoor/transport/daemon/member_registry.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/http_client.h"
+#include "yuccamoor/transport/observability/collector_span_exporter.h"
 #include "yuccamoor/transport/observability/log_event.h"
 #include "yuccamoor/transport/platform/http_key_value_service.h"
 #include "yuccamoor/transport/platform/http_vm_list.h"
@@ -92,9 +93,10 @@
   const std::string service = role == MemberRole::kGateway
                                   ? "yuccamoor-gateway"
                                   : "yuccamoor-scheduler";
-  auto telemetry = Telemetry::Create(m_clock, service, m_settings.trace_file);
-  if (!telemetry) return telemetry.error();
-  m_telemetry = std::move(telemetry).value();
+  auto exporter = MakeSpanExporter(service);
+  if (!exporter) return exporter.error();
+  m_telemetry =
+      std::make_unique<Telemetry>(m_clock, std::move(exporter).value());
   AddOperatorPath("/metrics", [this](const HttpRequest&) {
     HttpResponse response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
@@ -107,6 +109,23 @@
   return {};
 }
 
+Result<std::unique_ptr<SpanExporter>> Daemon::MakeSpanExporter(
+    const std::string& service) {
+  if (!m_settings.trace_file.empty()) {
+    SpanFileOptions options;
+    options.service = service;
+    options.path = m_settings.trace_file;
+    return MakeFileSpanExporter(options);
+  }
+  if (m_settings.trace_collector.empty()) {
+    return std::unique_ptr<SpanExporter>();
+  }
+  SpanCollectorOptions options;
+  options.service = service;
+  options.address = m_settings.trace_collector;
+  return MakeCollectorSpanExporter(options, *m_pool, *m_client);
+}
+
 HttpResponse Daemon::Explain(const HttpRequest& request) const {
   const std::string path = PathOf(request.target);
   const RequestId id(path.substr(std::string_view(kRequestsPath).size()));
--- a/lib/transport/daemon/telemetry.cc
+++ b/lib/transport/daemon/telemetry.cc
@@ -19,27 +19,19 @@
 
 }  // namespace
 
-Result<std::unique_ptr<Telemetry>> Telemetry::Create(
-    const Clock& clock, const std::string& service,
-    const std::string& trace_file) {
-  std::unique_ptr<SpanExporter> exporter;
-  if (!trace_file.empty()) {
-    SpanFileOptions options;
-    options.service = service;
-    options.path = trace_file;
-    auto made = MakeFileSpanExporter(options);
-    if (!made) return made.error();
-    exporter = std::move(made).value();
-  }
-  return std::unique_ptr<Telemetry>(new Telemetry(clock, std::move(exporter)));
-}
-
 Telemetry::Telemetry(const Clock& clock, std::unique_ptr<SpanExporter> exporter)
     : m_clock(clock),
       m_exporter(std::move(exporter)),
       m_metrics(clock),
       m_serving(m_metrics),
-      m_tracer(m_exporter.get(), kSampledShare) {}
+      m_tracer(m_exporter.get(), kSampledShare) {
+  if (!m_exporter) return;
+  Counter& dropped = m_metrics.GetCounter("yuccamoor_spans_dropped_total",
+                                          "Spans that could not be written.");
+  m_metrics.OnRender([this, &dropped] {
+    dropped.Add(m_exporter->dropped() - dropped.value());
+  });
+}
 
 RequestScope::RequestScope(Telemetry& telemetry, std::string_view name,
                            RequestId id, std::string_view traceparent)
--- a/lib/transport/observability/daemon_setting_infos.cc
+++ b/lib/transport/observability/daemon_setting_infos.cc
@@ -22,7 +22,9 @@
       {"unready_time_ms", kScalar,
        "How long it serves on after it says that it is not ready, in ms"},
       {"shutdown_grace_ms", kScalar, "How long a shutdown may take, in ms"},
-      {"trace_file", kString, "File for spans; empty: no traces"},
+      {"trace_file", kString, "File for spans; empty: none"},
+      {"trace_collector", kString,
+       "Collector that spans are posted to, ip:port; empty: none"},
   };
 }
 
--- a/unittests/protocol/daemon_settings_test.cc
+++ b/unittests/protocol/daemon_settings_test.cc
@@ -23,7 +23,7 @@
   const auto result = ParseSchedulerSettings(
       R"({"node":"","vm":7,"peer_listen":"127.0.0.1:70000",)"
       R"("key_value_service":"nowhere","threads":0,"policy":"best",)"
-      R"("unknown":1})",
+      R"("trace_file":"t","trace_collector":"127.0.0.1:4318","unknown":1})",
       "s.json");
   REQUIRE(result.has_error());
   std::vector<std::string> pointers;
@@ -31,10 +31,10 @@
     pointers.push_back(finding.place.pointer);
     CHECK(finding.place.source == "s.json");
   }
-  CHECK(pointers == std::vector<std::string>{"/node", "/vm", "/failure_domain",
-                                             "/peer_listen",
-                                             "/key_value_service", "/threads",
-                                             "/policy", "/unknown"});
+  CHECK(pointers == std::vector<std::string>{
+                        "/node", "/vm", "/failure_domain", "/peer_listen",
+                        "/key_value_service", "/threads", "/trace_collector",
+                        "/policy", "/unknown"});
 }
 
 }  // namespace yuccamoor
