--- a/unittests/process/cluster.h
+++ b/unittests/process/cluster.h
@@ -48,6 +48,9 @@
   /// with a listener, "gateway0/operator".
   std::string Address(const std::string& name) const;
 
+  /// The folder of the processes' files, removed with the cluster.
+  const std::string& folder() const { return m_folder; }
+
   /// Whether the daemon says that it is ready.
   bool IsReady(const std::string& name);
   /// Asks a gateway for a chat answer.
