Let callers go on with a streamed answer through any gateway

A gateway's death in mid-stream lost the answer: event ids were bare indexes, ResumeTable was not wired, and a caller that left had its stream cancelled at once. Event ids now name the stream and the place in it; a reconnect with Last-Event-ID is answered from the gateway's table if the answer is whole there, else resumed at the engine under a residency grant for that engine life, else told at once that it cannot be resumed. Engines know requests by an unguessable id of the gateway's, so that an id cannot be made up. Cancels name their attempt, so that the gateway that was left does not cut a stream that another has taken over.

Ruled out: streams in the key-value service (writes per request), asking the first gateway (it may be dead), signed ids (a secret that protects nothing more), and reading without a grant (the adapter could be evicted meanwhile).

Found on the way: a request that the engine refused as malformed or mismatched was tried again until its deadline; it fails at once now. The engine stand-in gave a cancelled stream to its request's next attempt, which never ended.

--- a/include/yuccamoor/coordination/request/resume_table.h
+++ b/include/yuccamoor/coordination/request/resume_table.h
@@ -50,10 +50,16 @@
  public:
   explicit ResumeTable(const ResumeOptions& options);
 
-  /// Adds a stream; the one whose last event is oldest makes room.
-  void Open(const RequestId& request, TimeMs now);
+  /// Adds a stream whose first event here is \p first; the one whose last
+  /// event is oldest makes room.
+  void Open(const RequestId& request, TimeMs now,
+            TokenIndex first = TokenIndex(0));
   /// Appends the stream's next event. Unknown streams are ignored.
   void Append(const RequestId& request, std::string text, TimeMs now);
+  /// Appends the event if \p index is the next one; of several writers that
+  /// follow one stream the first adds each event.
+  void AppendAt(const RequestId& request, TokenIndex index, std::string text,
+                TimeMs now);
   /// Marks the stream as ended whole.
   void Close(const RequestId& request, TimeMs now);
   /// Drops the stream: it failed or was cancelled.
@@ -61,6 +67,9 @@
 
   /// Returns the events from \p next on.
   ResumeAnswer Resume(const RequestId& request, TokenIndex next) const;
+  bool Contains(const RequestId& request) const {
+    return m_streams.contains(request);
+  }
 
   /// Drops streams without an event for the hold time.
   void Tick(TimeMs now);
--- a/include/yuccamoor/coordination/request/stream_assembler.h
+++ b/include/yuccamoor/coordination/request/stream_assembler.h
@@ -57,6 +57,12 @@
   StreamAssembler(RequestId request, AdapterVersion target,
                   std::size_t max_held);
 
+  /// Goes on with an answer of which \p instance has generated the tokens
+  /// before \p next and the caller has taken them.
+  static StreamAssembler Resumed(RequestId request, AdapterVersion target,
+                                 const InstanceId& instance, TokenIndex next,
+                                 std::size_t max_held);
+
   /// Whether an attempt on \p instance may go on with this answer: always while
   /// nothing was taken, afterwards only on the engine life that generated what
   /// was taken, since another one may word the answer differently.
--- a/include/yuccamoor/coordination/residency/residency_client.h
+++ b/include/yuccamoor/coordination/residency/residency_client.h
@@ -43,6 +43,12 @@
   std::size_t max_waiters = 20'000;
 };
 
+/// The one engine life that a request may go to: the one that holds its stream.
+struct EnginePin {
+  WorkerId worker;
+  InstanceId instance;
+};
+
 /// Where one request goes.
 struct Placement {
   DispatchId dispatch;
@@ -88,6 +94,14 @@
   std::optional<Placement> TryAcquire(const AdapterVersion& target, TimeMs now,
                                       std::uint64_t prefix_key = 0);
 
+  /// The same for a request that goes on with a stream, which is on one engine
+  /// only.
+  std::optional<Placement> TryAcquireOn(const AdapterVersion& target,
+                                        const EnginePin& pin, TimeMs now);
+  /// Whether a grant shows that the worker has another engine life by now, so
+  /// that its earlier streams are gone.
+  bool HasRestarted(const AdapterVersion& target, const EnginePin& pin) const;
+
   /// Whether the request may be written now. If not, release it and try again.
   bool MaySend(DispatchId dispatch, TimeMs now);
 
@@ -153,6 +167,7 @@
 
   bool HasCredit(const AdapterVersion& target, TimeMs now) const;
   Grant* PickGrant(const AdapterVersion& target, std::uint64_t prefix_key);
+  Placement Dispatched(Grant& grant);
   void CheckLapse(TimeMs now);
   void GiveBack(LeaseNumber lease);
   void DropGrant(LeaseNumber lease);
--- a/include/yuccamoor/transport/gateway/api_response.h
+++ b/include/yuccamoor/transport/gateway/api_response.h
@@ -17,6 +17,9 @@
 /// The caller's time limit in milliseconds.
 constexpr const char* kTimeoutHeader = "Yuccamoor-Timeout-Ms";
 
+/// The id of the last event that a caller which reconnects has taken.
+constexpr const char* kLastEventHeader = "Last-Event-ID";
+
 /// Returns the response that tells of the failure.
 HttpResponse ErrorResponse(const ApiError& error);
 
--- a/include/yuccamoor/transport/gateway/cell_session.h
+++ b/include/yuccamoor/transport/gateway/cell_session.h
@@ -37,11 +37,26 @@
   const Clock& clock;
 };
 
-/// How a wait for a grant ended: a placement, a refusal, or neither when the
-/// deadline passed.
+/// What a request needs of a grant.
+struct AcquireRequest {
+  AdapterVersion target;
+  Priority priority = Priority::kNormal;
+  TimeMs deadline;
+  /// Requests with the same key prefer the same worker.
+  std::uint64_t prefix_key = 0;
+  /// The only engine life that will do, if the request goes on with a stream.
+  std::optional<EnginePin> pin;
+  /// Asked from time to time; true gives up as at the deadline.
+  std::function<bool()> caller_gone;
+};
+
+/// How a wait for a grant ended: a placement, a refusal, a lost engine, or none
+/// of them when the deadline passed.
 struct AcquireResult {
   std::optional<Placement> placement;
   std::optional<ResidencyRefusal> refusal;
+  /// The pinned engine has restarted.
+  bool engine_lost = false;
 };
 
 /// One session. Safe to use from several threads; its mutex is a leaf of the
@@ -53,11 +68,8 @@
       CellSessionServices services, ResidencyClientOptions options,
       std::string reply_to);
 
-  /// Waits until a request for the target may be sent to some worker. Asks
-  /// \p caller_gone from time to time and gives up as at the deadline if so.
-  Awaitable<AcquireResult> Acquire(AdapterVersion target, Priority priority,
-                                   TimeMs deadline, std::uint64_t prefix_key,
-                                   std::function<bool()> caller_gone);
+  /// Waits until the request may be sent to some worker.
+  Awaitable<AcquireResult> Acquire(AcquireRequest request);
 
   /// See ResidencyClient for these.
   bool MaySend(DispatchId dispatch);
@@ -78,18 +90,18 @@
  private:
   /// A request that waits in Acquire.
   struct Caller {
-    AdapterVersion target;
+    AcquireRequest request;
     std::shared_ptr<AsyncEvent> event;
     std::optional<ResidencyRefusal> refusal;
-    std::function<bool()> gone;
   };
   using CallerList = std::list<std::shared_ptr<Caller>>;
 
   CellSession(CellSessionServices services, ResidencyClient client, CellId cell,
               std::string reply_to);
 
-  Awaitable<AcquireResult> Wait(std::shared_ptr<Caller> caller, TimeMs deadline,
-                                std::uint64_t prefix_key);
+  Awaitable<AcquireResult> Wait(std::shared_ptr<Caller> caller);
+  /// Tries once. The mutex is held.
+  AcquireResult TryNow(const AcquireRequest& request);
   void RemoveCaller(const Caller& caller);
   void Wake(const ResidencyTick& tick);
   void ScheduleTick();
@@ -113,6 +125,20 @@
   std::atomic<bool> m_tick_scheduled{false};
 };
 
+/// Releases a dispatch at the end of its scope.
+class DispatchGuard {
+ public:
+  DispatchGuard(CellSession& session, DispatchId dispatch)
+      : m_session(session), m_dispatch(dispatch) {}
+  ~DispatchGuard() { m_session.Release(m_dispatch); }
+  DispatchGuard(const DispatchGuard&) = delete;
+  DispatchGuard& operator=(const DispatchGuard&) = delete;
+
+ private:
+  CellSession& m_session;
+  DispatchId m_dispatch;
+};
+
 }  // namespace yuccamoor
 
 #endif  // YUCCAMOOR_TRANSPORT_GATEWAY_CELL_SESSION_H_
--- a/include/yuccamoor/transport/gateway/chat_service.h
+++ b/include/yuccamoor/transport/gateway/chat_service.h
@@ -13,6 +13,7 @@
 
 #include "yuccamoor/protocol/api_error.h"
 #include "yuccamoor/protocol/chat_api.h"
+#include "yuccamoor/protocol/request/stream_event_id.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/config_snapshot.h"
 #include "yuccamoor/state/ids.h"
@@ -25,6 +26,7 @@
 class HttpExchange;
 struct HttpRequest;
 class RequestScope;
+class ResumeStore;
 class Telemetry;
 class WorkerPool;
 
@@ -57,6 +59,10 @@
 /// What a request is, once it has been found valid.
 struct ChatJob {
   RequestId id;
+  /// The id that engines know the request by.
+  RequestId generation;
+  /// The last event that a caller which reconnects has taken.
+  std::optional<StreamEventId> resume;
   ChatRequest request;
   AdapterVersion target;
   Priority priority = Priority::kNormal;
@@ -70,20 +76,30 @@
 class ChatService {
  public:
   ChatService(ChatServices services, ChatOptions options);
+  ~ChatService();
 
   /// Answers one POST /v1/chat/completions. \p id names the request in every
   /// hop.
   Awaitable<void> Handle(HttpExchange& exchange, RequestId id);
 
+  /// Forgets old events.
+  void Tick();
+
   std::size_t active() const { return m_active; }
 
  private:
   Awaitable<void> HandleAdmitted(HttpExchange& exchange, RequestScope& scope);
   /// Fills in the job, or returns why the request is refused.
   std::optional<ApiError> Prepare(const HttpRequest& request, ChatJob& job);
+  /// Reads what the caller's headers ask for.
+  Findings ReadHeaders(const HttpRequest& request, ChatJob& job) const;
+  /// Finds the target: that of the stream to go on with, or the one asked for.
+  static std::optional<AdapterVersion> ResolveTarget(
+      const ConfigSnapshot& config, const ChatJob& job);
 
   ChatServices m_services;
   ChatOptions m_options;
+  std::unique_ptr<ResumeStore> m_resume;
   std::atomic<std::size_t> m_active{0};
 };
 
--- a/include/yuccamoor/transport/standins/engine_core.h
+++ b/include/yuccamoor/transport/standins/engine_core.h
@@ -45,6 +45,8 @@
   std::uint64_t evictions_in_use = 0;
   std::uint64_t stale_orders = 0;
   std::uint64_t streams_started = 0;
+  /// Requests that were answered with a stream that was there already.
+  std::uint64_t attempts_joined = 0;
   std::uint64_t streams_finished = 0;
   std::uint64_t streams_cut = 0;
   std::uint64_t streams_cancelled = 0;
@@ -71,6 +73,7 @@
 
 /// One request in the engine.
 struct EngineStream {
+  /// As it was first sent, with the latest attempt.
   GenerateRequest request;
   InstanceId instance;
   StreamPhase phase = StreamPhase::kQueued;
@@ -110,8 +113,10 @@
   /// Takes a request or finds the stream that it resumes.
   std::pair<GenerateRefusal, EngineStreamPtr> Generate(
       const GenerateRequest& request);
-  /// Returns whether there was something to cancel.
-  bool Cancel(const RequestId& id);
+  /// Returns whether there was something to cancel. A cancel by an earlier
+  /// attempt than the stream's latest has no effect: another gateway follows
+  /// the stream by now.
+  bool Cancel(const RequestId& id, std::uint32_t attempt);
 
   /// Fills the batch from the queue by priority, gives each running stream one
   /// token and notes a load report.
--- a/lib/coordination/request/resume_table.cc
+++ b/lib/coordination/request/resume_table.cc
@@ -10,7 +10,7 @@
 
 ResumeTable::ResumeTable(const ResumeOptions& options) : m_options(options) {}
 
-void ResumeTable::Open(const RequestId& request, TimeMs now) {
+void ResumeTable::Open(const RequestId& request, TimeMs now, TokenIndex first) {
   if (m_streams.size() >= m_options.max_streams &&
       !m_streams.contains(request)) {
     m_streams.erase(std::min_element(
@@ -19,6 +19,7 @@
         }));
   }
   Stream stream;
+  stream.first = first;
   stream.touched = now;
   m_streams[request] = std::move(stream);
 }
@@ -38,6 +39,15 @@
   }
 }
 
+void ResumeTable::AppendAt(const RequestId& request, TokenIndex index,
+                           std::string text, TimeMs now) {
+  const auto found = m_streams.find(request);
+  if (found == m_streams.end()) return;
+  const Stream& stream = found->second;
+  const std::uint64_t next = stream.first.value() + stream.events.size();
+  if (index.value() == next) Append(request, std::move(text), now);
+}
+
 void ResumeTable::Close(const RequestId& request, TimeMs now) {
   const auto found = m_streams.find(request);
   if (found == m_streams.end()) return;
--- a/lib/coordination/request/stream_assembler.cc
+++ b/lib/coordination/request/stream_assembler.cc
@@ -14,6 +14,17 @@
       m_target(std::move(target)),
       m_max_held(max_held) {}
 
+StreamAssembler StreamAssembler::Resumed(RequestId request,
+                                         AdapterVersion target,
+                                         const InstanceId& instance,
+                                         TokenIndex next,
+                                         std::size_t max_held) {
+  StreamAssembler assembler(std::move(request), std::move(target), max_held);
+  assembler.m_instance = instance;
+  assembler.m_next = next;
+  return assembler;
+}
+
 bool StreamAssembler::CanAttempt(const InstanceId& instance) const {
   if (m_void) return false;
   return m_next == TokenIndex(0) || instance == m_instance;
--- a/lib/coordination/residency/residency_client.cc
+++ b/lib/coordination/residency/residency_client.cc
@@ -93,15 +93,43 @@
     const AdapterVersion& target, TimeMs now, std::uint64_t prefix_key) {
   CheckLapse(now);
   if (!HasCredit(target, now)) return std::nullopt;
-  Grant* const grant = PickGrant(target, prefix_key);
-  ++grant->running;
+  return Dispatched(*PickGrant(target, prefix_key));
+}
+
+Placement ResidencyClient::Dispatched(Grant& grant) {
+  ++grant.running;
   m_last_dispatch = m_last_dispatch.Next();
-  m_dispatches[m_last_dispatch] = Dispatch{grant->grant.lease};
-  const ResidencyGrant& g = grant->grant;
+  m_dispatches[m_last_dispatch] = Dispatch{grant.grant.lease};
+  const ResidencyGrant& g = grant.grant;
   return Placement{m_last_dispatch, g.lease,    g.worker,
                    g.address,       g.instance, m_deadline};
 }
 
+std::optional<Placement> ResidencyClient::TryAcquireOn(
+    const AdapterVersion& target, const EnginePin& pin, TimeMs now) {
+  CheckLapse(now);
+  if (!HasCredit(target, now)) return std::nullopt;
+  for (const LeaseNumber lease : m_by_target.at(target)) {
+    Grant& grant = m_grants.at(lease);
+    const ResidencyGrant& g = grant.grant;
+    if (g.worker != pin.worker || g.instance != pin.instance) continue;
+    if (grant.Open()) return Dispatched(grant);
+  }
+  return std::nullopt;
+}
+
+bool ResidencyClient::HasRestarted(const AdapterVersion& target,
+                                   const EnginePin& pin) const {
+  const auto leases = m_by_target.find(target);
+  if (leases == m_by_target.end()) return false;
+  return std::any_of(
+      leases->second.begin(), leases->second.end(), [&](LeaseNumber lease) {
+        const Grant& grant = m_grants.at(lease);
+        return grant.Usable() && grant.grant.worker == pin.worker &&
+               grant.grant.instance != pin.instance;
+      });
+}
+
 bool ResidencyClient::MaySend(DispatchId dispatch, TimeMs now) {
   CheckLapse(now);
   const auto it = m_dispatches.find(dispatch);
--- a/lib/transport/gateway/cell_session.cc
+++ b/lib/transport/gateway/cell_session.cc
@@ -42,56 +42,67 @@
       m_reply_to(std::move(reply_to)),
       m_client(std::move(client)) {}
 
-Awaitable<AcquireResult> CellSession::Acquire(
-    AdapterVersion target, Priority priority, TimeMs deadline,
-    std::uint64_t prefix_key, std::function<bool()> caller_gone) {
+Awaitable<AcquireResult> CellSession::Acquire(AcquireRequest request) {
   const auto self = shared_from_this();
   auto caller = std::make_shared<Caller>();
-  caller->target = std::move(target);
-  caller->gone = std::move(caller_gone);
+  caller->request = std::move(request);
   caller->event = AsyncEvent::Create(co_await asio::this_coro::executor);
+  const AdapterVersion& target = caller->request.target;
   std::optional<WaiterId> waiter;
   AcquireResult result;
   {
     const std::lock_guard lock(m_mutex);
-    const TimeMs now = m_services.clock.Now();
-    result.placement = m_client.TryAcquire(caller->target, now, prefix_key);
-    if (result.placement) co_return result;
-    waiter = m_client.AddWaiter(caller->target, priority, deadline, now);
-    if (waiter) m_callers[caller->target].push_back(caller);
+    result = TryNow(caller->request);
+    if (result.placement || result.engine_lost) co_return result;
+    waiter =
+        m_client.AddWaiter(target, caller->request.priority,
+                           caller->request.deadline, m_services.clock.Now());
+    if (waiter) m_callers[target].push_back(caller);
   }
   if (!waiter) {
-    result.refusal = ResidencyRefusal{
-        caller->target, RefusalReason::kOverloaded, DurationMs(1'000)};
+    result.refusal =
+        ResidencyRefusal{target, RefusalReason::kOverloaded, DurationMs(1'000)};
     co_return result;
   }
   ScheduleTick();
-  result = co_await Wait(caller, deadline, prefix_key);
+  result = co_await Wait(caller);
   const std::lock_guard lock(m_mutex);
   m_client.RemoveWaiter(*waiter);
   RemoveCaller(*caller);
   co_return result;
 }
 
-Awaitable<AcquireResult> CellSession::Wait(std::shared_ptr<Caller> caller,
-                                           TimeMs deadline,
-                                           std::uint64_t prefix_key) {
+AcquireResult CellSession::TryNow(const AcquireRequest& request) {
+  const TimeMs now = m_services.clock.Now();
+  AcquireResult result;
+  if (!request.pin) {
+    result.placement =
+        m_client.TryAcquire(request.target, now, request.prefix_key);
+    return result;
+  }
+  result.placement = m_client.TryAcquireOn(request.target, *request.pin, now);
+  result.engine_lost =
+      !result.placement && m_client.HasRestarted(request.target, *request.pin);
+  return result;
+}
+
+Awaitable<AcquireResult> CellSession::Wait(std::shared_ptr<Caller> caller) {
+  const AcquireRequest& request = caller->request;
   AcquireResult result;
   for (;;) {
-    const DurationMs left = deadline - m_services.clock.Now();
-    if (left <= DurationMs(0) || caller->gone()) co_return result;
+    const DurationMs left = request.deadline - m_services.clock.Now();
+    if (left <= DurationMs(0) || request.caller_gone()) co_return result;
     co_await caller->event->WaitFor(std::min(left, kCallerCheckInterval));
     const std::lock_guard lock(m_mutex);
-    result.placement =
-        m_client.TryAcquire(caller->target, m_services.clock.Now(), prefix_key);
-    if (result.placement) co_return result;
+    result = TryNow(request);
+    if (result.placement || result.engine_lost) co_return result;
     result.refusal = caller->refusal;
     if (result.refusal) co_return result;
   }
 }
 
 void CellSession::RemoveCaller(const Caller& caller) {
-  const auto it = m_callers.find(caller.target);
+  const auto it = m_callers.find(caller.request.target);
   if (it == m_callers.end()) return;
   it->second.remove_if([&](const std::shared_ptr<Caller>& other) {
     return other.get() == &caller;
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -3,6 +3,9 @@
 
 #include "chat_run.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "yuccamoor/coordination/backoff.h"
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/generation.h"
@@ -17,30 +20,22 @@
 namespace {
 
 constexpr std::size_t kMaxHeldFrames = 256;
+/// A gateway that takes a stream over counts on from here, so that its attempts
+/// are later than those that the earlier gateway may still make.
+constexpr std::uint64_t kAttemptsPerGateway = 1'000;
+/// The longest wait for the one engine that holds a stream.
+constexpr DurationMs kPinnedWait(5'000);
 constexpr BackoffLimits kAttemptBackoff{DurationMs(20), DurationMs(1'000)};
 /// The longest time between two frames of a stream.
 constexpr DurationMs kFrameTimeout(30'000);
 constexpr DurationMs kHeaderTimeout(5'000);
 constexpr DurationMs kCancelTimeout(1'000);
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kServiceUnavailable = 503;
 
-/// Releases a dispatch at the end of its scope.
-class DispatchGuard {
- public:
-  DispatchGuard(CellSession& session, DispatchId dispatch)
-      : m_session(session), m_dispatch(dispatch) {}
-  ~DispatchGuard() { m_session.Release(m_dispatch); }
-  DispatchGuard(const DispatchGuard&) = delete;
-  DispatchGuard& operator=(const DispatchGuard&) = delete;
-
- private:
-  CellSession& m_session;
-  DispatchId m_dispatch;
-};
-
 /// Hashes the beginning of the prompt, so that requests that share it prefer
 /// the worker that has it cached.
 std::uint64_t PrefixKey(const std::string& prompt) {
@@ -69,7 +64,16 @@
       m_job(job),
       m_sink(sink),
       m_random(std::hash<RequestId>()(job.id)),
-      m_assembler(job.id, job.target, kMaxHeldFrames) {}
+      m_assembler(job.generation, job.target, kMaxHeldFrames) {
+  if (!job.resume) return;
+  const StreamHandle& stream = job.resume->stream;
+  m_assembler =
+      StreamAssembler::Resumed(job.generation, job.target, stream.instance,
+                               job.resume->index.Next(), kMaxHeldFrames);
+  m_attempt = AttemptNumber(stream.attempt.value() + kAttemptsPerGateway);
+  m_engine = EnginePin{stream.worker, stream.instance};
+  m_dispatched = true;
+}
 
 Awaitable<std::optional<ApiError>> ChatRun::Execute() {
   const std::uint64_t prefix_key = PrefixKey(BuildPrompt(m_job.request));
@@ -82,17 +86,25 @@
     if (m_services.clock.Now() >= m_job.deadline) {
       co_return FailureOf(AcquireResult());
     }
-    const auto failures = static_cast<std::uint32_t>(m_attempt.value());
-    co_await SleepFor(BackoffDelay(kAttemptBackoff, failures, Random()));
+    ++m_failures;
+    co_await SleepFor(BackoffDelay(kAttemptBackoff, m_failures, Random()));
   }
 }
 
 Awaitable<AcquireResult> ChatRun::WaitForGrant(std::uint64_t prefix_key) {
   Span span = m_job.scope->StartSpan("load_wait", SpanKind::kInternal);
   const TimeMs start = m_services.clock.Now();
-  AcquireResult result = co_await m_job.session->Acquire(
-      m_job.target, m_job.priority, m_job.deadline, prefix_key,
-      [this] { return m_sink.CallerGone(); });
+  AcquireRequest request;
+  request.target = m_job.target;
+  request.priority = m_job.priority;
+  request.deadline = m_job.deadline;
+  request.prefix_key = prefix_key;
+  request.caller_gone = [this] { return m_sink.CallerGone(); };
+  if (m_sink.Committed()) {
+    request.pin = m_engine;
+    request.deadline = std::min(request.deadline, start + kPinnedWait);
+  }
+  AcquireResult result = co_await m_job.session->Acquire(std::move(request));
   m_job.scope->OnWaited(m_services.clock.Now() - start);
   if (!result.placement) span.Fail("no grant");
   co_return result;
@@ -112,7 +124,7 @@
 
 void ChatRun::BeginAnew() {
   m_sink.Reset();
-  m_assembler = StreamAssembler(m_job.id, m_job.target, kMaxHeldFrames);
+  m_assembler = StreamAssembler(m_job.generation, m_job.target, kMaxHeldFrames);
 }
 
 Awaitable<ChatRun::AttemptEnd> ChatRun::TryOn(const Placement& placement) {
@@ -130,19 +142,24 @@
   co_return end;
 }
 
-Awaitable<ChatRun::AttemptEnd> ChatRun::Attempt(const Placement& placement,
-                                                std::string traceparent) {
-  if (!PrepareAssembler(placement.instance)) co_return AttemptEnd::kVoid;
+GenerateRequest ChatRun::NextAttempt(const InstanceId& instance) {
   m_attempt = m_attempt.Next();
   GenerateRequest generate;
-  generate.request_id = m_job.id;
+  generate.request_id = m_job.generation;
   generate.attempt = static_cast<std::uint32_t>(m_attempt.value());
   generate.target = m_job.target;
   generate.prompt = BuildPrompt(m_job.request);
   generate.max_tokens = m_job.request.max_tokens;
   generate.priority = m_job.priority;
   generate.resume_from = static_cast<std::uint32_t>(
-      m_assembler.StartAttempt(m_attempt, placement.instance).value());
+      m_assembler.StartAttempt(m_attempt, instance).value());
+  return generate;
+}
+
+Awaitable<ChatRun::AttemptEnd> ChatRun::Attempt(const Placement& placement,
+                                                std::string traceparent) {
+  if (!PrepareAssembler(placement.instance)) co_return AttemptEnd::kVoid;
+  const GenerateRequest generate = NextAttempt(placement.instance);
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/generate";
@@ -164,24 +181,51 @@
     co_return AttemptEnd::kRetry;
   }
   const int status = stream->head().status;
-  if (status == kConflict) m_job.session->OnNotResident(placement.dispatch);
-  if (status == kServiceUnavailable) {
-    m_job.session->OnWorkerLost(placement.worker);
-  }
-  if (status == kNotFound && generate.resume_from > 0) {
-    // The engine no longer has the stream that was to be resumed.
-    if (m_sink.Committed()) co_return AttemptEnd::kVoid;
-    BeginAnew();
-  }
-  if (status != kOk) co_return AttemptEnd::kRetry;
+  if (status != kOk) co_return OnRefusal(placement, status, generate);
   m_dispatched = true;
   if (!m_job.session->ConfirmAccepted(placement.dispatch)) {
     CancelAt(placement.address);
     co_return AttemptEnd::kRetry;
   }
+  OnAccepted(placement);
   co_return co_await ReadAnswer(placement, *stream);
 }
 
+ChatRun::AttemptEnd ChatRun::OnRefusal(const Placement& placement, int status,
+                                       const GenerateRequest& generate) {
+  switch (status) {
+    case kBadRequest:
+      // The stream is of another prompt: no further attempt can change that.
+      return AttemptEnd::kVoid;
+    case kConflict:
+      m_job.session->OnNotResident(placement.dispatch);
+      return AttemptEnd::kRetry;
+    case kServiceUnavailable:
+      m_job.session->OnWorkerLost(placement.worker);
+      return AttemptEnd::kRetry;
+    case kNotFound:
+      if (generate.resume_from == 0) return AttemptEnd::kRetry;
+      // The engine no longer has the stream that was to be resumed.
+      if (m_sink.Committed()) return AttemptEnd::kVoid;
+      BeginAnew();
+      return AttemptEnd::kRetry;
+    default:
+      return AttemptEnd::kRetry;
+  }
+}
+
+void ChatRun::OnAccepted(const Placement& placement) {
+  m_engine = EnginePin{placement.worker, placement.instance};
+  StreamHandle stream;
+  stream.request = m_job.id;
+  stream.generation = m_job.generation;
+  stream.target = m_job.target;
+  stream.worker = placement.worker;
+  stream.instance = placement.instance;
+  stream.attempt = m_attempt;
+  m_sink.OnAttempt(stream);
+}
+
 Awaitable<ChatRun::AttemptEnd> ChatRun::ReadAnswer(const Placement& placement,
                                                    HttpResponseStream& stream) {
   SseParser parser;
@@ -230,7 +274,8 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/v1/cancel";
-  request.body = Json{{"request_id", m_job.id}}.dump();
+  request.body =
+      Json{{"request_id", m_job.generation}, {"attempt", m_attempt}}.dump();
   HttpCallOptions options;
   options.timeout = kCancelTimeout;
   m_services.pool.Spawn([&client = m_services.client, address,
@@ -240,29 +285,4 @@
   });
 }
 
-ApiError ChatRun::FailureOf(const AcquireResult& result) const {
-  ApiError error;
-  error.outcome = m_dispatched ? Outcome::kUnknown : Outcome::kNotRun;
-  if (result.refusal) {
-    error.status = kServiceUnavailable;
-    error.type = "overloaded";
-    error.message = "the adapter cannot be served in time";
-    error.retry_after = result.refusal->retry_after;
-    return error;
-  }
-  error.status = 504;
-  error.type = "deadline_exceeded";
-  error.message = "the request's time limit has passed";
-  return error;
-}
-
-ApiError ChatRun::Cut() const {
-  ApiError error;
-  error.status = 502;
-  error.type = "answer_cut";
-  error.message = "the answer was lost before it was whole";
-  error.outcome = Outcome::kUnknown;
-  return error;
-}
-
 }  // namespace yuccamoor
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -12,6 +12,8 @@
 #include "yuccamoor/coordination/request/stream_assembler.h"
 #include "yuccamoor/coordination/residency/residency_client.h"
 #include "yuccamoor/protocol/api_error.h"
+#include "yuccamoor/protocol/platform/generation.h"
+#include "yuccamoor/protocol/request/stream_event_id.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/gateway/chat_service.h"
 
@@ -24,6 +26,8 @@
  public:
   virtual ~TokenSink() = default;
 
+  /// Notes which engine's stream the next tokens are of.
+  virtual void OnAttempt(const StreamHandle& stream) = 0;
   /// Takes the next token. Throws when the caller has gone.
   virtual Awaitable<void> OnToken(const std::string& token,
                                   TokenIndex index) = 0;
@@ -57,6 +61,10 @@
   Awaitable<AttemptEnd> TryOn(const Placement& placement);
   Awaitable<AttemptEnd> Attempt(const Placement& placement,
                                 std::string traceparent);
+  /// Starts the next attempt's frames and returns what to ask the engine for.
+  GenerateRequest NextAttempt(const InstanceId& instance);
+  AttemptEnd OnRefusal(const Placement& placement, int status,
+                       const GenerateRequest& generate);
   Awaitable<AttemptEnd> ReadAnswer(const Placement& placement,
                                    HttpResponseStream& stream);
   Awaitable<bool> TakeFrames(std::string piece, class SseParser& parser);
@@ -65,6 +73,8 @@
   /// Returns a number in [0, 1).
   double Random();
   void CancelAt(const std::string& address);
+  /// Notes the engine's acceptance.
+  void OnAccepted(const Placement& placement);
   ApiError FailureOf(const AcquireResult& result) const;
   ApiError Cut() const;
 
@@ -75,6 +85,9 @@
   std::minstd_rand m_random;
   StreamAssembler m_assembler;
   AttemptNumber m_attempt;
+  std::uint32_t m_failures = 0;
+  /// The engine that holds the stream, once one has accepted the request.
+  std::optional<EnginePin> m_engine;
   /// Some engine has accepted the request.
   bool m_dispatched = false;
 };
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -3,13 +3,16 @@
 
 #include "yuccamoor/transport/gateway/chat_service.h"
 
+#include <iomanip>
 #include <optional>
+#include <random>
 #include <sstream>
 #include <utility>
 
 #include "chat_run.h"
+#include "chat_stream.h"
+#include "resume_store.h"
 #include "yuccamoor/protocol/request/call_response.h"
-#include "yuccamoor/protocol/sse.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
@@ -39,6 +42,7 @@
  public:
   explicit TextSink(HttpExchange& exchange) : m_exchange(exchange) {}
 
+  void OnAttempt(const StreamHandle& /*stream*/) override {}
   Awaitable<void> OnToken(const std::string& token,
                           TokenIndex /*index*/) override {
     m_text += token;
@@ -55,40 +59,6 @@
   std::string m_text;
 };
 
-/// Passes tokens on as events.
-class StreamSink final : public TokenSink {
- public:
-  StreamSink(HttpExchange& exchange, const ChatJob& job)
-      : m_exchange(exchange), m_job(job) {}
-
-  Awaitable<void> OnToken(const std::string& token, TokenIndex index) override {
-    co_await Start();
-    SseEvent event;
-    event.id = std::to_string(index.value());
-    event.data = EncodeChatChunk(m_job.id, m_job.target, token);
-    co_await m_exchange.Write(EncodeSse(event));
-  }
-  bool Committed() const override { return m_started; }
-  void Reset() override {}
-  bool CallerGone() override { return m_exchange.ClientGone(); }
-
-  /// Sends the header, once.
-  Awaitable<void> Start() {
-    if (m_started) co_return;
-    m_started = true;
-    HttpHeaders headers;
-    headers.Add("Content-Type", "text/event-stream");
-    headers.Add("Cache-Control", "no-store");
-    headers.Add(kRequestIdHeader, m_job.id.str());
-    co_await m_exchange.StartStream(200, std::move(headers));
-  }
-
- private:
-  HttpExchange& m_exchange;
-  const ChatJob& m_job;
-  bool m_started = false;
-};
-
 Awaitable<void> Refuse(HttpExchange& exchange, RequestScope& scope,
                        ApiError error) {
   scope.End(error.outcome, error.status, error.type);
@@ -117,34 +87,15 @@
   co_await exchange.Send(std::move(response));
 }
 
-Awaitable<void> WriteEvent(HttpExchange& exchange, std::string data) {
-  SseEvent event;
-  event.data = std::move(data);
-  co_await exchange.Write(EncodeSse(event));
-}
-
-Awaitable<void> AnswerStreamed(const ChatServices& services, const ChatJob& job,
-                               HttpExchange& exchange) {
-  StreamSink sink(exchange, job);
-  ChatRun run(services, job, sink);
-  std::optional<ApiError> error = co_await run.Execute();
-  if (error && !sink.Committed()) {
-    co_await Refuse(exchange, *job.scope, std::move(*error));
-    co_return;
-  }
-  if (error) {
-    job.scope->End(error->outcome, 200, error->type);
-    // The header has gone out: the error is an event, and the body is left
-    // without its end, so that no client takes the answer for whole.
-    co_await WriteEvent(exchange, EncodeApiError(*error));
-    co_return;
-  }
-  job.scope->End(Outcome::kAnswered, 200, "");
-  co_await sink.Start();
-  co_await WriteEvent(exchange,
-                      EncodeChatEnd(job.id, job.target, run.tokens()));
-  co_await WriteEvent(exchange, std::string(kChatDone));
-  co_await exchange.FinishStream();
+/// Returns an id that nobody can guess.
+RequestId NewGenerationId() {
+  constexpr int kWords = 4;
+  constexpr int kDigits = 8;
+  std::random_device device;
+  std::ostringstream text;
+  text << std::hex << std::setfill('0');
+  for (int i = 0; i < kWords; ++i) text << std::setw(kDigits) << device();
+  return RequestId(text.str());
 }
 
 /// Counts a request while it is served.
@@ -167,7 +118,13 @@
 }  // namespace
 
 ChatService::ChatService(ChatServices services, ChatOptions options)
-    : m_services(services), m_options(options) {}
+    : m_services(services),
+      m_options(options),
+      m_resume(std::make_unique<ResumeStore>(services.clock)) {}
+
+ChatService::~ChatService() = default;
+
+void ChatService::Tick() { m_resume->Tick(); }
 
 Awaitable<void> ChatService::Handle(HttpExchange& exchange, RequestId id) {
   const ActiveGuard guard(m_active);
@@ -196,35 +153,73 @@
   std::ostringstream target;
   target << job.target;
   scope.record().target = target.str();
+  scope.record().id = job.id;
   if (job.request.stream) {
-    co_await AnswerStreamed(m_services, job, exchange);
+    co_await AnswerStreamed(m_services, *m_resume, job, exchange);
     co_return;
   }
   co_await AnswerWhole(m_services, job, exchange);
 }
 
-std::optional<ApiError> ChatService::Prepare(const HttpRequest& request,
-                                             ChatJob& job) {
-  auto parsed = ParseChatRequest(request.body);
+Findings ChatService::ReadHeaders(const HttpRequest& request,
+                                  ChatJob& job) const {
+  Findings findings;
   bool valid_limit = true;
   job.deadline = RequestDeadline(request, m_options.default_deadline,
                                  m_services.clock.Now(), valid_limit);
-  if (!parsed || !valid_limit) {
+  if (!valid_limit) {
+    findings.Add(Place{"header", kTimeoutHeader, 0, 0},
+                 "is not a time limit in milliseconds");
+  }
+  job.generation = NewGenerationId();
+  const std::string_view last_event = request.headers.Find(kLastEventHeader);
+  if (last_event.empty()) return findings;
+  job.resume = DecodeStreamEventId(last_event);
+  const Place place{"header", kLastEventHeader, 0, 0};
+  if (!job.resume) {
+    findings.Add(place, "is no event id of a streamed answer");
+    return findings;
+  }
+  const StreamHandle& stream = job.resume->stream;
+  const std::string_view id = request.headers.Find(kRequestIdHeader);
+  if (!id.empty() && id != stream.request.str()) {
+    findings.Add(place, "is an event of another request");
+  }
+  job.generation = stream.generation;
+  job.id = stream.request;
+  return findings;
+}
+
+std::optional<AdapterVersion> ChatService::ResolveTarget(
+    const ConfigSnapshot& config, const ChatJob& job) {
+  const std::string& model = job.request.model;
+  const std::string& user = job.request.user;
+  auto target = config.Resolve(model, user.empty() ? job.id.str() : user);
+  if (!job.resume || target == job.resume->stream.target) return target;
+  // An alias may have moved on since, but the answer goes on as it was begun.
+  const bool alias = config.aliases.contains(model);
+  return alias ? std::optional(job.resume->stream.target) : std::nullopt;
+}
+
+std::optional<ApiError> ChatService::Prepare(const HttpRequest& request,
+                                             ChatJob& job) {
+  auto parsed = ParseChatRequest(request.body);
+  Findings findings = ReadHeaders(request, job);
+  if (!parsed) findings.Append(parsed.error());
+  if (parsed && job.resume && !parsed.value().stream) {
+    findings.Add(Place{"request", "/stream", 0, 0},
+                 "is not set, but an event id is given");
+  }
+  if (!findings.empty()) {
     ApiError error =
         MakeError(400, "invalid_request", "the request is not valid");
-    if (!parsed) error.findings = parsed.error();
-    if (!valid_limit) {
-      error.findings.Add(Place{"header", kTimeoutHeader, 0, 0},
-                         "is not a time limit in milliseconds");
-    }
+    error.findings = std::move(findings);
     return error;
   }
   job.request = std::move(parsed).value();
   const auto config = m_services.directory.Config();
   if (!config) return NotReady("no configuration is known");
-  const std::string& user = job.request.user;
-  const auto target =
-      config->Resolve(job.request.model, user.empty() ? job.id.str() : user);
+  const auto target = ResolveTarget(*config, job);
   const AdapterConfig* adapter =
       target ? config->FindAdapter(target->adapter) : nullptr;
   if (adapter != nullptr) {
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -179,6 +179,7 @@
 
 void Gateway::RefreshMembers() {
   m_proxy->Tick();
+  m_chat->Tick();
   MemberRegistry& members = m_daemon->members();
   if (!members.Known()) return;
   m_proxy->OnVmList(members.Vms());
--- a/lib/transport/standins/engine_core.cc
+++ b/lib/transport/standins/engine_core.cc
@@ -19,6 +19,11 @@
          stream.phase == StreamPhase::kRunning;
 }
 
+/// Whether the stream has ended whole or may still do so.
+bool CanFollow(const EngineStream& stream) {
+  return IsLive(stream) || stream.phase == StreamPhase::kFinished;
+}
+
 void WakeFollowers(EngineStream& stream) {
   std::erase_if(stream.followers, [](const auto& f) { return f.expired(); });
   for (const auto& follower : stream.followers) {
@@ -81,11 +86,13 @@
 std::pair<GenerateRefusal, EngineStreamPtr> EngineCore::Generate(
     const GenerateRequest& request) {
   const auto known = m_streams.find(request.request_id);
-  if (known != m_streams.end() && known->second->phase != StreamPhase::kCut) {
-    const GenerateRequest& first = known->second->request;
+  if (known != m_streams.end() && CanFollow(*known->second)) {
+    GenerateRequest& first = known->second->request;
     const bool same =
         first.target == request.target && first.prompt == request.prompt;
     if (!same) return {GenerateRefusal::kMismatch, nullptr};
+    first.attempt = std::max(first.attempt, request.attempt);
+    ++m_counters.attempts_joined;
     return {GenerateRefusal::kNone, known->second};
   }
   if (m_leaving) return {GenerateRefusal::kLeaving, nullptr};
@@ -108,9 +115,10 @@
   return {GenerateRefusal::kNone, stream};
 }
 
-bool EngineCore::Cancel(const RequestId& id) {
+bool EngineCore::Cancel(const RequestId& id, std::uint32_t attempt) {
   const auto found = m_streams.find(id);
   if (found == m_streams.end() || !IsLive(*found->second)) return false;
+  if (attempt < found->second->request.attempt) return false;
   ++m_counters.streams_cancelled;
   End(*found->second, StreamPhase::kCancelled);
   return true;
--- a/lib/transport/standins/engine_stand_in.cc
+++ b/lib/transport/standins/engine_stand_in.cc
@@ -185,7 +185,10 @@
   bool cancelled = false;
   if (json.is_object() && json.contains("request_id")) {
     const std::lock_guard lock(m_mutex);
-    cancelled = m_core.Cancel(json["request_id"].get<RequestId>());
+    constexpr std::uint32_t kLatest = 0xFFFF'FFFF;
+    const Json attempt = json.value("attempt", Json(kLatest));
+    cancelled = m_core.Cancel(json["request_id"].get<RequestId>(),
+                              GetUnsigned32(attempt));
   }
   const std::string body = Json{{"cancelled", cancelled}}.dump();
   co_await exchange.Send(JsonResponse(kHttpOk, body));
--- a/unittests/coordination/request/stream_test.cc
+++ b/unittests/coordination/request/stream_test.cc
@@ -173,4 +173,28 @@
   CHECK(table.size() == 0);
 }
 
+TEST_CASE("An answer is resumed at the caller's place", "[stream]") {
+  StreamAssembler assembler =
+      StreamAssembler::Resumed(kRequest, kTarget, kInstance, TokenIndex(2), 16);
+  CHECK_FALSE(assembler.CanAttempt(InstanceId("i2")));
+  REQUIRE(assembler.StartAttempt(AttemptNumber(1), kInstance) == TokenIndex(2));
+  CHECK(assembler.OnFrame(Frame(1)) == FrameVerdict::kDuplicate);
+  CHECK(assembler.OnFrame(Frame(2)) == FrameVerdict::kAccepted);
+  CHECK(assembler.Take() == std::vector<std::string>{"t2"});
+  CHECK(assembler.OnFrame(Frame(3, true)) == FrameVerdict::kAccepted);
+  CHECK(assembler.Whole());
+}
+
+TEST_CASE("Two writers of one stream add each event once", "[stream]") {
+  ResumeTable table{ResumeOptions()};
+  table.Open(kRequest, TimeMs(0), TokenIndex(1));
+  for (const std::uint64_t index : {1U, 2U, 1U, 2U, 3U, 5U}) {
+    const std::string text = "t" + std::to_string(index);
+    table.AppendAt(kRequest, TokenIndex(index), text, TimeMs(0));
+  }
+  CHECK(table.Resume(kRequest, TokenIndex(0)).status == ResumeStatus::kGap);
+  CHECK(table.Resume(kRequest, TokenIndex(1)).events ==
+        std::vector<std::string>{"t1", "t2", "t3"});
+}
+
 }  // namespace yuccamoor
--- a/unittests/coordination/residency/residency_client_test.cc
+++ b/unittests/coordination/residency/residency_client_test.cc
@@ -206,4 +206,27 @@
   CHECK(f.Sync().returns == std::vector<LeaseNumber>{kLease});
 }
 
+TEST_CASE("A stream goes on only on the engine life that holds it",
+          "[residency]") {
+  Fixture f;
+  ResidencyUpdate update = f.Grant(f.last);
+  update.grants.push_back(update.grants[0]);
+  update.grants[1].lease = LeaseNumber(8);
+  update.grants[1].worker = WorkerId("w2");
+  update.grants[1].instance = InstanceId("w2-1");
+  f.client.OnUpdate(update, f.now);
+  const EnginePin pin{WorkerId("w2"), InstanceId("w2-1")};
+  const EnginePin earlier{WorkerId("w2"), InstanceId("w2-0")};
+  for (int i = 0; i < 2; ++i) {
+    const auto placement = f.client.TryAcquireOn(kTarget, pin, f.now);
+    REQUIRE(placement);
+    CHECK(placement->worker == pin.worker);
+  }
+  // The other worker has credit, but not this stream.
+  CHECK_FALSE(f.client.TryAcquireOn(kTarget, pin, f.now));
+  CHECK_FALSE(f.client.HasRestarted(kTarget, pin));
+  CHECK_FALSE(f.client.TryAcquireOn(kTarget, earlier, f.now));
+  CHECK(f.client.HasRestarted(kTarget, earlier));
+}
+
 }  // namespace yuccamoor
--- a/unittests/protocol/request/request_codec_test.cc
+++ b/unittests/protocol/request/request_codec_test.cc
@@ -9,6 +9,7 @@
 #include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/protocol/request/leaving_gossip_codec.h"
 #include "yuccamoor/protocol/request/shard_record_codec.h"
+#include "yuccamoor/protocol/request/stream_event_id.h"
 
 namespace yuccamoor {
 namespace {
@@ -146,4 +147,50 @@
   CHECK(back.leaving[0].age == DurationMs(250));
 }
 
+TEST_CASE("An event id is read back exactly as it was given, or not at all",
+          "[request]") {
+  StreamHandle stream;
+  stream.request = RequestId("r\"1.2");
+  stream.generation = RequestId(std::string(32, 'a'));
+  stream.target = AdapterVersion{AdapterId("uyku"), VersionId("3")};
+  stream.worker = WorkerId("w1");
+  stream.instance = InstanceId("w1-7");
+  stream.attempt = AttemptNumber(2);
+  const std::string encoded = EncodeStreamHandle(stream);
+  const std::string text = EncodeStreamEventId(encoded, TokenIndex(12));
+  const auto read = DecodeStreamEventId(text);
+  REQUIRE(read.has_value());
+  CHECK(read->stream == stream);
+  CHECK(read->index == TokenIndex(12));
+
+  std::vector<std::string> wrong = {"",
+                                    "12",
+                                    encoded,
+                                    encoded + ".",
+                                    encoded + ".-1",
+                                    encoded + ".012",
+                                    encoded + ".12 ",
+                                    encoded + ".99999999999",
+                                    "2" + text.substr(1),
+                                    "1." + EncodeBase64("{}") + ".1",
+                                    std::string(5'000, '1')};
+  const auto add = [&](const StreamHandle& changed_stream) {
+    const std::string part = EncodeStreamHandle(changed_stream);
+    wrong.push_back(EncodeStreamEventId(part, TokenIndex(1)));
+  };
+  StreamHandle changed = stream;
+  changed.generation = RequestId("short");
+  add(changed);
+  changed = stream;
+  changed.request = RequestId("a\r\nSet-Cookie: b");
+  add(changed);
+  changed = stream;
+  changed.worker = WorkerId();
+  add(changed);
+  for (const std::string& id : wrong) {
+    CAPTURE(id);
+    CHECK_FALSE(DecodeStreamEventId(id).has_value());
+  }
+}
+
 }  // namespace yuccamoor
--- a/unittests/transport/platform/engine_contract_test.cc
+++ b/unittests/transport/platform/engine_contract_test.cc
@@ -74,11 +74,11 @@
   }
 
   HttpReply Generate(const std::string& id, std::uint32_t tokens,
-                     std::uint32_t resume_from = 0,
-                     const AdapterVersion& target = kTarget) {
+                     std::uint32_t resume_from = 0, std::uint32_t attempt = 1) {
     GenerateRequest request;
     request.request_id = RequestId(id);
-    request.target = target;
+    request.attempt = attempt;
+    request.target = kTarget;
     request.prompt = "hello";
     request.max_tokens = tokens;
     request.resume_from = resume_from;
@@ -201,6 +201,23 @@
     CHECK(cell.Order(OrderKind::kEvict, kTarget) == OrderStatus::kDone);
     CHECK(cell.Counters().at("evictions_in_use") == 0);
   }
+  SECTION("cancelled by an earlier attempt than the latest") {
+    auto follower = std::async(std::launch::async,
+                               [&] { return cell.Generate("r1", 9, 1, 2); });
+    const auto cancel = [&](int by) {
+      const Json body{{"request_id", "r1"}, {"attempt", by}};
+      return cell.host.Call(cell.engine, "POST", "/v1/cancel", body.dump())
+          .response.body;
+    };
+    while (cell.Counters().at("attempts_joined") == 0) {
+    }
+    CHECK(cancel(1) == R"({"cancelled":false})");
+    CHECK(cancel(2) == R"({"cancelled":true})");
+    CHECK(follower.get().progress == HttpProgress::kNoAnswer);
+    CHECK(cell.Generate("r1", 5, 2).response.status == 404);
+    CHECK(AnswerOf(cell.Generate("r1", 5)).has_value());
+    stream.get();
+  }
   SECTION("restarted empty") {
     const Json before = cell.Counters();
     cell.host.SetFaults(cell.engine, R"({"restart":true})");
