Admit chats by priority in place of the plain bound

A gateway at its bound refused whichever chat came next. Chats now pass an AdmissionGate over AdmissionQueue: max_requests run, a few wait by the class of their adapter, a higher class takes the seat of the lowest, and every refusal is told at once with a Retry-After spread over 1 to 2 s.

Calls to plain services keep RateShare and do not queue.

--- a/include/yuccamoor/transport/gateway/chat_service.h
+++ b/include/yuccamoor/transport/gateway/chat_service.h
@@ -5,7 +5,6 @@
 #ifndef YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
 #define YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
 
-#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -21,6 +20,8 @@
 
 namespace yuccamoor {
 
+class AdmissionGate;
+class AdmissionPass;
 class CellSession;
 class HttpClient;
 class HttpExchange;
@@ -53,6 +54,7 @@
 /// The service's limits.
 struct ChatOptions {
   DurationMs default_deadline{60'000};
+  /// Requests that run at once; further ones wait in a short queue.
   std::size_t max_requests = 10'000;
 };
 
@@ -85,10 +87,15 @@
   /// Forgets old events.
   void Tick();
 
-  std::size_t active() const { return m_active; }
+  /// Requests that run.
+  std::size_t active() const;
 
  private:
-  Awaitable<void> HandleAdmitted(HttpExchange& exchange, RequestScope& scope);
+  /// Waits for the request's turn; returns why it is refused, if it is.
+  Awaitable<std::optional<ApiError>> Admit(HttpExchange& exchange,
+                                           const ChatJob& job,
+                                           std::optional<AdmissionPass>& pass);
+  Awaitable<void> AnswerAdmitted(HttpExchange& exchange, const ChatJob& job);
   /// Fills in the job, or returns why the request is refused.
   std::optional<ApiError> Prepare(const HttpRequest& request, ChatJob& job);
   /// Reads what the caller's headers ask for.
@@ -100,7 +107,7 @@
   ChatServices m_services;
   ChatOptions m_options;
   std::unique_ptr<ResumeStore> m_resume;
-  std::atomic<std::size_t> m_active{0};
+  std::unique_ptr<AdmissionGate> m_gate;
 };
 
 }  // namespace yuccamoor
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -14,6 +14,7 @@
 #include "resume_store.h"
 #include "yuccamoor/protocol/request/call_response.h"
 #include "yuccamoor/transport/daemon/telemetry.h"
+#include "yuccamoor/transport/gateway/admission_gate.h"
 #include "yuccamoor/transport/gateway/api_response.h"
 #include "yuccamoor/transport/gateway/cell_session.h"
 #include "yuccamoor/transport/http_server.h"
@@ -87,6 +88,13 @@
   co_await exchange.Send(std::move(response));
 }
 
+AdmissionOptions GateOptions(const ChatOptions& options) {
+  AdmissionOptions gate;
+  gate.max_running = static_cast<std::uint32_t>(options.max_requests);
+  gate.retry_after = kRetryAfterOverload;
+  return gate;
+}
+
 /// Returns an id that nobody can guess.
 RequestId NewGenerationId() {
   constexpr int kWords = 4;
@@ -98,62 +106,69 @@
   return RequestId(text.str());
 }
 
-/// Counts a request while it is served.
-class ActiveGuard {
- public:
-  explicit ActiveGuard(std::atomic<std::size_t>& count) : m_count(count) {
-    m_position = ++m_count;
-  }
-  ~ActiveGuard() { --m_count; }
-  ActiveGuard(const ActiveGuard&) = delete;
-  ActiveGuard& operator=(const ActiveGuard&) = delete;
-
-  std::size_t position() const { return m_position; }
-
- private:
-  std::atomic<std::size_t>& m_count;
-  std::size_t m_position;
-};
-
 }  // namespace
 
 ChatService::ChatService(ChatServices services, ChatOptions options)
     : m_services(services),
       m_options(options),
-      m_resume(std::make_unique<ResumeStore>(services.clock)) {}
+      m_resume(std::make_unique<ResumeStore>(services.clock)),
+      m_gate(std::make_unique<AdmissionGate>(
+          GateOptions(options), services.clock, std::random_device()())) {}
 
 ChatService::~ChatService() = default;
 
 void ChatService::Tick() { m_resume->Tick(); }
 
+std::size_t ChatService::active() const { return m_gate->running(); }
+
 Awaitable<void> ChatService::Handle(HttpExchange& exchange, RequestId id) {
-  const ActiveGuard guard(m_active);
   RequestScope scope(m_services.telemetry, "gateway.chat", std::move(id),
                      exchange.request().headers.Find("traceparent"));
-  if (guard.position() > m_options.max_requests) {
-    ApiError error =
-        MakeError(503, "overloaded", "this gateway serves too many requests");
-    error.retry_after = kRetryAfterOverload;
-    co_await Refuse(exchange, scope, std::move(error));
-    co_return;
-  }
-  co_await HandleAdmitted(exchange, scope);
-}
-
-Awaitable<void> ChatService::HandleAdmitted(HttpExchange& exchange,
-                                            RequestScope& scope) {
   ChatJob job;
   job.id = scope.record().id;
   job.scope = &scope;
   std::optional<ApiError> error = Prepare(exchange.request(), job);
+  std::optional<AdmissionPass> pass;
+  if (!error) {
+    std::ostringstream target;
+    target << job.target;
+    scope.record().target = target.str();
+    scope.record().id = job.id;
+    error = co_await Admit(exchange, job, pass);
+  }
   if (error) {
     co_await Refuse(exchange, scope, std::move(*error));
     co_return;
   }
-  std::ostringstream target;
-  target << job.target;
-  scope.record().target = target.str();
-  scope.record().id = job.id;
+  co_await AnswerAdmitted(exchange, job);
+}
+
+Awaitable<std::optional<ApiError>> ChatService::Admit(
+    HttpExchange& exchange, const ChatJob& job,
+    std::optional<AdmissionPass>& pass) {
+  AdmissionWish wish;
+  wish.priority = job.priority;
+  wish.deadline = job.deadline;
+  wish.caller_gone = [&exchange] { return exchange.ClientGone(); };
+  AdmissionResult result = co_await m_gate->Enter(std::move(wish));
+  if (result.pass) {
+    pass.emplace(std::move(*result.pass));
+    co_return std::nullopt;
+  }
+  ApiError error = MakeError(504, "deadline_exceeded",
+                             "the request's time limit has passed");
+  if (result.refused) {
+    error =
+        MakeError(503, "overloaded", "this gateway serves too many requests");
+    error.retry_after = result.retry_after;
+  }
+  // What was begun earlier goes on at its engine.
+  if (job.resume) error.outcome = Outcome::kUnknown;
+  co_return error;
+}
+
+Awaitable<void> ChatService::AnswerAdmitted(HttpExchange& exchange,
+                                            const ChatJob& job) {
   if (job.request.stream) {
     co_await AnswerStreamed(m_services, *m_resume, job, exchange);
     co_return;
--- a/unittests/process/cluster.cc
+++ b/unittests/process/cluster.cc
@@ -108,6 +108,9 @@
                 {"vm_list", Address("vms")},
                 {"unready_time_ms", 500},
                 {"shutdown_grace_ms", 30'000}};
+  if (role == "gateway" && m_shape.max_requests > 0) {
+    settings["max_requests"] = m_shape.max_requests;
+  }
   Command command;
   command.program = ProgramPath("yuccamoor-" + role);
   command.port_file = m_folder + "/" + name + ".ports";
--- a/unittests/process/cluster.h
+++ b/unittests/process/cluster.h
@@ -26,6 +26,8 @@
   int adapters = 6;
   bool engines_check_epoch = false;
   int token_ms = 2;
+  /// The chats that a gateway runs at once; zero: its default.
+  int max_requests = 0;
 };
 
 /// Starts the processes in a folder of its own, publishes a configuration with
