--- a/include/yuccamoor/transport/gateway/chat_service.h
+++ b/include/yuccamoor/transport/gateway/chat_service.h
@@ -5,7 +5,6 @@
 #ifndef YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
 #define YUCCAMOOR_TRANSPORT_GATEWAY_CHAT_SERVICE_H_
 
-#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -13,6 +12,7 @@
 
 #include "yuccamoor/protocol/api_error.h"
 #include "yuccamoor/protocol/chat_api.h"
+#include "yuccamoor/protocol/request/stream_event_id.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/config_snapshot.h"
 #include "yuccamoor/state/ids.h"
@@ -20,11 +20,14 @@
 
 namespace yuccamoor {
 
+class AdmissionGate;
+class AdmissionPass;
 class CellSession;
 class HttpClient;
 class HttpExchange;
 struct HttpRequest;
 class RequestScope;
+class ResumeStore;
 class Telemetry;
 class WorkerPool;
 
@@ -51,12 +54,17 @@
 /// The service's limits.
 struct ChatOptions {
   DurationMs default_deadline{60'000};
+  /// Requests that run at once; further ones wait in a short queue.
   std::size_t max_requests = 10'000;
 };
 
 /// What a request is, once it has been found valid.
 struct ChatJob {
   RequestId id;
+  /// The id that engines know the request by.
+  RequestId generation;
+  /// The last event that a caller which reconnects has taken.
+  std::optional<StreamEventId> resume;
   ChatRequest request;
   AdapterVersion target;
   Priority priority = Priority::kNormal;
@@ -70,21 +78,36 @@
 class ChatService {
  public:
   ChatService(ChatServices services, ChatOptions options);
+  ~ChatService();
 
   /// Answers one POST /v1/chat/completions. \p id names the request in every
   /// hop.
   Awaitable<void> Handle(HttpExchange& exchange, RequestId id);
 
-  std::size_t active() const { return m_active; }
+  /// Forgets old events.
+  void Tick();
+
+  /// Requests that run.
+  std::size_t active() const;
 
  private:
-  Awaitable<void> HandleAdmitted(HttpExchange& exchange, RequestScope& scope);
+  /// Waits for the request's turn; returns why it is refused, if it is.
+  Awaitable<std::optional<ApiError>> Admit(HttpExchange& exchange,
+                                           const ChatJob& job,
+                                           std::optional<AdmissionPass>& pass);
+  Awaitable<void> AnswerAdmitted(HttpExchange& exchange, const ChatJob& job);
   /// Fills in the job, or returns why the request is refused.
   std::optional<ApiError> Prepare(const HttpRequest& request, ChatJob& job);
+  /// Reads what the caller's headers ask for.
+  Findings ReadHeaders(const HttpRequest& request, ChatJob& job) const;
+  /// Finds the target: that of the stream to go on with, or the one asked for.
+  static std::optional<AdapterVersion> ResolveTarget(
+      const ConfigSnapshot& config, const ChatJob& job);
 
   ChatServices m_services;
   ChatOptions m_options;
-  std::atomic<std::size_t> m_active{0};
+  std::unique_ptr<ResumeStore> m_resume;
+  std::unique_ptr<AdmissionGate> m_gate;
 };
 
 }  // namespace yuccamoor
--- a/unittests/process/cluster.cc
+++ b/unittests/process/cluster.cc
@@ -108,6 +108,9 @@
                 {"vm_list", Address("vms")},
                 {"unready_time_ms", 500},
                 {"shutdown_grace_ms", 30'000}};
+  if (role == "gateway" && m_shape.max_requests > 0) {
+    settings["max_requests"] = m_shape.max_requests;
+  }
   Command command;
   command.program = ProgramPath("yuccamoor-" + role);
   command.port_file = m_folder + "/" + name + ".ports";
@@ -293,7 +296,8 @@
   for (int i = 0; i < m_shape.engines; ++i) {
     const Json counters = ParseOrNull(
         m_http.Get(Address("engine" + std::to_string(i)), "/counters"));
-    if (counters.is_object()) sum += counters.value(name, std::uint64_t{0});
+    // An engine that is down counts nothing; a name that is no counter throws.
+    if (counters.is_object()) sum += GetUnsigned(counters.at(name));
   }
   return sum;
 }
