Give the overload test's first answer time to outlast two calls

The test takes the first chat, of 40 tokens at 50 ms, as still running while two more calls are made; on a loaded machine 2 s can pass meanwhile. With 120 tokens it has 6 s. Ruled out: freezing the engine, which ends its sessions.

--- a/unittests/process/overload_test.cc
+++ b/unittests/process/overload_test.cc
@@ -19,7 +19,7 @@
   Cluster cluster(shape);
   CheckAnswer(cluster.Chat(0, "a0@v1", "warm"), "a0@v1");
   StreamCaller caller;
-  constexpr std::uint32_t kTokens = 40;
+  constexpr std::uint32_t kTokens = 120;
   auto first =
       caller.Start(cluster.Address("gateway0"), "a0@v1", "story", kTokens);
   caller.AwaitTokens(1);
