Split the HTTP server's exchange and the client's connections off

BeastExchange is http_exchange now, the connections and their cache http_connection. No behaviour changes.

--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -4,88 +4,27 @@
 #include "yuccamoor/transport/http_client.h"
 
 #include <array>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <limits>
 #include <unordered_map>
-#include <vector>
 
+#include "http_connection.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
 namespace {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
-using Tcp = asio::ip::tcp;
+namespace http = boost::beast::http;
 using ErrorCode = boost::system::error_code;
 
 std::chrono::milliseconds ToChrono(DurationMs duration) {
   return std::chrono::milliseconds(duration.ms());
 }
 
-/// One connection to a server.
-struct Connection {
-  explicit Connection(const asio::any_io_executor& executor)
-      : stream(executor) {}
-
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-};
-
-using ConnectionPtr = std::unique_ptr<Connection>;
-
-/// Idle connections of one thread, by address.
-class ConnectionCache {
- public:
-  ConnectionPtr Take(const std::string& address) {
-    auto& idle = m_idle[address];
-    while (!idle.empty()) {
-      ConnectionPtr connection = std::move(idle.back());
-      idle.pop_back();
-      if (IsUsable(*connection)) return connection;
-    }
-    return nullptr;
-  }
-
-  void Put(const std::string& address, ConnectionPtr connection) {
-    constexpr std::size_t kMaxIdlePerAddress = 64;
-    auto& idle = m_idle[address];
-    if (idle.size() >= kMaxIdlePerAddress) return;
-    connection->stream.expires_never();
-    idle.push_back(std::move(connection));
-  }
-
- private:
-  /// An idle connection is usable if it is open and has nothing to read.
-  static bool IsUsable(Connection& connection) {
-    char byte = 0;
-    const auto got = ::recv(connection.stream.socket().native_handle(), &byte,
-                            1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  }
-
-  std::unordered_map<std::string, std::vector<ConnectionPtr>> m_idle;
-};
-
-std::optional<Tcp::endpoint> ParseEndpoint(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  ErrorCode error;
-  const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-  const int port = std::atoi(address.c_str() + colon + 1);
-  if (error || port <= 0 || port > std::numeric_limits<std::uint16_t>::max()) {
-    return std::nullopt;
-  }
-  return Tcp::endpoint(ip, static_cast<std::uint16_t>(port));
-}
-
 http::request<http::string_body> ToBeast(HttpRequest request,
                                          const std::string& address) {
   http::request<http::string_body> message;
@@ -113,8 +52,8 @@
 /// A response that is read by pieces. Gives its connection back when whole.
 class BeastResponseStream final : public HttpResponseStream {
  public:
-  BeastResponseStream(ConnectionCache& cache, std::string address,
-                      ConnectionPtr connection)
+  BeastResponseStream(HttpConnectionCache& cache, std::string address,
+                      HttpConnectionPtr connection)
       : m_cache(cache),
         m_address(std::move(address)),
         m_connection(std::move(connection)) {
@@ -192,9 +131,9 @@
     m_connection.reset();
   }
 
-  ConnectionCache& m_cache;
+  HttpConnectionCache& m_cache;
   std::string m_address;
-  ConnectionPtr m_connection;
+  HttpConnectionPtr m_connection;
   http::response_parser<http::buffer_body> m_parser;
   HttpProgress m_progress = HttpProgress::kNotSent;
   std::string m_error;
@@ -208,7 +147,8 @@
  public:
   explicit BeastClient(WorkerPool& pool) {
     for (std::size_t i = 0; i < pool.size(); ++i) {
-      m_caches.emplace(&pool.Context(i), std::make_unique<ConnectionCache>());
+      m_caches.emplace(&pool.Context(i),
+                       std::make_unique<HttpConnectionCache>());
     }
   }
 
@@ -246,18 +186,18 @@
       std::string address, HttpRequest request,
       HttpCallOptions options) override {
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
-    ConnectionCache& cache =
+    HttpConnectionCache& cache =
         *m_caches.at(&asio::query(executor, asio::execution::context));
     // One deadline for the connection and the exchange together.
     const auto deadline =
         std::chrono::steady_clock::now() + ToChrono(options.timeout);
-    ConnectionPtr connection;
+    HttpConnectionPtr connection;
     if (!options.fresh_connection) connection = cache.Take(address);
     std::string error;
     if (!connection) {
-      connection = std::make_unique<Connection>(executor);
+      connection = std::make_unique<HttpConnection>(executor);
       connection->stream.expires_at(deadline);
-      error = co_await Connect(*connection, address);
+      error = co_await connection->Connect(address);
     }
     connection->stream.expires_at(deadline);
     auto stream = std::make_unique<BeastResponseStream>(
@@ -271,22 +211,8 @@
   }
 
  private:
-  /// Connects within the stream's deadline. Returns an empty string, or why
-  /// there is no connection.
-  static Awaitable<std::string> Connect(Connection& connection,
-                                        const std::string& address) {
-    const auto endpoint = ParseEndpoint(address);
-    if (!endpoint) co_return "not an address: " + address;
-    ErrorCode error;
-    co_await connection.stream.async_connect(
-        *endpoint, asio::redirect_error(asio::use_awaitable, error));
-    if (error) co_return error.message();
-    connection.stream.socket().set_option(Tcp::no_delay(true), error);
-    co_return std::string();
-  }
-
   std::unordered_map<const asio::execution_context*,
-                     std::unique_ptr<ConnectionCache>>
+                     std::unique_ptr<HttpConnectionCache>>
       m_caches;
 };
 
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -4,7 +4,6 @@
 #include "yuccamoor/transport/http_server.h"
 
 #include <glog/logging.h>
-#include <sys/socket.h>
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -13,12 +12,12 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 
+#include "http_exchange.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
@@ -32,11 +31,6 @@
   return std::chrono::milliseconds(duration.ms());
 }
 
-template <class Message>
-void CopyHeaders(const HttpHeaders& from, Message& to) {
-  for (const auto& [name, value] : from) to.insert(name, value);
-}
-
 HttpRequest ToPlain(http::request<http::string_body>&& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
@@ -49,77 +43,6 @@
   return request;
 }
 
-/// One exchange on a connection.
-class BeastExchange final : public HttpExchange {
- public:
-  BeastExchange(beast::tcp_stream& stream, HttpRequest request, bool keep_alive,
-                DurationMs write_timeout)
-      : m_stream(stream),
-        m_request(std::move(request)),
-        m_keep_alive(keep_alive),
-        m_write_timeout(write_timeout) {}
-
-  const HttpRequest& request() const override { return m_request; }
-
-  Awaitable<void> Send(HttpResponse response) override {
-    http::response<http::string_body> message;
-    message.version(11);
-    message.result(static_cast<unsigned>(response.status));
-    CopyHeaders(response.headers, message);
-    if (response.headers.Find("Connection") == "close") m_keep_alive = false;
-    message.keep_alive(m_keep_alive);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
-    m_stream.expires_after(ToChrono(m_write_timeout));
-    co_await http::async_write(m_stream, message, asio::use_awaitable);
-    m_finished = true;
-  }
-
-  Awaitable<void> StartStream(int status, HttpHeaders headers) override {
-    http::response<http::empty_body> message;
-    message.version(11);
-    message.result(static_cast<unsigned>(status));
-    CopyHeaders(headers, message);
-    message.keep_alive(m_keep_alive);
-    message.chunked(true);
-    http::response_serializer<http::empty_body> serializer(message);
-    m_stream.expires_after(ToChrono(m_write_timeout));
-    co_await http::async_write_header(m_stream, serializer,
-                                      asio::use_awaitable);
-  }
-
-  Awaitable<void> Write(std::string_view chunk) override {
-    m_stream.expires_after(ToChrono(m_write_timeout));
-    const auto buffer = asio::buffer(chunk.data(), chunk.size());
-    co_await asio::async_write(m_stream, http::make_chunk(buffer),
-                               asio::use_awaitable);
-  }
-
-  Awaitable<void> FinishStream() override {
-    m_stream.expires_after(ToChrono(m_write_timeout));
-    co_await asio::async_write(m_stream, http::make_chunk_last(),
-                               asio::use_awaitable);
-    m_finished = true;
-  }
-
-  bool ClientGone() override {
-    char byte = 0;
-    const auto got = ::recv(m_stream.socket().native_handle(), &byte, 1,
-                            MSG_PEEK | MSG_DONTWAIT);
-    if (got == 0) return true;
-    return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
-  }
-
-  bool MayReuse() const { return m_finished && m_keep_alive; }
-
- private:
-  beast::tcp_stream& m_stream;
-  HttpRequest m_request;
-  bool m_keep_alive;
-  DurationMs m_write_timeout;
-  bool m_finished = false;
-};
-
 std::size_t HeaderBytes(const http::request<http::string_body>& message) {
   std::size_t bytes = message.target().size();
   for (const auto& field : message) {
