--- a/include/yuccamoor/protocol/request/call_response.h
+++ b/include/yuccamoor/protocol/request/call_response.h
@@ -29,18 +29,6 @@
 /// Endpoint's response: "true" if it is leaving.
 constexpr std::string_view kLeavingHeader = "Yuccamoor-Leaving";
 
-/// An error as a caller sees it.
-struct ErrorBody {
-  std::string type;
-  std::string message;
-  Outcome outcome = Outcome::kUnknown;
-  DurationMs retry_after;
-};
-
-/// Returns {"error":{"type","message","outcome","retry_after_ms"}} as text; the
-/// last part is there only if it is not zero.
-std::string EncodeErrorBody(const ErrorBody& error);
-
 /// Returns the value of a Retry-After header in whole seconds, rounded up.
 std::string RetryAfterSeconds(DurationMs retry_after);
 
--- a/lib/protocol/request/call_response.cc
+++ b/lib/protocol/request/call_response.cc
@@ -7,7 +7,7 @@
 #include <charconv>
 #include <system_error>
 
-#include "yuccamoor/protocol/json.h"
+#include "yuccamoor/protocol/api_error.h"
 
 namespace yuccamoor {
 namespace {
@@ -61,16 +61,6 @@
 
 }  // namespace
 
-std::string EncodeErrorBody(const ErrorBody& error) {
-  Json json = {{"type", error.type},
-               {"message", error.message},
-               {"outcome", OutcomeName(error.outcome)}};
-  if (error.retry_after > DurationMs(0)) {
-    json["retry_after_ms"] = error.retry_after;
-  }
-  return Json{{"error", std::move(json)}}.dump();
-}
-
 std::string RetryAfterSeconds(DurationMs retry_after) {
   const std::int64_t ms = std::max<std::int64_t>(retry_after.ms(), 0);
   return std::to_string((ms + kMsPerSecond - 1) / kMsPerSecond);
@@ -87,7 +77,7 @@
     response.body = end.answer->body;
     return response;
   }
-  ErrorBody error;
+  ApiError error;
   error.outcome = end.outcome;
   error.retry_after = end.retry_after;
   if (end.answer) {
@@ -103,7 +93,7 @@
     response.status = StatusOf(end);
   }
   response.content_type = "application/json";
-  response.body = EncodeErrorBody(error);
+  response.body = EncodeApiError(error);
   return response;
 }
 
