Write the tokens of a chat that came together as one piece

The gateway wrote each token by itself, while a relay passes on what it has read at once; and it built each chunk's JSON anew although all chunks of an answer differ in the token only. Tokens of one piece now leave in one write, and the rest of the chunk is encoded once.

The workload test calls the new encoder; its checks are the same. No test saw this change fail before, as it changes cost and not results.

--- a/include/yuccamoor/protocol/chat_api.h
+++ b/include/yuccamoor/protocol/chat_api.h
@@ -48,10 +48,18 @@
 /// Returns the body of a whole answer.
 std::string EncodeChatAnswer(const ChatAnswer& answer);
 
-/// Returns the data of one streamed token.
-std::string EncodeChatChunk(const RequestId& request,
-                            const AdapterVersion& target,
-                            std::string_view token);
+/// Encodes the data of an answer's streamed tokens. What all of them have in
+/// common is encoded once.
+class ChatChunkEncoder {
+ public:
+  ChatChunkEncoder(const RequestId& request, const AdapterVersion& target);
+
+  std::string Encode(std::string_view token) const;
+
+ private:
+  /// What follows the token.
+  std::string m_tail;
+};
 
 /// Returns the data of the event before the last, which tells that the answer
 /// is whole.
--- a/lib/protocol/chat_api.cc
+++ b/lib/protocol/chat_api.cc
@@ -83,13 +83,15 @@
   return json.dump();
 }
 
-std::string EncodeChatChunk(const RequestId& request,
-                            const AdapterVersion& target,
-                            std::string_view token) {
-  Json json = ChatHead(request, target, "chat.completion.chunk");
-  json["choices"] =
-      Json::array({{{"index", 0}, {"delta", {{"content", token}}}}});
-  return json.dump();
+ChatChunkEncoder::ChatChunkEncoder(const RequestId& request,
+                                   const AdapterVersion& target)
+    : m_tail(
+          R"(},"index":0}],)" +
+          ChatHead(request, target, "chat.completion.chunk").dump().substr(1)) {
+}
+
+std::string ChatChunkEncoder::Encode(std::string_view token) const {
+  return R"({"choices":[{"delta":{"content":)" + Json(token).dump() + m_tail;
 }
 
 std::string EncodeChatEnd(const RequestId& request,
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -267,6 +267,7 @@
       ++index;
     }
   }
+  co_await m_sink.Flush();
   co_return true;
 }
 
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -31,6 +31,8 @@
   /// Takes the next token. Throws when the caller has gone.
   virtual Awaitable<void> OnToken(const std::string& token,
                                   TokenIndex index) = 0;
+  /// Notes that no further token is at hand for now.
+  virtual Awaitable<void> Flush() = 0;
   /// Whether tokens have left the process, so that the answer cannot begin
   /// anew.
   virtual bool Committed() const = 0;
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -49,6 +49,7 @@
     m_text += token;
     co_return;
   }
+  Awaitable<void> Flush() override { co_return; }
   bool Committed() const override { return false; }
   void Reset() override { m_text.clear(); }
   bool CallerGone() override { return m_exchange.ClientGone(); }
--- a/lib/transport/gateway/chat_stream.cc
+++ b/lib/transport/gateway/chat_stream.cc
@@ -43,6 +43,7 @@
     co_await sink.OnToken(token, index);
     index = index.Next();
   }
+  co_await sink.Flush();
   if (sink.left()) co_return;
   co_await FinishWhole(job, exchange, sink,
                        static_cast<std::uint32_t>(index.value()));
@@ -72,7 +73,11 @@
 
 StreamSink::StreamSink(const Clock& clock, ResumeStore& store,
                        const ChatJob& job, HttpExchange& exchange)
-    : m_clock(clock), m_store(store), m_job(job), m_exchange(exchange) {}
+    : m_clock(clock),
+      m_store(store),
+      m_job(job),
+      m_exchange(exchange),
+      m_encoder(job.id, job.target) {}
 
 void StreamSink::OnAttempt(const StreamHandle& stream) {
   m_encoded_stream = EncodeStreamHandle(stream);
@@ -89,23 +94,24 @@
     if (HoldIsOver()) throw CallerGoneError();
     co_return;
   }
+  SseEvent event;
+  event.id = EncodeStreamEventId(m_encoded_stream, index);
+  event.data = m_encoder.Encode(token);
+  m_pending += EncodeSse(event);
+}
+
+Awaitable<void> StreamSink::Flush() {
+  if (left() || m_pending.empty()) co_return;
   // Without an event no caller can name the stream, so that none comes back.
   co_await Start();
+  const std::string events = std::exchange(m_pending, std::string());
   try {
-    co_await WriteToken(token, index);
+    co_await m_exchange.Write(events);
   } catch (const boost::system::system_error&) {
     NoteLeft();
   }
 }
 
-Awaitable<void> StreamSink::WriteToken(const std::string& token,
-                                       TokenIndex index) {
-  SseEvent event;
-  event.id = EncodeStreamEventId(m_encoded_stream, index);
-  event.data = EncodeChatChunk(m_job.id, m_job.target, token);
-  co_await m_exchange.Write(EncodeSse(event));
-}
-
 Awaitable<void> StreamSink::WriteData(std::string data) {
   SseEvent event;
   event.data = std::move(data);
--- a/lib/transport/gateway/chat_stream.h
+++ b/lib/transport/gateway/chat_stream.h
@@ -28,6 +28,8 @@
 
   void OnAttempt(const StreamHandle& stream) override;
   Awaitable<void> OnToken(const std::string& token, TokenIndex index) override;
+  /// Writes the tokens that came together as one piece.
+  Awaitable<void> Flush() override;
   bool Committed() const override { return m_started || m_job.resume; }
   void Reset() override {}
   bool CallerGone() override;
@@ -42,7 +44,6 @@
   const RequestId& key() const { return m_key; }
 
  private:
-  Awaitable<void> WriteToken(const std::string& token, TokenIndex index);
   void NoteLeft();
   bool HoldIsOver() const;
 
@@ -53,6 +54,9 @@
   /// What the events' ids begin with.
   std::string m_encoded_stream;
   RequestId m_key;
+  ChatChunkEncoder m_encoder;
+  /// Events that are not written yet.
+  std::string m_pending;
   bool m_started = false;
   /// When the caller was seen to have gone.
   std::optional<TimeMs> m_left_at;
--- a/unittests/protocol/chat_api_test.cc
+++ b/unittests/protocol/chat_api_test.cc
@@ -65,4 +65,17 @@
   CHECK(json.at("choices")[0].at("message").at("content") == answer.text);
 }
 
+TEST_CASE("A chunk is one JSON object, whatever the token is", "[chat]") {
+  const AdapterVersion target{AdapterId("diary"), VersionId("v1")};
+  const ChatChunkEncoder encoder(RequestId("r\"1"), target);
+  for (const std::string token : {"", "word ", "\"\n\\}]", "ş"}) {
+    const Json json = Json::parse(encoder.Encode(token));
+    CHECK(json.at("id") == "r\"1");
+    CHECK(json.at("object") == "chat.completion.chunk");
+    CHECK(json.at("model") == "diary@v1");
+    CHECK(json.at("choices")[0].at("index") == 0);
+    CHECK(json.at("choices")[0].at("delta").at("content") == token);
+  }
+}
+
 }  // namespace yuccamoor
--- a/unittests/transport/platform/workload_test.cc
+++ b/unittests/transport/platform/workload_test.cc
@@ -53,8 +53,8 @@
                  const std::string& request = "r") {
   std::string body;
   for (std::uint32_t i = 0; i < kTokens; ++i) {
-    body += Event(EncodeChatChunk(RequestId(request), target,
-                                  ExpectedToken(target, prompt, i)));
+    body += Event(ChatChunkEncoder(RequestId(request), target)
+                      .Encode(ExpectedToken(target, prompt, i)));
   }
   body += Event(EncodeChatEnd(RequestId(request), target, kTokens));
   return body + Event(std::string(kChatDone));
