Let gateways pass on changes of the member list instead of reading it

Cause: every daemon read all members and the list of VMs once a second, 136 KB/s of members for each daemon at 680 members, where all of control may take 3 KB/s.

Now each gateway reads the lists at an interval that grows with their size (500 B/s), and whoever finds a change passes it to four random peers, who do the same; digests exchanged every 10 s find what got lost. Entries are ordered by the service's versions, removals are remembered, and a list says nothing of what was learnt after its read was sent. Nobody has a special part, so that no reader has to be replaced. Lists up to 8 KB are read every second, as before.

Ruled out: readers for each failure domain, which need successors; watches of the prefix, whose reply carries every entry and which tell of no deletes; the same for schedulers.

A process that has removed its entry on shutdown no longer registers again in the time until it ends. The registration follows the first list at once, so that an incarnation is raised before anyone uses it.

--- a/include/yuccamoor/transport/daemon/member_registry.h
+++ b/include/yuccamoor/transport/daemon/member_registry.h
@@ -4,30 +4,43 @@
 #ifndef YUCCAMOOR_TRANSPORT_DAEMON_MEMBER_REGISTRY_H_
 #define YUCCAMOOR_TRANSPORT_DAEMON_MEMBER_REGISTRY_H_
 
-#include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <vector>
 
+#include "yuccamoor/coordination/membership/member_replica.h"
 #include "yuccamoor/coordination/membership/member_table.h"
 #include "yuccamoor/protocol/member_codec.h"
 #include "yuccamoor/state/clock.h"
 
 namespace yuccamoor {
 
+class JsonRpcDispatcher;
 class KeyValueService;
+class PeerChannel;
+
+/// What a registry uses. All of it must outlive the registry.
+struct MemberRegistryServices {
+  KeyValueService& key_value;
+  /// May be null.
+  VmList* vms;
+  PeerChannel& peers;
+  const Clock& clock;
+};
 
 /// The registry. Safe to use from several threads; its mutex is a leaf of the
 /// lock order.
 class MemberRegistry : public std::enable_shared_from_this<MemberRegistry> {
  public:
-  /// The services must outlive the registry. \p vms may be null.
   static std::shared_ptr<MemberRegistry> Create(Member self,
-                                                KeyValueService& key_value,
-                                                VmList* vms,
-                                                const Clock& clock);
+                                                MemberRegistryServices services,
+                                                MemberReplicaOptions options);
+
+  /// Adds the method by which peers exchange news.
+  void AddPeerMethods(JsonRpcDispatcher& dispatcher);
 
-  /// Reads the lists and registers what is not registered. Called about every
+  /// Does what is due, and registers what is not registered. Called about every
   /// second.
   void Refresh();
   /// Removes the process's own entry, on shutdown.
@@ -43,18 +56,27 @@
   std::vector<VmEntry> Vms() const;
 
  private:
-  MemberRegistry(Member self, KeyValueService& key_value, VmList* vms,
-                 const Clock& clock);
+  MemberRegistry(Member self, MemberRegistryServices services,
+                 const MemberReplicaOptions& options);
 
-  void OnMembers(const KvReply& reply, TimeMs sent);
+  /// Applies one input to the replica and carries out what it asks for.
+  template <class Input>
+  void Apply(Input input);
+  void UpdateTable(TimeMs now);
+  void Read();
+  void ReadVms();
+  void OnVms(std::optional<std::vector<VmEntry>> vms);
+  void Send(const MemberExchangeCall& call);
+  void Write(const KvRequest& request);
+  void OnWriteReply(const KvRequest& request, const KvReply& reply);
 
-  KeyValueService& m_key_value;
-  VmList* m_vm_list;
-  const Clock& m_clock;
+  MemberRegistryServices m_services;
   JsonMemberCodec m_codec;
   mutable std::mutex m_mutex;
   MemberTable m_table;
-  TimeMs m_listed_at;
+  MemberReplica m_replica;
+  bool m_removed = false;
+  bool m_vm_read_failed = false;
   std::vector<VmEntry> m_vms;
 };
 
--- a/lib/transport/daemon/daemon.cc
+++ b/lib/transport/daemon/daemon.cc
@@ -42,6 +42,15 @@
           .count()));
 }
 
+MemberReplicaOptions ReplicaOptionsOf(MemberRole role) {
+  MemberReplicaOptions options;
+  options.seed = std::random_device()();
+  // A candidate takes over when the listed successors are gone from its list,
+  // which must then be hardly older than what it saw of the leader's record.
+  if (role == MemberRole::kScheduler) options.read_bytes_per_second.reset();
+  return options;
+}
+
 std::string PathOf(const std::string& target) {
   return target.substr(0, target.find('?'));
 }
@@ -123,8 +132,11 @@
   self.failure_domain = m_settings.failure_domain;
   self.incarnation = FirstIncarnation();
   self.address = peer_address();
-  m_members = MemberRegistry::Create(std::move(self), *m_key_value,
-                                     m_vm_list.get(), m_clock);
+  m_members = MemberRegistry::Create(
+      std::move(self),
+      MemberRegistryServices{*m_key_value, m_vm_list.get(), *m_peers, m_clock},
+      ReplicaOptionsOf(role));
+  m_members->AddPeerMethods(m_dispatcher);
   m_config = ConfigHost::Create(
       ConfigHostServices{*m_key_value, *m_peers, *m_members, m_clock},
       m_settings, peer_address(), std::random_device()());
