--- a/include/yuccamoor/coordination/cell/cell_leader.h
+++ b/include/yuccamoor/coordination/cell/cell_leader.h
@@ -22,6 +22,7 @@
 
 #include "yuccamoor/coordination/backoff.h"
 #include "yuccamoor/coordination/cell/session_table.h"
+#include "yuccamoor/coordination/leadership/eviction_clearance.h"
 #include "yuccamoor/coordination/placement_policy.h"
 #include "yuccamoor/state/cell_state.h"
 #include "yuccamoor/state/clock.h"
@@ -102,6 +103,14 @@
   /// says nothing.
   void OnGateways(std::vector<NodeId> gateways);
 
+  /// Takes what the election lets this leader evict and grant. Without effect
+  /// on engines that check fencing numbers.
+  void OnClearance(EvictionClearance clearance, TimeMs now);
+
+  /// The evictions to announce: those wanted, and those ordered without a
+  /// result. None on engines that check fencing numbers.
+  std::set<SlotKey> EvictionsToAnnounce() const;
+
   /// Does what is due. \p order_deadline is the election's: no order is sent
   /// past it. Call it every few milliseconds and after each input.
   CellActions Tick(TimeMs now, TimeMs order_deadline);
@@ -208,6 +217,11 @@
   bool InheritedLoadsKnown(TimeMs now) const;
   bool MayOrderTo(const WorkerId& worker, TimeMs now) const;
   bool IsIdle(const SlotKey& key) const;
+  bool MayEvict(const SlotKey& key) const;
+  bool IsBarred(const SlotKey& key) const;
+  void DrainBarred(TimeMs now);
+  std::optional<LoadDecision> PlaceElsewhere(
+      const AdapterVersion& target) const;
   void Decide(TimeMs now);
   void Propose(const LoadDecision& decision, TimeMs now);
   void EvictDrained(TimeMs now, CellActions& actions);
@@ -233,6 +247,9 @@
   TimeMs m_may_order_from;
   TimeMs m_order_deadline;
   bool m_fencing = false;
+  EvictionClearance m_clearance;
+  /// Evictions whose orders have no result.
+  std::map<OrderNumber, SlotKey> m_open_evictions;
   bool m_superseded = false;
   std::unique_ptr<PlacementPolicy> m_policy;
   CellState m_state;
--- a/include/yuccamoor/coordination/cell/session_table.h
+++ b/include/yuccamoor/coordination/cell/session_table.h
@@ -16,14 +16,6 @@
 
 namespace yuccamoor {
 
-/// One adapter version on one worker.
-struct SlotKey {
-  WorkerId worker;
-  AdapterVersion target;
-
-  friend auto operator<=>(const SlotKey&, const SlotKey&) = default;
-};
-
 /// One grant as the leader keeps it.
 struct GrantRecord {
   ResidencyGrant grant;
--- a/include/yuccamoor/coordination/leadership/election.h
+++ b/include/yuccamoor/coordination/leadership/election.h
@@ -12,14 +12,17 @@
 #define YUCCAMOOR_COORDINATION_LEADERSHIP_ELECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
 #include "yuccamoor/coordination/config/kv_call.h"
+#include "yuccamoor/coordination/leadership/election_messages.h"
+#include "yuccamoor/coordination/leadership/eviction_clearance.h"
 #include "yuccamoor/coordination/leadership/leadership_record.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/ids.h"
@@ -47,6 +50,10 @@
   /// leader's requests for that. The same in every process.
   DurationMs hold{4'000};
   DurationMs hold_interval{500};
+  /// The shortest time between writes that announce evictions, which bounds the
+  /// writes of one cell, and the time between questions to an earlier leader.
+  DurationMs announce_interval{200};
+  DurationMs settle_interval{500};
   /// The longest time that an order can be under way.
   DurationMs order_timeout{1'000};
   /// Added per rank, so that candidates do not race.
@@ -56,46 +63,6 @@
   bool use_holds = true;
 };
 
-/// Leader to successor: do not take over for `hold` from receipt.
-struct HoldRequest {
-  CellId cell;
-  NodeId from;
-  Epoch epoch;
-  Sequence number;
-  DurationMs hold;
-};
-
-/// Successor to leader. Not granted if the successor reaches the service.
-struct HoldReply {
-  CellId cell;
-  NodeId from;
-  Epoch epoch;
-  Sequence number;
-  bool granted = false;
-};
-
-/// Asks for a message to a successor; its reply goes to OnHoldReply.
-struct SendHoldRequest {
-  Candidate to;
-  HoldRequest request;
-};
-
-/// This candidate now leads. Orders of an earlier leader can be under way until
-/// `may_order_from`.
-struct BecameLeader {
-  Epoch epoch;
-  TimeMs may_order_from;
-};
-
-/// Another candidate leads, or this one has stepped down.
-struct LostLeadership {
-  Epoch epoch;
-};
-
-using ElectionAction =
-    std::variant<KvCall, SendHoldRequest, BecameLeader, LostLeadership>;
-using ElectionActions = std::vector<ElectionAction>;
-
 /// One candidate's part in the leadership of one cell. Not thread-safe.
 class Election {
  public:
@@ -114,9 +81,23 @@
 
   void OnHoldReply(const HoldReply& reply);
 
-  /// Replaces the list of live candidates. It may list dead ones, but must
-  /// list every live one.
-  void OnCandidates(std::vector<Candidate> live);
+  /// Replaces the list of evictions that the leader wants to order or whose
+  /// orders have no result. To be told of each order before the next write.
+  void Announce(const std::set<SlotKey>& evictions);
+
+  /// What the leader may evict and grant at \p now, on engines that ignore
+  /// fencing numbers.
+  EvictionClearance Clearance(TimeMs now) const;
+
+  /// Answers a later leader. \p orders_open: orders of the term, or of one
+  /// before it, have no result yet.
+  SettleReply OnSettleRequest(const SettleRequest& request, bool orders_open,
+                              TimeMs now);
+
+  void OnSettleReply(const SettleReply& reply, TimeMs now);
+
+  /// Replaces the list of live candidates.
+  void OnCandidates(CandidateList candidates);
 
   /// Steps down: ends the authority at once and releases the record, so that a
   /// successor need not wait. The candidate never leads again.
@@ -150,6 +131,19 @@
     Sequence number;
     TimeMs sent;
     std::vector<Candidate> successors;
+    std::vector<SlotKey> evictions;
+  };
+  /// A successor's promise: the newest request that it granted, and its time.
+  struct Promise {
+    Sequence number;
+    TimeMs sent;
+  };
+  /// An earlier leader's term.
+  struct OpenTerm {
+    UnsettledTerm term;
+    /// When none of its evictions can be under way any more, once that is
+    /// known.
+    std::optional<TimeMs> ends;
   };
   /// The call whose reply is awaited.
   struct PendingCall {
@@ -165,8 +159,17 @@
   bool IsLive(const NodeId& id) const;
   std::size_t Rank() const;
   std::vector<Candidate> ChooseSuccessors() const;
+  std::vector<Candidate> NamedSuccessors() const;
   std::vector<Candidate> NeededPromises() const;
   TimeMs HoldDeadline() const;
+  void NoteLapse(TimeMs now);
+
+  bool NeedsAnnouncement() const;
+  bool MayOrderUnlisted(TimeMs now) const;
+  bool MayHaveUnlisted() const;
+  std::vector<UnsettledTerm> InheritTerms() const;
+  std::vector<UnsettledTerm> OpenTerms() const;
+  void SettleTerms(TimeMs now, ElectionActions& actions);
 
   void LeaderTick(TimeMs now, ElectionActions& actions);
   void CandidateTick(TimeMs now, ElectionActions& actions);
@@ -181,7 +184,7 @@
 
   ElectionOptions m_options;
   const RecordCodec* m_codec;
-  std::vector<Candidate> m_live;
+  CandidateList m_candidates;
   bool m_have_live = false;
 
   /// What was last seen of the record, and when its version first was.
@@ -208,10 +211,27 @@
 
   /// Own promise, and the promises of others by the send time of the request.
   TimeMs m_hold_until;
+  /// The authority has lapsed since the last renewal: a successor that is gone
+  /// by now may have led in between.
+  bool m_lapsed = false;
   Sequence m_last_hold;
   TimeMs m_next_hold;
   std::map<Sequence, TimeMs> m_hold_requests;
-  std::map<NodeId, TimeMs> m_promises;
+  std::map<NodeId, Promise> m_promises;
+
+  /// Evictions to announce, the time of the last write, and the last request
+  /// for promises before it.
+  std::set<SlotKey> m_evictions;
+  TimeMs m_last_write;
+  Sequence m_last_void_hold;
+  /// The newest promise that this candidate has given, and the changes of the
+  /// record that it has seen in this life.
+  Epoch m_granted_epoch;
+  Sequence m_granted_hold;
+  std::uint32_t m_changes_seen = 0;
+  std::vector<OpenTerm> m_open_terms;
+  TimeMs m_term_began;
+  TimeMs m_next_settle;
 };
 
 }  // namespace yuccamoor
--- a/include/yuccamoor/coordination/leadership/leadership_record.h
+++ b/include/yuccamoor/coordination/leadership/leadership_record.h
@@ -10,6 +10,7 @@
 
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/ids.h"
+#include "yuccamoor/state/residency.h"
 
 namespace yuccamoor {
 
@@ -26,6 +27,20 @@
 /// Whether the list has a candidate of that id.
 bool Contains(const std::vector<Candidate>& candidates, const NodeId& id);
 
+/// A term of an earlier leader, some of whose evictions may yet reach an engine
+/// that ignores fencing numbers: the leader may be paused right before it
+/// writes them.
+struct UnsettledTerm {
+  Candidate leader;
+  Incarnation incarnation;
+  Epoch epoch;
+  /// True: the leader may have ordered evictions that are not listed.
+  bool unlisted = false;
+  std::vector<SlotKey> evictions;
+
+  friend bool operator==(const UnsettledTerm&, const UnsettledTerm&) = default;
+};
+
 /// Who leads a cell. Every renewal writes it anew, so that its version in the
 /// service tells an observer that the leader lives.
 struct LeadershipRecord {
@@ -41,6 +56,12 @@
   /// The only candidates that may take over while any of them lives, in order
   /// of preference.
   std::vector<Candidate> successors;
+  /// On engines that ignore fencing numbers: what the leader may evict. Others
+  /// are ordered only on promises of every successor, and only on requests for
+  /// them that are numbered above `last_void_hold`.
+  std::vector<SlotKey> evictions;
+  Sequence last_void_hold;
+  std::vector<UnsettledTerm> unsettled;
 
   friend bool operator==(const LeadershipRecord&,
                          const LeadershipRecord&) = default;
--- a/include/yuccamoor/protocol/leadership_codec.h
+++ b/include/yuccamoor/protocol/leadership_codec.h
@@ -30,6 +30,11 @@
 Result<HoldRequest> DecodeHoldRequest(std::string_view text);
 Result<HoldReply> DecodeHoldReply(std::string_view text);
 
+std::string EncodeSettleRequest(const SettleRequest& request);
+std::string EncodeSettleReply(const SettleReply& reply);
+Result<SettleRequest> DecodeSettleRequest(std::string_view text);
+Result<SettleReply> DecodeSettleReply(std::string_view text);
+
 /// The answer of a scheduler that does not lead the cell. The leader's address
 /// is empty if it is not known.
 struct NotLeader {
--- a/include/yuccamoor/state/residency.h
+++ b/include/yuccamoor/state/residency.h
@@ -21,6 +21,14 @@
 
 namespace yuccamoor {
 
+/// One adapter version on one worker.
+struct SlotKey {
+  WorkerId worker;
+  AdapterVersion target;
+
+  friend auto operator<=>(const SlotKey&, const SlotKey&) = default;
+};
+
 /// Requests that wait at a gateway for an adapter version.
 struct ResidencyWant {
   AdapterVersion target;
--- a/include/yuccamoor/transport/daemon/member_registry.h
+++ b/include/yuccamoor/transport/daemon/member_registry.h
@@ -38,6 +38,9 @@
   bool Known() const;
   /// When the read began that gave the table.
   TimeMs ListedAt() const;
+  /// When the newest successful read of the list of VMs began; as ListedAt if
+  /// there is no such list.
+  TimeMs VmsListedAt() const;
   Incarnation incarnation() const;
   /// The last list of VMs; empty before the first.
   std::vector<VmEntry> Vms() const;
@@ -55,6 +58,7 @@
   mutable std::mutex m_mutex;
   MemberTable m_table;
   TimeMs m_listed_at;
+  TimeMs m_vms_listed_at;
   std::vector<VmEntry> m_vms;
 };
 
--- a/include/yuccamoor/transport/scheduler/cell_host.h
+++ b/include/yuccamoor/transport/scheduler/cell_host.h
@@ -5,6 +5,7 @@
 #ifndef YUCCAMOOR_TRANSPORT_SCHEDULER_CELL_HOST_H_
 #define YUCCAMOOR_TRANSPORT_SCHEDULER_CELL_HOST_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,7 +62,7 @@
   /// Takes the cell's configuration in force.
   void OnConfig(std::shared_ptr<const CellConfig> config);
   /// Takes the live candidates for the cell's leadership.
-  void OnCandidates(std::vector<Candidate> live);
+  void OnCandidates(CandidateList candidates);
   /// Takes the gateways that may live, from a list whose read began at
   /// \p listed_at.
   void OnGateways(std::vector<NodeId> gateways, TimeMs listed_at);
@@ -70,6 +71,8 @@
   std::string HandleSync(const ResidencySync& sync);
   /// Handles a leader's request not to take over.
   HoldReply HandleHold(const HoldRequest& request);
+  /// Handles a later leader's question for orders of an earlier term.
+  SettleReply HandleSettle(const SettleRequest& request);
 
   /// Does what is due. Called every few milliseconds.
   void Tick();
@@ -105,6 +108,8 @@
   void Send(const Outbox& outbox);
   void SendKvCall(const KvCall& call);
   void SendHold(const SendHoldRequest& request);
+  void SendSettle(const SendSettleRequest& request);
+  void CountOrders(const CellActions& actions);
   void SendUpdateTo(const SendUpdate& action);
   void SendOrderTo(const SendOrder& action);
   void SendReport(const WorkerConfig& worker);
@@ -121,6 +126,8 @@
   std::optional<CellLeader> m_leader;
   std::shared_ptr<const CellConfig> m_config;
   TimeMs m_leading_since;
+  /// Orders without a result, by the epoch of their term.
+  std::map<Epoch, std::size_t> m_open_orders;
   std::map<NodeId, std::string> m_reply_to;
   std::map<WorkerId, ReportSchedule> m_reports;
 };
--- a/lib/coordination/cell/cell_leader.cc
+++ b/lib/coordination/cell/cell_leader.cc
@@ -96,6 +96,7 @@
   NoteEnded(m_sessions.Expire(now), now);
   UpdateWorkers(now);
   LiftEvictionFence(now);
+  DrainBarred(now);
   UpdateBudget(now);
   CollectWaiting();
   if (now < m_order_deadline && !m_superseded) {
--- a/lib/coordination/cell/cell_orders.cc
+++ b/lib/coordination/cell/cell_orders.cc
@@ -65,9 +65,13 @@
   for (const SlotKey& key : m_changing) {
     const SlotState& slot = *FindSlot(key);
     if (slot.phase != SlotPhase::kLoading) continue;
-    const bool is_planned = m_slots.at(key).planned;
-    if (is_planned && now < slot.since + kDrainPatience) planned += 1;
-    if (is_planned || now < slot.since + longest) ++store.in_flight;
+    const SlotGuard& guard = m_slots.at(key);
+    // An order whose process was paused is written late.
+    const bool open =
+        guard.order && (!guard.order->unknown ||
+                        now < guard.order->latest_end + m_options.load_timeout);
+    if (guard.planned && now < slot.since + kDrainPatience) planned += 1;
+    if (guard.planned || open || now < slot.since + longest) ++store.in_flight;
   }
   store.tokens = m_tokens_at ? std::max(0.0, m_tokens - planned) : 0;
 }
@@ -97,7 +101,8 @@
   if (m_superseded || now >= m_order_deadline) return false;
   const WorkerGuard& guard = m_workers.at(worker);
   if (now < guard.clear_from) return false;
-  return m_fencing ? guard.fenced : now >= m_may_order_from;
+  if (m_fencing) return guard.fenced;
+  return now >= m_may_order_from && !m_clearance.all_barred;
 }
 
 bool CellLeader::IsIdle(const SlotKey& key) const {
@@ -118,6 +123,11 @@
   const SlotKey key{decision.worker, decision.target};
   if (!worker || !worker->usable || FindSlot(key)) return;
   if (!MayOrderTo(decision.worker, now)) return;
+  if (IsBarred(key)) {
+    const auto other = PlaceElsewhere(decision.target);
+    if (other) Propose(*other, now);
+    return;
+  }
   const auto waiting = m_state.waiting.find(decision.target);
   if (waiting != m_state.waiting.end() && now < waiting->second.retry_at) {
     return;
@@ -141,6 +151,7 @@
     SlotState& slot = *FindSlot(key);
     if (slot.phase != SlotPhase::kDraining || guard.order) continue;
     if (!MayOrderTo(key.worker, now) || !IsIdle(key)) continue;
+    if (!MayEvict(key)) continue;
     slot.phase = SlotPhase::kEvicting;
     slot.since = now;
     actions.emplace_back(MakeOrder(OrderKind::kEvict, key, now, guard.order));
@@ -215,6 +226,7 @@
   open = OpenOrder{m_last_order, now, false,
                    now + m_options.order_timeout + m_options.margin};
   const bool is_load = kind == OrderKind::kLoad;
+  if (!is_load && !m_fencing) m_open_evictions.emplace(m_last_order, key);
   SendOrder send;
   send.address = FindWorker(key.worker)->address;
   send.order = EngineOrder{m_state.cell, m_epoch,    m_last_order,
--- a/lib/coordination/cell/cell_reports.cc
+++ b/lib/coordination/cell/cell_reports.cc
@@ -150,6 +150,7 @@
 
 void CellLeader::OnOrderResult(const OrderResult& result, TimeMs now) {
   if (result.epoch != m_epoch) return;
+  m_open_evictions.erase(result.number);
   if (result.status == OrderStatus::kStaleEpoch) m_superseded = true;
   const auto worker = m_workers.find(result.worker);
   if (worker == m_workers.end()) return;
--- a/lib/coordination/cell/cell_sessions.cc
+++ b/lib/coordination/cell/cell_sessions.cc
@@ -124,10 +124,12 @@
   if (!slot || slot->phase != SlotPhase::kReady || !worker->usable) {
     return false;
   }
+  if (IsBarred(key)) return false;
   // An eviction that was ordered earlier may be under way, unless a gateway
   // holds a grant: then there was none.
-  return m_workers.at(key.worker).Trusted() ||
-         m_sessions.IsHeld(key, worker->instance);
+  const bool trusted =
+      m_workers.at(key.worker).Trusted() && !m_clearance.all_barred;
+  return trusted || m_sessions.IsHeld(key, worker->instance);
 }
 
 void CellLeader::GrantWants(const NodeId& gateway, Session& session) {
--- a/lib/coordination/leadership/election.cc
+++ b/lib/coordination/leadership/election.cc
@@ -12,6 +12,9 @@
 
 /// Writes that are remembered until they are settled.
 constexpr std::size_t kMaxAttempts = 32;
+/// Announced evictions of one record; the leader waits with others.
+constexpr std::size_t kMaxAnnounced = 256;
+
 Findings CheckOptions(const ElectionOptions& options) {
   Findings findings;
   Place place;
@@ -59,7 +62,13 @@
     const PendingCall call = *std::exchange(m_pending, std::nullopt);
     OnFailedCall(call, KvReply{}, now);
   }
+  NoteLapse(now);
   if (m_leading && !m_resigned && !m_kv_reachable) AskForHolds(now, actions);
+  if (m_leading) SettleTerms(now, actions);
+  if (NeedsAnnouncement()) {
+    m_next_call =
+        std::min(m_next_call, m_last_write + m_options.announce_interval);
+  }
   if (m_pending || now < m_next_call) return actions;
   if (m_leading) {
     LeaderTick(now, actions);
@@ -78,6 +87,11 @@
   LeadershipRecord record = *m_record;
   record.released = m_resigned;
   record.successors = ChooseSuccessors();
+  record.evictions.assign(m_evictions.begin(), m_evictions.end());
+  if (record.evictions.size() > kMaxAnnounced) {
+    record.evictions.resize(kMaxAnnounced);
+  }
+  record.unsettled = OpenTerms();
   Write(std::move(record), now, actions);
 }
 
@@ -91,6 +105,7 @@
   record.epoch = m_epoch.Next();
   record.leader = m_options.self;
   record.ttl = m_options.ttl;
+  record.unsettled = InheritTerms();
   record.successors = ChooseSuccessors();
   Write(std::move(record), now, actions);
 }
@@ -107,7 +122,10 @@
   m_last_attempt = m_last_attempt.Next();
   record.incarnation = m_options.incarnation;
   record.attempt = m_last_attempt;
-  m_attempts.push_back(Attempt{m_last_attempt, now, record.successors});
+  record.last_void_hold = m_last_void_hold = m_last_hold;
+  m_last_write = now;
+  m_attempts.push_back(
+      Attempt{m_last_attempt, now, record.successors, record.evictions});
   if (m_attempts.size() > kMaxAttempts) m_attempts.pop_front();
   m_last_call = m_last_call.Next();
   actions.emplace_back(KvCall{
@@ -148,6 +166,8 @@
   m_kv_reachable = reply.status == KvStatus::kRateLimited ||
                    reply.status == KvStatus::kTooLarge;
   if (!call.written) return;
+  // The promises so far cover no eviction that the record does not list.
+  m_next_hold = now;
   if (reply.status == KvStatus::kUnknown) {
     m_unsettled = true;
     m_read_first = true;
@@ -174,6 +194,7 @@
 void Election::Observe(const KvEntry& entry, TimeMs now,
                        ElectionActions& actions) {
   if (m_observed && entry.version == m_version) return;
+  if (m_observed) ++m_changes_seen;
   m_observed = true;
   m_version = entry.version;
   m_first_seen = now;
@@ -200,10 +221,17 @@
   if (attempt != m_attempts.end()) sent = attempt->sent;
   m_authority = std::max(m_authority, sent + m_options.ttl - m_options.margin);
   m_attempts.clear();
+  m_lapsed = false;
   if (m_leading) return;
   m_leading = true;
   m_promises.clear();
   m_hold_requests.clear();
+  m_evictions.clear();
+  m_open_terms.clear();
+  m_term_began = m_first_seen;
+  for (const UnsettledTerm& term : m_record->unsettled) {
+    m_open_terms.push_back(OpenTerm{term, std::nullopt});
+  }
   if (m_resigned) return;
   actions.emplace_back(BecameLeader{
       m_record->epoch, sent + m_options.order_timeout + m_options.margin});
--- a/lib/coordination/leadership/election_candidates.cc
+++ b/lib/coordination/leadership/election_candidates.cc
@@ -22,7 +22,7 @@
 }
 
 bool Election::IsLive(const NodeId& id) const {
-  return !m_have_live || Contains(m_live, id);
+  return !m_have_live || Contains(m_candidates.live, id);
 }
 
 bool Election::MayTakeOver(TimeMs now) const {
@@ -44,7 +44,9 @@
   if (m_record->leader.id == self || Contains(m_record->successors, self)) {
     return true;
   }
-  // Nobody that may hold a promise or take over by right is left.
+  // Nobody that may hold a promise or take over by right is left. An older list
+  // may miss a leader that has come since.
+  if (m_candidates.members_read < m_first_seen) return false;
   if (!m_have_live || IsLive(m_record->leader.id)) return false;
   return std::none_of(m_record->successors.begin(), m_record->successors.end(),
                       [&](const Candidate& c) { return IsLive(c.id); });
@@ -60,14 +62,15 @@
   }
   const std::size_t own = SpreadKey(m_options.cell, m_options.self.id);
   return static_cast<std::size_t>(
-      std::count_if(m_live.begin(), m_live.end(), [&](const Candidate& c) {
-        return SpreadKey(m_options.cell, c.id) < own;
-      }));
+      std::count_if(m_candidates.live.begin(), m_candidates.live.end(),
+                    [&](const Candidate& c) {
+                      return SpreadKey(m_options.cell, c.id) < own;
+                    }));
 }
 
 std::vector<Candidate> Election::ChooseSuccessors() const {
   std::vector<Candidate> others;
-  for (const Candidate& candidate : m_live) {
+  for (const Candidate& candidate : m_candidates.live) {
     if (candidate.id != m_options.self.id) others.push_back(candidate);
   }
   const auto same_domain = [&](const Candidate& c) {
@@ -87,8 +90,10 @@
   return others;
 }
 
-void Election::OnCandidates(std::vector<Candidate> live) {
-  m_live = std::move(live);
+void Election::OnCandidates(CandidateList candidates) {
+  // Whoever is gone from the list may have taken over before, if it could.
+  NoteLapse(candidates.vms_read);
+  m_candidates = std::move(candidates);
   m_have_live = true;
 }
 
--- a/lib/coordination/leadership/election_holds.cc
+++ b/lib/coordination/leadership/election_holds.cc
@@ -36,23 +36,39 @@
   }
 }
 
-std::vector<Candidate> Election::NeededPromises() const {
-  std::vector<Candidate> needed = m_record->successors;
+std::vector<Candidate> Election::NamedSuccessors() const {
+  std::vector<Candidate> named = m_record->successors;
   // A renewal whose answer was lost may have named other successors.
   for (const Attempt& attempt : m_attempts) {
-    AddMissing(attempt.successors, needed);
+    AddMissing(attempt.successors, named);
   }
+  return named;
+}
+
+std::vector<Candidate> Election::NeededPromises() const {
+  std::vector<Candidate> needed = NamedSuccessors();
+  if (m_lapsed) return needed;
   std::erase_if(needed, [&](const Candidate& c) { return !IsLive(c.id); });
   return needed;
 }
 
+void Election::NoteLapse(TimeMs now) {
+  if (m_leading && now >= OrderDeadline()) m_lapsed = true;
+}
+
 TimeMs Election::HoldDeadline() const {
   if (!m_options.use_holds || m_hold_requests.empty()) return TimeMs();
   TimeMs earliest = m_hold_requests.rbegin()->second;
-  for (const Candidate& successor : NeededPromises()) {
+  const std::vector<Candidate> needed = NeededPromises();
+  // A successor that the list does not name may have started since the list was
+  // read. It then takes over nothing for as long as a promise would last.
+  if (needed.size() < NamedSuccessors().size()) {
+    earliest = std::min(earliest, m_candidates.vms_read);
+  }
+  for (const Candidate& successor : needed) {
     const auto promise = m_promises.find(successor.id);
     if (promise == m_promises.end()) return TimeMs();
-    earliest = std::min(earliest, promise->second);
+    earliest = std::min(earliest, promise->second.sent);
   }
   return earliest + m_options.hold - m_options.margin;
 }
@@ -69,6 +85,9 @@
   }
   m_hold_until = std::max(m_hold_until, now + request.hold);
   reply.granted = true;
+  if (request.epoch > m_granted_epoch) m_granted_hold = Sequence();
+  m_granted_epoch = std::max(m_granted_epoch, request.epoch);
+  m_granted_hold = std::max(m_granted_hold, request.number);
   return reply;
 }
 
@@ -78,8 +97,10 @@
       request == m_hold_requests.end()) {
     return;
   }
-  TimeMs& promise = m_promises[reply.from];
-  promise = std::max(promise, request->second);
+  Promise& promise = m_promises[reply.from];
+  if (reply.number > promise.number) {
+    promise = Promise{reply.number, request->second};
+  }
 }
 
 }  // namespace yuccamoor
--- a/lib/protocol/leadership_codec.cc
+++ b/lib/protocol/leadership_codec.cc
@@ -19,6 +19,31 @@
   json.at("failure_domain").get_to(candidate.failure_domain);
 }
 
+static void to_json(Json& json, const SlotKey& key) {
+  json = Json{{"worker", key.worker}, {"target", key.target}};
+}
+
+static void from_json(const Json& json, SlotKey& key) {
+  json.at("worker").get_to(key.worker);
+  json.at("target").get_to(key.target);
+}
+
+static void to_json(Json& json, const UnsettledTerm& term) {
+  json = Json{{"leader", term.leader},
+              {"incarnation", term.incarnation},
+              {"epoch", term.epoch},
+              {"unlisted", term.unlisted},
+              {"evictions", term.evictions}};
+}
+
+static void from_json(const Json& json, UnsettledTerm& term) {
+  json.at("leader").get_to(term.leader);
+  json.at("incarnation").get_to(term.incarnation);
+  json.at("epoch").get_to(term.epoch);
+  json.at("unlisted").get_to(term.unlisted);
+  json.at("evictions").get_to(term.evictions);
+}
+
 static void to_json(Json& json, const LeadershipRecord& record) {
   json = Json{{"epoch", record.epoch},
               {"leader", record.leader},
@@ -26,7 +51,10 @@
               {"attempt", record.attempt},
               {"ttl_ms", record.ttl},
               {"released", record.released},
-              {"successors", record.successors}};
+              {"successors", record.successors},
+              {"evictions", record.evictions},
+              {"last_void_hold", record.last_void_hold},
+              {"unsettled", record.unsettled}};
 }
 
 static void from_json(const Json& json, LeadershipRecord& record) {
@@ -37,6 +65,11 @@
   json.at("ttl_ms").get_to(record.ttl);
   json.at("released").get_to(record.released);
   json.at("successors").get_to(record.successors);
+  // A record of an earlier release has none of these.
+  if (!json.contains("unsettled")) return;
+  json.at("evictions").get_to(record.evictions);
+  json.at("last_void_hold").get_to(record.last_void_hold);
+  json.at("unsettled").get_to(record.unsettled);
 }
 
 static void to_json(Json& json, const HoldRequest& request) {
@@ -71,6 +104,36 @@
   json.at("granted").get_to(reply.granted);
 }
 
+static void to_json(Json& json, const SettleRequest& request) {
+  json = Json{{"cell", request.cell},
+              {"to", request.to},
+              {"incarnation", request.incarnation},
+              {"epoch", request.epoch}};
+}
+
+static void from_json(const Json& json, SettleRequest& request) {
+  json.at("cell").get_to(request.cell);
+  json.at("to").get_to(request.to);
+  json.at("incarnation").get_to(request.incarnation);
+  json.at("epoch").get_to(request.epoch);
+}
+
+static void to_json(Json& json, const SettleReply& reply) {
+  json = Json{{"cell", reply.cell},
+              {"from", reply.from},
+              {"incarnation", reply.incarnation},
+              {"epoch", reply.epoch},
+              {"settled", reply.settled}};
+}
+
+static void from_json(const Json& json, SettleReply& reply) {
+  json.at("cell").get_to(reply.cell);
+  json.at("from").get_to(reply.from);
+  json.at("incarnation").get_to(reply.incarnation);
+  json.at("epoch").get_to(reply.epoch);
+  json.at("settled").get_to(reply.settled);
+}
+
 static void to_json(Json& json, const NotLeader& answer) {
   json = Json{{"not_leader", true}, {"leader", answer.leader_address}};
 }
@@ -115,6 +178,22 @@
   return DecodeMessage<HoldReply>(text, "hold reply");
 }
 
+std::string EncodeSettleRequest(const SettleRequest& request) {
+  return Json(request).dump();
+}
+
+std::string EncodeSettleReply(const SettleReply& reply) {
+  return Json(reply).dump();
+}
+
+Result<SettleRequest> DecodeSettleRequest(std::string_view text) {
+  return DecodeMessage<SettleRequest>(text, "settle request");
+}
+
+Result<SettleReply> DecodeSettleReply(std::string_view text) {
+  return DecodeMessage<SettleReply>(text, "settle reply");
+}
+
 std::string EncodeNotLeader(const NotLeader& answer) {
   return Json(answer).dump();
 }
--- a/lib/transport/daemon/member_registry.cc
+++ b/lib/transport/daemon/member_registry.cc
@@ -33,13 +33,15 @@
                    [self = shared_from_this(), sent = m_clock.Now()](
                        const KvReply& reply) { self->OnMembers(reply, sent); });
   if (m_vm_list == nullptr) return;
-  m_vm_list->Read(kCallTimeout, [self = shared_from_this()](
-                                    std::optional<std::vector<VmEntry>> vms) {
-    if (!vms) return;
-    const std::lock_guard lock(self->m_mutex);
-    self->m_table.OnVmList(*vms, self->m_clock.Now());
-    self->m_vms = std::move(*vms);
-  });
+  m_vm_list->Read(
+      kCallTimeout, [self = shared_from_this(), sent = m_clock.Now()](
+                        std::optional<std::vector<VmEntry>> vms) {
+        if (!vms) return;
+        const std::lock_guard lock(self->m_mutex);
+        self->m_table.OnVmList(*vms, self->m_clock.Now());
+        self->m_vms = std::move(*vms);
+        self->m_vms_listed_at = std::max(self->m_vms_listed_at, sent);
+      });
 }
 
 void MemberRegistry::OnMembers(const KvReply& reply, TimeMs sent) {
@@ -86,6 +88,11 @@
   return m_listed_at;
 }
 
+TimeMs MemberRegistry::VmsListedAt() const {
+  const std::lock_guard lock(m_mutex);
+  return m_vm_list == nullptr ? m_listed_at : m_vms_listed_at;
+}
+
 Incarnation MemberRegistry::incarnation() const {
   const std::lock_guard lock(m_mutex);
   return m_table.self().incarnation;
--- a/lib/transport/scheduler/cell_host.cc
+++ b/lib/transport/scheduler/cell_host.cc
@@ -16,9 +16,6 @@
 namespace yuccamoor {
 namespace {
 
-constexpr DurationMs kKvTimeout(500);
-constexpr DurationMs kPeerTimeout(500);
-constexpr DurationMs kReportTimeout(500);
 /// Reports are read often while the leader waits for one.
 constexpr DurationMs kBusyReportInterval(100);
 constexpr DurationMs kIdleReportInterval(1'000);
@@ -64,9 +61,9 @@
   if (m_leader) m_leader->OnConfig(*m_config);
 }
 
-void CellHost::OnCandidates(std::vector<Candidate> live) {
+void CellHost::OnCandidates(CandidateList candidates) {
   const std::lock_guard lock(m_mutex);
-  m_election->OnCandidates(std::move(live));
+  m_election->OnCandidates(std::move(candidates));
 }
 
 void CellHost::OnGateways(std::vector<NodeId> gateways, TimeMs listed_at) {
@@ -107,6 +104,13 @@
   return m_election->OnHoldRequest(request, m_services.clock.Now());
 }
 
+SettleReply CellHost::HandleSettle(const SettleRequest& request) {
+  const std::lock_guard lock(m_mutex);
+  const bool open =
+      !m_open_orders.empty() && m_open_orders.begin()->first <= request.epoch;
+  return m_election->OnSettleRequest(request, open, m_services.clock.Now());
+}
+
 void CellHost::Tick() {
   Outbox outbox;
   {
@@ -186,7 +190,19 @@
 
 void CellHost::TickLeader(TimeMs now, Outbox& outbox) {
   if (!m_leader) return;
-  Append(outbox.cell, m_leader->Tick(now, m_election->OrderDeadline()));
+  m_leader->OnClearance(m_election->Clearance(now), now);
+  CellActions actions = m_leader->Tick(now, m_election->OrderDeadline());
+  // Told before the orders leave, so that each later write lists them.
+  m_election->Announce(m_leader->EvictionsToAnnounce());
+  CountOrders(actions);
+  Append(outbox.cell, std::move(actions));
+}
+
+void CellHost::CountOrders(const CellActions& actions) {
+  for (const CellAction& action : actions) {
+    const auto* send = std::get_if<SendOrder>(&action);
+    if (send != nullptr) ++m_open_orders[send->order.epoch];
+  }
 }
 
 void CellHost::CollectDueReports(TimeMs now, Outbox& outbox) {
@@ -209,6 +225,7 @@
     std::visit(
         Overloaded{[this](const KvCall& call) { SendKvCall(call); },
                    [this](const SendHoldRequest& hold) { SendHold(hold); },
+                   [this](const SendSettleRequest& ask) { SendSettle(ask); },
                    [](const auto&) {}},
         action);
   }
@@ -221,79 +238,4 @@
   for (const WorkerConfig& worker : outbox.reports) SendReport(worker);
 }
 
-void CellHost::SendKvCall(const KvCall& call) {
-  m_services.key_value.Call(
-      call.request, kKvTimeout,
-      [self = shared_from_this(), id = call.id](const KvReply& reply) {
-        Outbox outbox;
-        {
-          const std::lock_guard lock(self->m_mutex);
-          const TimeMs now = self->m_services.clock.Now();
-          self->Apply(self->m_election->OnKvReply(id, reply, now), outbox);
-        }
-        self->Send(outbox);
-      });
-}
-
-void CellHost::SendHold(const SendHoldRequest& request) {
-  m_services.peers.Call(
-      request.to.address, "leadership.hold", EncodeHoldRequest(request.request),
-      kPeerTimeout,
-      [self = shared_from_this()](const std::optional<std::string>& text) {
-        if (!text) return;
-        const auto reply = DecodeHoldReply(*text);
-        if (!reply) return;
-        const std::lock_guard lock(self->m_mutex);
-        self->m_election->OnHoldReply(reply.value());
-      });
-}
-
-void CellHost::SendUpdateTo(const SendUpdate& action) {
-  std::string address;
-  {
-    const std::lock_guard lock(m_mutex);
-    const auto it = m_reply_to.find(action.update.gateway);
-    if (it == m_reply_to.end()) return;
-    address = it->second;
-  }
-  // A lost update does no harm: the next sync brings its contents again.
-  m_services.peers.Call(address, "residency.update",
-                        EncodeResidencyUpdate(action.update), kPeerTimeout,
-                        [](const std::optional<std::string>&) {});
-}
-
-void CellHost::SendOrderTo(const SendOrder& action) {
-  m_services.engines.Order(
-      action.address, action.order, action.send_before, action.timeout,
-      [self = shared_from_this()](const OrderResult& result) {
-        Outbox outbox;
-        {
-          const std::lock_guard lock(self->m_mutex);
-          if (!self->m_leader) return;
-          const TimeMs now = self->m_services.clock.Now();
-          self->m_leader->OnOrderResult(result, now);
-          self->TickLeader(now, outbox);
-        }
-        self->Send(outbox);
-      });
-}
-
-void CellHost::SendReport(const WorkerConfig& worker) {
-  m_services.engines.Report(
-      worker.address, kReportTimeout,
-      [self = shared_from_this(),
-       id = worker.id](const std::optional<EngineReport>& report) {
-        Outbox outbox;
-        {
-          const std::lock_guard lock(self->m_mutex);
-          self->m_reports[id].running = false;
-          if (!self->m_leader || !report || report->worker != id) return;
-          const TimeMs now = self->m_services.clock.Now();
-          self->m_leader->OnReport(*report, now);
-          self->TickLeader(now, outbox);
-        }
-        self->Send(outbox);
-      });
-}
-
 }  // namespace yuccamoor
--- a/lib/transport/scheduler/scheduler.cc
+++ b/lib/transport/scheduler/scheduler.cc
@@ -100,6 +100,14 @@
         if (!host) throw JsonRpcError("no candidate for this cell");
         return EncodeHoldReply(host->HandleHold(request.value()));
       });
+  m_daemon->AddPeerMethod(
+      "leadership.settle", [this](const std::string& parameters) {
+        const auto request = DecodeSettleRequest(parameters);
+        if (!request) throw JsonRpcError(request.error().ToString());
+        const auto host = Host(request.value().cell);
+        if (!host) throw JsonRpcError("no candidate for this cell");
+        return EncodeSettleReply(host->HandleSettle(request.value()));
+      });
 }
 
 void Scheduler::AddOperatorPaths() {
@@ -223,10 +231,12 @@
 void Scheduler::RefreshMembers() {
   if (!m_daemon->members().Known()) return;
   const TimeMs listed_at = m_daemon->members().ListedAt();
-  std::vector<Candidate> candidates;
+  CandidateList candidates;
+  candidates.members_read = listed_at;
+  candidates.vms_read = m_daemon->members().VmsListedAt();
   for (const Member& member :
        m_daemon->members().Live(MemberRole::kScheduler)) {
-    candidates.push_back(ToCandidate(member));
+    candidates.live.push_back(ToCandidate(member));
   }
   std::vector<NodeId> gateways;
   for (const Member& member : m_daemon->members().Live(MemberRole::kGateway)) {
--- a/unittests/coordination/cell/cell_leader_test.cc
+++ b/unittests/coordination/cell/cell_leader_test.cc
@@ -46,6 +46,10 @@
     const ResidencyTick tick = client.Tick(now);
     ready = tick.ready;
     if (tick.sync) Take(leader.OnSync(*tick.sync, now));
+    // Evictions are announced as soon as they are wanted.
+    EvictionClearance clearance;
+    clearance.announced = leader.EvictionsToAnnounce();
+    leader.OnClearance(clearance, now);
     Take(leader.Tick(now, now + DurationMs(1'000)));
   }
 
--- a/unittests/coordination/cell/cell_schedule_test.cc
+++ b/unittests/coordination/cell/cell_schedule_test.cc
@@ -96,6 +96,24 @@
   CHECK(takeovers > kSchedulesPerPart);
 }
 
+TEMPLATE_TEST_CASE_SIG("No late order ends a request in use", "[schedule]",
+                       ((std::uint64_t kPart), kPart), 0, 1, 2, 3, 4, 5, 6, 7) {
+  std::uint64_t late = 0;
+  std::uint64_t served = 0;
+  const std::uint64_t first = kPart * kSchedulesPerPart + 1;
+  for (std::uint64_t i = 0; i < kSchedulesPerPart; ++i) {
+    Schedule schedule = RandomSchedule(first + i, false);
+    schedule.write_pauses = true;
+    const Outcome outcome = CellWorld(schedule).Run();
+    late += outcome.late_evictions;
+    served += outcome.served;
+    if (outcome.violations.empty()) continue;
+    FAIL(Describe(Shrink(schedule)));
+  }
+  CHECK(late > kSchedulesPerPart / 50);
+  CHECK(served > 5 * kSchedulesPerPart);
+}
+
 TEST_CASE("Each planted mistake is found", "[schedule]") {
   struct Row {
     Mistake mistake;
@@ -103,6 +121,7 @@
     /// A fault that brings the mistake about sooner, on each of the gateways.
     FaultKind fault;
     std::string violation;
+    bool write_pauses = false;
   };
   const std::string old_order = "an order of an old epoch was carried out";
   const std::string evicted = "evicted";
@@ -115,12 +134,15 @@
       Row{Mistake::kDeadlineFromReceipt, true, FaultKind::kFreeze, evicted},
       Row{Mistake::kPromiseIgnored, true, FaultKind::kIsland, "two leaders"},
       Row{Mistake::kNoConfirmation, false, FaultKind::kFreeze, evicted},
-      Row{Mistake::kNoFullSync, true, FaultKind::kIsland, evicted});
+      Row{Mistake::kNoFullSync, true, FaultKind::kIsland, evicted},
+      Row{Mistake::kNotHonoured, false, FaultKind::kFreeze, evicted, true},
+      Row{Mistake::kUnannounced, false, FaultKind::kFreeze, evicted, true});
   bool found = false;
   std::uint64_t seed = 0;
   while (!found && ++seed <= kMostForMistake) {
     Schedule schedule = RandomSchedule(seed, row.engines_check_epoch);
     schedule.mistake = row.mistake;
+    schedule.write_pauses = row.write_pauses;
     for (std::size_t i = 0; i < kGateways; ++i) {
       constexpr DurationMs kSpacing{900};
       const TimeMs at = TimeMs(1'700) + kSpacing * static_cast<std::int64_t>(i);
--- a/unittests/coordination/cell/world/cell_world.cc
+++ b/unittests/coordination/cell/world/cell_world.cc
@@ -34,6 +34,10 @@
   return config;
 }
 
+bool PausesWrites(const Schedule& schedule) {
+  return schedule.engines_check_epoch || schedule.write_pauses;
+}
+
 double BurstOf(DurationMs bunching) {
   constexpr double kMsPerSecond = 1'000;
   return 1 + kStoreRate * static_cast<double>(bunching.ms()) / kMsPerSecond;
@@ -45,15 +49,14 @@
     : m_schedule(std::move(schedule)),
       m_random(m_schedule.seed),
       m_config(MakeConfig(m_schedule)),
-      m_meter(
-          kStoreRate,
-          BurstOf(m_schedule.engines_check_epoch ? kPausedBunching : kBunching),
-          kMaxInFlight),
+      m_meter(kStoreRate,
+              BurstOf(PausesWrites(m_schedule) ? kPausedBunching : kBunching),
+              kMaxInFlight),
       m_noise(m_schedule.noise) {
   const bool checks = m_schedule.engines_check_epoch &&
                       m_schedule.mistake != Mistake::kNoFencing;
   for (const WorkerConfig& worker : m_config.workers) {
-    m_engines.emplace_back(worker.id, kSlots, checks);
+    m_engines.emplace_back(worker.id, kSlots, checks, m_schedule.write_pauses);
   }
   for (std::size_t i = 0; i < kTargets; ++i) {
     m_targets.push_back(
--- a/unittests/coordination/cell/world/cell_world.h
+++ b/unittests/coordination/cell/world/cell_world.h
@@ -44,6 +44,8 @@
   std::uint64_t loads = 0;
   std::uint64_t evictions = 0;
   std::uint64_t takeovers = 0;
+  /// Evictions that reached an engine after a takeover.
+  std::uint64_t late_evictions = 0;
   /// Streams that were cancelled as accepted too late.
   std::uint64_t unconfirmed = 0;
   TimeMs last_load;
@@ -78,6 +80,7 @@
   struct Scheduler {
     std::optional<Election> election;
     std::optional<CellLeader> leader;
+    std::set<std::pair<Epoch, OrderNumber>> open_orders;
   };
   struct Request {
     AdapterVersion target;
@@ -129,8 +132,12 @@
   void Perform(std::size_t node, const CellActions& actions);
   void CallService(std::size_t node, const KvCall& call);
   void SendHold(std::size_t node, const SendHoldRequest& send);
+  void SendSettle(std::size_t node, const SendSettleRequest& send);
+  void Plant(EvictionClearance& clearance) const;
   void BeginTerm(std::size_t node, const BecameLeader& term);
   void SendToEngine(std::size_t node, const SendOrder& send);
+  bool IsLate(const EngineOrder& order) const;
+  void CheckLateEviction(const EngineOrder& order);
   void OnOrder(
       std::size_t worker, const EngineOrder& order,
       const std::function<void(OrderStatus, const InstanceId&)>& reply);
@@ -173,6 +180,8 @@
   std::array<TimeMs, kSchedulers> m_service_cut_until;
   std::array<std::array<TimeMs, kNodes>, kNodes> m_cut_until;
   StoreMeter m_meter;
+  /// Loads of an old epoch that are under way.
+  std::size_t m_late_loads = 0;
   Outcome m_outcome;
   bool m_noise;
   bool m_callers = true;
--- a/unittests/coordination/cell/world/fake_engine.h
+++ b/unittests/coordination/cell/world/fake_engine.h
@@ -31,8 +31,12 @@
 /// An engine's memory and the limits that it watches.
 class FakeEngine {
  public:
-  FakeEngine(WorkerId id, std::uint32_t slots, bool checks_epoch)
-      : m_id(std::move(id)), m_slots(slots), m_checks_epoch(checks_epoch) {}
+  FakeEngine(WorkerId id, std::uint32_t slots, bool checks_epoch,
+             bool allows_late_orders)
+      : m_id(std::move(id)),
+        m_slots(slots),
+        m_checks_epoch(checks_epoch),
+        m_allows_late_orders(allows_late_orders) {}
 
   /// Loses everything, as after a crash.
   void Restart() {
@@ -68,7 +72,9 @@
                                     Violations& violations) {
     if (order.epoch < m_highest) {
       if (m_checks_epoch) return OrderStatus::kStaleEpoch;
-      violations.push_back("an order of an old epoch was carried out");
+      if (!m_allows_late_orders) {
+        violations.push_back("an order of an old epoch was carried out");
+      }
     }
     m_highest = std::max(m_highest, order.epoch);
     if (order.kind == OrderKind::kEvict) return Evict(order, violations);
@@ -122,6 +128,9 @@
   WorkerId m_id;
   std::uint32_t m_slots;
   bool m_checks_epoch;
+  /// Leaders are paused before they write, so that orders of an old epoch come
+  /// late; the world checks them.
+  bool m_allows_late_orders;
   std::uint64_t m_life = 1;
   Epoch m_highest;
   Sequence m_sequence;
@@ -178,6 +187,8 @@
     return reply;
   }
 
+  const std::string& value() const { return m_value; }
+
  private:
   KvVersion m_version;
   std::string m_value;
--- a/unittests/coordination/cell/world/world_basics.h
+++ b/unittests/coordination/cell/world/world_basics.h
@@ -106,6 +106,10 @@
   kNoConfirmation,
   /// A new leader evicts before the gateways have told of their grants.
   kNoFullSync,
+  /// A new leader uses what an earlier one announced to evict.
+  kNotHonoured,
+  /// A leader evicts what it has not announced.
+  kUnannounced,
 };
 
 /// A schedule: everything that a run depends on.
@@ -119,6 +123,9 @@
   bool noise = true;
   /// Whether leaders may order on promises while the service is down.
   bool use_holds = true;
+  /// Whether leaders on engines that ignore fencing numbers are paused between
+  /// the check of an order and its write.
+  bool write_pauses = false;
   std::vector<Fault> faults;
 };
 
--- a/unittests/coordination/cell/world/world_schedulers.cc
+++ b/unittests/coordination/cell/world/world_schedulers.cc
@@ -20,6 +20,8 @@
   options.hold_interval = DurationMs(100);
   options.order_timeout = kOrderTimeout;
   options.stagger = DurationMs(30);
+  options.announce_interval = DurationMs(40);
+  options.settle_interval = DurationMs(100);
 }
 
 void Shorten(CellLeaderOptions& options) {
@@ -51,6 +53,7 @@
   if (!m_schedule.production_times) Shorten(options);
   Scheduler& scheduler = m_schedulers[node];
   scheduler.leader.reset();
+  scheduler.open_orders.clear();
   scheduler.election.emplace(
       Election::Create(options, m_codec, Local(node)).value());
 }
@@ -62,7 +65,8 @@
     for (std::size_t i = 0; i < kSchedulers; ++i) {
       if (m_processes[i].alive) live.push_back(CandidateAt(i));
     }
-    scheduler.election->OnCandidates(std::move(live));
+    scheduler.election->OnCandidates(
+        CandidateList{std::move(live), Local(node), Local(node)});
   }
   Perform(node, scheduler.election->Tick(Local(node)));
   if (!scheduler.leader || !Running(node)) return;
@@ -73,8 +77,21 @@
     if (m_processes[i].alive && listed) gateways.push_back(NameOf(i));
   }
   scheduler.leader->OnGateways(std::move(gateways));
-  Perform(node, scheduler.leader->Tick(Local(node),
-                                       scheduler.election->OrderDeadline()));
+  EvictionClearance clearance = scheduler.election->Clearance(Local(node));
+  Plant(clearance);
+  scheduler.leader->OnClearance(std::move(clearance), Local(node));
+  const CellActions actions =
+      scheduler.leader->Tick(Local(node), scheduler.election->OrderDeadline());
+  scheduler.election->Announce(scheduler.leader->EvictionsToAnnounce());
+  Perform(node, actions);
+}
+
+void CellWorld::Plant(EvictionClearance& clearance) const {
+  if (m_schedule.mistake == Mistake::kUnannounced) clearance.unlisted = true;
+  if (m_schedule.mistake == Mistake::kNotHonoured) {
+    clearance.barred.clear();
+    clearance.all_barred = false;
+  }
 }
 
 void CellWorld::Perform(std::size_t node, const ElectionActions& actions) {
@@ -83,6 +100,8 @@
       CallService(node, *call);
     } else if (const auto* send = std::get_if<SendHoldRequest>(&action)) {
       SendHold(node, *send);
+    } else if (const auto* settle = std::get_if<SendSettleRequest>(&action)) {
+      SendSettle(node, *settle);
     } else if (const auto* term = std::get_if<BecameLeader>(&action)) {
       BeginTerm(node, *term);
     } else {
@@ -133,6 +152,21 @@
   });
 }
 
+void CellWorld::SendSettle(std::size_t node, const SendSettleRequest& send) {
+  const std::size_t to = std::stoul(send.to.address);
+  const SettleRequest request = send.request;
+  Send(node, to, [this, node, to, request] {
+    Scheduler& asked = m_schedulers[to];
+    const bool open = !asked.open_orders.empty() &&
+                      asked.open_orders.begin()->first <= request.epoch;
+    const SettleReply reply =
+        asked.election->OnSettleRequest(request, open, Local(to));
+    Send(to, node, [this, node, reply] {
+      m_schedulers[node].election->OnSettleReply(reply, Local(node));
+    });
+  });
+}
+
 void CellWorld::BeginTerm(std::size_t node, const BecameLeader& term) {
   ++m_outcome.takeovers;
   CellLeaderOptions options;
@@ -158,77 +192,6 @@
   }
 }
 
-void CellWorld::SendToEngine(std::size_t node, const SendOrder& send) {
-  const std::uint64_t life = m_processes[node].life;
-  const EngineOrder order = send.order;
-  const auto done = std::make_shared<bool>(false);
-  const auto finish = [=, this](OrderStatus status,
-                                const InstanceId& instance) {
-    const OrderResult result{order.worker, order.epoch, order.number, status,
-                             instance};
-    DeliverToLife(node, life, [this, node, done, result] {
-      if (std::exchange(*done, true)) return;
-      CellLeader* const leader =
-          m_schedulers[node].leader ? &*m_schedulers[node].leader : nullptr;
-      if (leader) leader->OnOrderResult(result, Local(node));
-    });
-  };
-  if (Local(node) >= send.send_before) {
-    m_queue.After(DurationMs(1),
-                  [finish] { finish(OrderStatus::kNotSent, InstanceId()); });
-    return;
-  }
-  m_queue.After(send.timeout,
-                [finish] { finish(OrderStatus::kUnknown, InstanceId()); });
-  // Engines that ignore numbers are not proof against a pause between the check
-  // and the write; docs/design/residency.md says so.
-  DurationMs pause;
-  if (m_schedule.engines_check_epoch && m_noise && m_random.Chance(2)) {
-    pause = m_random.Duration(20, 1'500);
-    Freeze(node, pause);
-  }
-  const std::size_t worker =
-      order.worker == m_config.workers[0].id ? kFirstWorker : kFirstWorker + 1;
-  m_queue.After(pause, [=, this] {
-    if (m_processes[node].life != life || IsCut(node, worker)) return;
-    if (m_noise && m_random.Chance(3)) return;
-    const DurationMs transit = Transit(kOrderTimeout.ms() - 10);
-    m_queue.After(transit, [=, this] {
-      OnOrder(worker, order,
-              [=, this](OrderStatus status, const InstanceId& from) {
-                if (m_noise && m_random.Chance(5)) return;
-                m_queue.After(Transit(400),
-                              [finish, status, from] { finish(status, from); });
-              });
-    });
-  });
-}
-
-void CellWorld::OnOrder(
-    std::size_t worker, const EngineOrder& order,
-    const std::function<void(OrderStatus, const InstanceId&)>& reply) {
-  FakeEngine& engine = EngineAt(worker);
-  const auto status = engine.Handle(order, m_outcome.violations);
-  if (status) {
-    if (*status == OrderStatus::kDone) ++m_outcome.evictions;
-    reply(*status, engine.instance());
-    return;
-  }
-  ++m_outcome.loads;
-  m_outcome.last_load = now();
-  std::size_t in_flight = 0;
-  for (const FakeEngine& each : m_engines) in_flight += each.LoadsInFlight();
-  m_meter.OnLoad(now(), in_flight, m_outcome.violations);
-  const std::uint64_t life = engine.life();
-  const bool loaded = !(m_noise && m_random.Chance(10));
-  m_queue.After(m_random.Duration(60, 200), [=, this] {
-    FakeEngine& later = EngineAt(worker);
-    if (later.life() != life) return;
-    later.FinishLoad(order.target, loaded);
-    reply(loaded ? OrderStatus::kDone : OrderStatus::kFailed, later.instance());
-  });
-}
-
 void CellWorld::PublishReports() {
   for (std::size_t worker = kFirstWorker; worker < kNodes; ++worker) {
     for (std::size_t node = 0; node < kSchedulers; ++node) {
--- a/unittests/coordination/leadership/election_test.cc
+++ b/unittests/coordination/leadership/election_test.cc
@@ -67,7 +67,7 @@
       options.incarnation = Incarnation(1);
       options.use_holds = use_holds;
       m_nodes.push_back(Election::Create(options, m_codec, now).value());
-      m_nodes.back().OnCandidates(m_all);
+      m_nodes.back().OnCandidates(CandidateList{m_all, now, now});
       cut.push_back(false);
       frozen.push_back(false);
     }
@@ -196,6 +196,48 @@
   if (use_holds) CHECK(nodes.terms.size() == 1);
 }
 
+TEST_CASE("A leader that has lapsed skips no successor", "[election]") {
+  Candidates nodes(3);
+  nodes.Run(DurationMs(10'000));
+  const std::size_t leader = nodes.Leader();
+  REQUIRE(leader < 3);
+  nodes.cut[leader] = true;
+  nodes.frozen[leader] = true;
+  nodes.Run(DurationMs(6'000));
+  REQUIRE(nodes.Leader() < 3);
+  // The others are gone, but one of them has led meanwhile.
+  for (std::size_t i = 0; i < 3; ++i) nodes.frozen[i] = i != leader;
+  nodes.now = nodes.now + DurationMs(3'000);
+  const Candidate self{NodeId("n" + std::to_string(leader)), "addr",
+                       FailureDomainId("d" + std::to_string(leader))};
+  nodes[leader].OnCandidates(CandidateList{{self}, nodes.now, nodes.now});
+  nodes.Run(DurationMs(1'500));
+  CHECK_FALSE(nodes[leader].IsLeader(nodes.now));
+}
+
+TEST_CASE("Evictions are announced at a bounded rate of writes", "[election]") {
+  Candidates nodes(3);
+  nodes.Run(DurationMs(10'000));
+  const std::size_t leader = nodes.Leader();
+  REQUIRE(leader < 3);
+  const std::uint64_t before = nodes.service.writes;
+  for (int i = 0; i < 1'000; ++i) {
+    const SlotKey key{
+        WorkerId("w"),
+        AdapterVersion{AdapterId("a" + std::to_string(i)), VersionId("1")}};
+    nodes[leader].Announce({key});
+    CHECK_FALSE(nodes[leader].Clearance(nodes.now).announced.contains(key));
+    nodes.Run(kStep);
+  }
+  // Ten seconds at five writes a second.
+  CHECK(nodes.service.writes - before <= 51);
+  const SlotKey last{WorkerId("w"), {AdapterId("last"), VersionId("1")}};
+  nodes[leader].Announce({last});
+  nodes.Run(DurationMs(250));
+  CHECK(nodes[leader].Clearance(nodes.now).announced.contains(last));
+  CHECK_FALSE(nodes[leader].Clearance(nodes.now).unlisted);
+}
+
 TEST_CASE("A leader cut off alone gets no promise", "[election]") {
   Candidates nodes(3);
   nodes.Run(DurationMs(10'000));
