--- a/benchmarks/gateway/chat_host.cc
+++ b/benchmarks/gateway/chat_host.cc
@@ -103,7 +103,7 @@
       m_client(HttpClient::Create(pool)),
       m_leader(std::make_unique<GrantingLeader>(engine)),
       m_key_value(std::make_unique<LeaderRecord>()),
-      m_telemetry(Telemetry::Create(m_clock, "benchmark", "").value()) {
+      m_telemetry(std::make_unique<Telemetry>(m_clock, nullptr)) {
   ResidencyClientOptions options;
   options.cell = kCell;
   options.gateway = NodeId("gateway");
--- a/include/yuccamoor/transport/daemon/member_registry.h
+++ b/include/yuccamoor/transport/daemon/member_registry.h
@@ -51,6 +51,9 @@
   bool Known() const;
   /// When the read began that gave the table.
   TimeMs ListedAt() const;
+  /// When the newest successful read of the list of VMs began; as ListedAt if
+  /// there is no such list.
+  TimeMs VmsListedAt() const;
   Incarnation incarnation() const;
   /// The last list of VMs; empty before the first.
   std::vector<VmEntry> Vms() const;
@@ -65,7 +68,8 @@
   void UpdateTable(TimeMs now);
   void Read();
   void ReadVms();
-  void OnVms(std::optional<std::vector<VmEntry>> vms);
+  /// Takes a list whose read was sent at \p sent; nothing if it failed.
+  void OnVms(std::optional<std::vector<VmEntry>> vms, TimeMs sent);
   void Send(const MemberExchangeCall& call);
   void Write(const KvRequest& request);
   void OnWriteReply(const KvRequest& request, const KvReply& reply);
@@ -77,6 +81,7 @@
   MemberReplica m_replica;
   bool m_removed = false;
   bool m_vm_read_failed = false;
+  TimeMs m_vms_listed_at;
   std::vector<VmEntry> m_vms;
 };
 
--- a/lib/transport/daemon/member_registry.cc
+++ b/lib/transport/daemon/member_registry.cc
@@ -3,6 +3,7 @@
 
 #include "yuccamoor/transport/daemon/member_registry.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -126,13 +127,14 @@
 void MemberRegistry::ReadVms() {
   if (m_services.vms == nullptr) return;
   m_services.vms->Read(
-      kCallTimeout,
-      [self = shared_from_this()](std::optional<std::vector<VmEntry>> vms) {
-        self->OnVms(std::move(vms));
+      kCallTimeout, [self = shared_from_this(), sent = m_services.clock.Now()](
+                        std::optional<std::vector<VmEntry>> vms) {
+        self->OnVms(std::move(vms), sent);
       });
 }
 
-void MemberRegistry::OnVms(std::optional<std::vector<VmEntry>> vms) {
+void MemberRegistry::OnVms(std::optional<std::vector<VmEntry>> vms,
+                           TimeMs sent) {
   const std::lock_guard lock(m_mutex);
   m_vm_read_failed = !vms;
   if (!vms) return;
@@ -144,6 +146,7 @@
   m_replica.OnVmListBytes(bytes);
   m_table.OnVmList(*vms, m_services.clock.Now());
   m_vms = std::move(*vms);
+  m_vms_listed_at = std::max(m_vms_listed_at, sent);
 }
 
 void MemberRegistry::Send(const MemberExchangeCall& call) {
@@ -203,6 +206,11 @@
   return m_replica.listed_at();
 }
 
+TimeMs MemberRegistry::VmsListedAt() const {
+  const std::lock_guard lock(m_mutex);
+  return m_services.vms == nullptr ? m_replica.listed_at() : m_vms_listed_at;
+}
+
 Incarnation MemberRegistry::incarnation() const {
   const std::lock_guard lock(m_mutex);
   return m_table.self().incarnation;
