Keep replicas in separate failure domains, and play the loss of one

Replicas of a hot adapter went wherever it was cheapest, so that both could vanish with one failure domain, and no scenario showed such a loss.

A replica in a domain that holds the adapter already costs 1,000 waiter milliseconds more. Its test failed without that cost (worker w3 of the same domain was taken).

--- a/benchmarks/placement/cell_executor.cc
+++ b/benchmarks/placement/cell_executor.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::uint32_t kMaxInFlight = 8;
-constexpr std::uint32_t kFailureDomains = 3;
 
 CellState MakeState(const Scenario& scenario) {
   CellState state;
--- a/benchmarks/placement/measures.cc
+++ b/benchmarks/placement/measures.cc
@@ -22,6 +22,8 @@
 
 void Samples::Append(const Samples& other) {
   AppendTo(&stalls_ms, other.stalls_ms);
+  AppendTo(&stalls_before_ms, other.stalls_before_ms);
+  AppendTo(&stalls_after_ms, other.stalls_after_ms);
   AppendTo(&decisions_us, other.decisions_us);
   AppendTo(&proposals_us, other.proposals_us);
   answered += other.answered;
@@ -53,6 +55,8 @@
   Figures figures;
   figures.requests = samples.stalls_ms.size();
   figures.stall_ms = Summarise(samples.stalls_ms);
+  figures.stall_before_ms = Summarise(samples.stalls_before_ms);
+  figures.stall_after_ms = Summarise(samples.stalls_after_ms);
   const auto requests = static_cast<double>(figures.requests);
   if (figures.requests > 0) {
     figures.answered_share = static_cast<double>(samples.answered) / requests;
--- a/benchmarks/placement/measures.h
+++ b/benchmarks/placement/measures.h
@@ -17,6 +17,9 @@
   /// Time that each measured request waited for its adapter, in milliseconds;
   /// its whole deadline if it was refused or expired.
   std::vector<double> stalls_ms;
+  /// Those of requests that arrived shortly before and after half time.
+  std::vector<double> stalls_before_ms;
+  std::vector<double> stalls_after_ms;
   std::uint64_t answered = 0;
   std::uint64_t refused = 0;
   std::uint64_t expired = 0;
@@ -49,6 +52,8 @@
 struct Figures {
   std::size_t requests = 0;
   Distribution stall_ms;
+  Distribution stall_before_ms;
+  Distribution stall_after_ms;
   double answered_share = 0;
   double refused_share = 0;
   /// Requests that found their adapter resident and were answered.
--- a/benchmarks/placement/placement_benchmark.cc
+++ b/benchmarks/placement/placement_benchmark.cc
@@ -39,7 +39,7 @@
   app->add_option("--deployment", options->deployments, "karabag, atlas");
   app->add_option("--scenario", options->scenarios,
                   "steady, shift, power-cut, restarts, failing-loads, "
-                  "kv-outage, leader-kill; all if not given");
+                  "kv-outage, leader-kill, domain-loss; all if not given");
   app->add_option("--slots", options->slots, "adapter slots of each worker");
   app->add_option("--skew", options->skews, "exponents of the popularity");
   app->add_option("--load", options->loads, "multiples of the store's rate");
--- a/benchmarks/placement/run.cc
+++ b/benchmarks/placement/run.cc
@@ -19,6 +19,8 @@
 constexpr DurationMs kRestartTime{5'000};
 constexpr DurationMs kTakeoverTime{5'000};
 constexpr DurationMs kOutageTime{60'000};
+/// Length of the spans before and after half time that are looked at apart.
+constexpr DurationMs kAroundHalf{30'000};
 /// Time after the last arrival until the last request has ended.
 constexpr DurationMs kRunOut{125'000};
 constexpr double kMsPerSecond = 1'000;
@@ -102,6 +104,12 @@
       worker = (worker + 1) % m_scenario.deployment.workers;
     }
   }
+  if (m_scenario.kind == ScenarioKind::kDomainLoss) {
+    for (std::uint32_t worker = 0; worker < m_scenario.deployment.workers;
+         worker += kFailureDomains) {
+      m_events.Add(half, EventKind::kRestart, worker);
+    }
+  }
   if (m_scenario.kind == ScenarioKind::kKeyValueOutage) {
     m_events.Add(half, EventKind::kOrdersStop);
     m_events.Add(half + kOutageTime, EventKind::kOrdersResume);
@@ -203,6 +211,7 @@
   const TimeMs from = m_scenario.kind == ScenarioKind::kPowerCut
                           ? TimeMs()
                           : TimeMs() + m_scenario.warm_up;
+  const TimeMs half = TimeMs() + m_scenario.duration / 2;
   for (RequestIndex i = 0; i < m_workload.requests.size(); ++i) {
     const CallerRequest& request = m_workload.requests[i];
     const RequestRecord& record = m_executor.callers().record(i);
@@ -215,6 +224,12 @@
     const DurationMs stall =
         answered ? record.waited : request.deadline - request.arrival;
     m_samples.stalls_ms.push_back(static_cast<double>(stall.ms()));
+    if (request.arrival < half && half - request.arrival <= kAroundHalf) {
+      m_samples.stalls_before_ms.push_back(m_samples.stalls_ms.back());
+    }
+    if (request.arrival >= half && request.arrival - half < kAroundHalf) {
+      m_samples.stalls_after_ms.push_back(m_samples.stalls_ms.back());
+    }
   }
 }
 
--- a/benchmarks/placement/scenario.cc
+++ b/benchmarks/placement/scenario.cc
@@ -11,7 +11,7 @@
   return {ScenarioKind::kSteady,       ScenarioKind::kPopularityShift,
           ScenarioKind::kPowerCut,     ScenarioKind::kWorkerRestarts,
           ScenarioKind::kFailingLoads, ScenarioKind::kKeyValueOutage,
-          ScenarioKind::kLeaderKill};
+          ScenarioKind::kLeaderKill,   ScenarioKind::kDomainLoss};
 }
 
 std::string ToString(ScenarioKind kind) {
@@ -30,6 +30,8 @@
       return "kv-outage";
     case ScenarioKind::kLeaderKill:
       return "leader-kill";
+    case ScenarioKind::kDomainLoss:
+      return "domain-loss";
   }
   return "unknown";
 }
--- a/benchmarks/placement/scenario.h
+++ b/benchmarks/placement/scenario.h
@@ -28,11 +28,16 @@
   kKeyValueOutage,
   /// Nothing is ordered for some seconds and all statistics are lost.
   kLeaderKill,
+  /// At half time the workers of one failure domain vanish for good.
+  kDomainLoss,
 };
 
 /// Returns every kind, in the order of the report.
 std::vector<ScenarioKind> AllScenarioKinds();
 
+/// Failure domains of the workers, which take turns.
+constexpr std::uint32_t kFailureDomains = 3;
+
 /// Returns the kind's name in options and reports.
 std::string ToString(ScenarioKind kind);
 
--- a/include/yuccamoor/coordination/placement/weighted_policy.h
+++ b/include/yuccamoor/coordination/placement/weighted_policy.h
@@ -39,6 +39,8 @@
   struct Candidate {
     const WaitingTarget* waiting = nullptr;
     double worth = 0;
+    /// Usable workers that hold the target; known once adjusted.
+    std::uint32_t holders = 0;
     /// Whether the worth takes account of where the target is already.
     bool adjusted = false;
   };
@@ -58,8 +60,8 @@
   std::vector<LoadDecision> ChooseLoads(const CellState& state, TimeMs now,
                                         std::uint32_t allowed) const;
   std::optional<LoadDecision> PlaceTarget(
-      const CellState& state, const WaitingTarget& waiting, double worth,
-      TimeMs now, const std::vector<LoadDecision>& decided) const;
+      const CellState& state, const Candidate& candidate, TimeMs now,
+      const std::vector<LoadDecision>& decided) const;
   double Worth(const WaitingTarget& waiting, const CellState& state,
                TimeMs now) const;
   double PriorityWeight(Priority priority) const;
@@ -71,7 +73,7 @@
   double WaitingWorth(const WaitingTarget& waiting, const CellState& state,
                       TimeMs now) const;
   double BatchCost(const CellState& state, const WorkerState& worker) const;
-  LoadPlace FindPlace(const CellState& state, const WaitingTarget& waiting,
+  LoadPlace FindPlace(const CellState& state, const Candidate& candidate,
                       TimeMs now,
                       const std::vector<LoadDecision>& decided) const;
   LoadPlace PlaceOn(const CellState& state, const WorkerState& worker,
--- a/lib/coordination/placement/weighted_policy.cc
+++ b/lib/coordination/placement/weighted_policy.cc
@@ -84,13 +84,13 @@
       // A further replica speeds up the same waiters, so that each is worth
       // less than the one before.
       best.worth /= 1.0 + presence.holders;
+      best.holders = presence.holders;
       best.adjusted = true;
       std::push_heap(heap.begin(), heap.end(), IsWorthLess);
       continue;
     }
     --tries;
-    std::optional<LoadDecision> load =
-        PlaceTarget(state, waiting, best.worth, now, loads);
+    std::optional<LoadDecision> load = PlaceTarget(state, best, now, loads);
     heap.pop_back();
     if (load.has_value()) loads.push_back(*std::move(load));
   }
@@ -98,11 +98,13 @@
 }
 
 std::optional<LoadDecision> WeightedPolicy::PlaceTarget(
-    const CellState& state, const WaitingTarget& waiting, double worth,
-    TimeMs now, const std::vector<LoadDecision>& decided) const {
-  const LoadPlace place = FindPlace(state, waiting, now, decided);
-  if (place.worker == nullptr || place.cost >= worth) return std::nullopt;
-  LoadDecision load{waiting.target, place.worker->id, std::nullopt};
+    const CellState& state, const Candidate& candidate, TimeMs now,
+    const std::vector<LoadDecision>& decided) const {
+  const LoadPlace place = FindPlace(state, candidate, now, decided);
+  if (place.worker == nullptr || place.cost >= candidate.worth) {
+    return std::nullopt;
+  }
+  LoadDecision load{candidate.waiting->target, place.worker->id, std::nullopt};
   if (place.victim != nullptr) load.victim = place.victim->target;
   return load;
 }
--- a/lib/coordination/placement/weighted_policy_places.cc
+++ b/lib/coordination/placement/weighted_policy_places.cc
@@ -23,6 +23,21 @@
 /// Share of the idle worker's cost that counts without a queue.
 constexpr double kLeastPressure = 0.15;
 
+/// Cost of a replica in a failure domain that holds the target already.
+constexpr double kSharedDomainMs = 1'000;
+
+/// Returns the failure domains of usable workers that hold the target.
+std::vector<FailureDomainId> DomainsHolding(const CellState& state,
+                                            const AdapterVersion& target) {
+  std::vector<FailureDomainId> domains;
+  for (const WorkerState& worker : state.workers) {
+    if (worker.usable && Holds(worker, target)) {
+      domains.push_back(worker.failure_domain);
+    }
+  }
+  return domains;
+}
+
 double BatchFill(const WorkerState& worker) {
   if (worker.batch_capacity == 0) return 1;
   return static_cast<double>(worker.running) / worker.batch_capacity;
@@ -92,13 +107,20 @@
 }
 
 WeightedPolicy::LoadPlace WeightedPolicy::FindPlace(
-    const CellState& state, const WaitingTarget& waiting, TimeMs now,
+    const CellState& state, const Candidate& candidate, TimeMs now,
     const std::vector<LoadDecision>& decided) const {
+  const WaitingTarget& waiting = *candidate.waiting;
+  const std::vector<FailureDomainId> held =
+      candidate.holders > 0 ? DomainsHolding(state, waiting.target)
+                            : std::vector<FailureDomainId>();
   LoadPlace best;
   for (const WorkerState& worker : state.workers) {
     if (!worker.usable) continue;
-    const double cost =
+    double cost =
         BatchCost(state, worker) + waiting.waiters * BacklogMs(state, worker);
+    const bool shared = std::find(held.begin(), held.end(),
+                                  worker.failure_domain) != held.end();
+    if (shared) cost += kSharedDomainMs;
     if (best.worker != nullptr && cost >= best.cost) continue;
     if (Holds(worker, waiting.target)) continue;
     LoadPlace place = PlaceOn(state, worker, now, decided);
--- a/unittests/coordination/placement/policy_differential_test.cc
+++ b/unittests/coordination/placement/policy_differential_test.cc
@@ -114,7 +114,7 @@
   const auto kind =
       GENERATE(ScenarioKind::kSteady, ScenarioKind::kPopularityShift,
                ScenarioKind::kWorkerRestarts, ScenarioKind::kFailingLoads,
-               ScenarioKind::kLeaderKill);
+               ScenarioKind::kLeaderKill, ScenarioKind::kDomainLoss);
   const Scenario scenario = Light(kind);
   INFO(ToString(kind));
   CHECK(CountUnanswered(scenario, MakeNaive) == 0);
--- a/unittests/coordination/placement/policy_test.cc
+++ b/unittests/coordination/placement/policy_test.cc
@@ -54,6 +54,22 @@
   CHECK(decision.loads[0].victim == Target(1));
 }
 
+TEST_CASE("A replica goes to a failure domain without one", "[placement]") {
+  CellState state = MakeCell(4, 2);
+  REQUIRE(state.workers[0].failure_domain == state.workers[3].failure_domain);
+  state.workers[0].occupied = {ReadySlot(Target(1), kNow)};
+  state.workers[0].running = state.workers[0].batch_capacity;
+  // The least loaded worker shares the first replica's domain.
+  state.workers[1].running = 4;
+  state.workers[2].running = 2;
+  AddWaiting(&state, Target(1), 4, TimeMs(99'000), kDeadline);
+  const auto policy = std::move(WeightedPolicy::Create({}).value());
+  const PlacementDecision decision = policy->Decide(state, kNow);
+  REQUIRE(decision.loads.size() == 1);
+  CHECK(decision.loads[0].target == Target(1));
+  CHECK(decision.loads[0].worker == WorkerId("w2"));
+}
+
 TEST_CASE("No policy repeats what is under way", "[placement]") {
   CellState state = MakeCell(1, 2);
   AddWaiting(&state, Target(1), 1, TimeMs(99'000), kDeadline);
