Read chunks that came together as one piece

The HTTP client returned each chunk of a body by itself, also when more was in its buffer, so that the gateway made a write for each token when it was behind. A profile had two thirds of its system time in sends.

--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -176,6 +176,7 @@
                          : std::optional(std::string(piece.data(), got));
     }
     std::string text(piece.data(), got);
+    TakeBuffered(piece, text);
     if (m_parser.is_done()) {
       Finish();
       if (text.empty()) co_return std::nullopt;
@@ -186,6 +187,23 @@
  private:
   static constexpr std::size_t kPieceBytes = 16'384;
 
+  /// Appends what has been read ahead, so that chunks which came together are
+  /// one piece. An error shows again at the next read.
+  void TakeBuffered(std::array<char, kPieceBytes>& piece, std::string& text) {
+    auto& buffer = m_connection->buffer;
+    auto& body = m_parser.get().body();
+    while (buffer.size() > 0 && !m_parser.is_done() &&
+           text.size() < kPieceBytes) {
+      body.data = piece.data();
+      body.size = piece.size();
+      ErrorCode error;
+      const std::size_t used = m_parser.put(buffer.data(), error);
+      buffer.consume(used);
+      text.append(piece.data(), piece.size() - body.size);
+      if (used == 0 || (error && error != http::error::need_buffer)) return;
+    }
+  }
+
   void Finish() {
     m_whole = true;
     if (m_parser.keep_alive()) m_cache.Put(m_address, std::move(m_connection));
