--- a/include/yuccamoor/protocol/daemon_settings.h
+++ b/include/yuccamoor/protocol/daemon_settings.h
@@ -53,7 +53,8 @@
   /// Where callers connect.
   ListenAddress listen;
   std::size_t max_body_bytes = 1'048'576;
-  /// Requests that may wait or run at once.
+  /// Chats that run at once, those that wait for an adapter included; a few
+  /// more wait in a queue by priority.
   std::size_t max_requests = 10'000;
   /// The deadline of a request that names none.
   DurationMs default_deadline{60'000};
--- a/lib/transport/observability/daemon_setting_infos.cc
+++ b/lib/transport/observability/daemon_setting_infos.cc
@@ -33,7 +33,7 @@
   std::vector<SettingInfo> infos = DaemonSettingInfos();
   infos.push_back({"listen", kString, "Where callers connect, ip:port"});
   infos.push_back({"max_body_bytes", kScalar, "Longest body of a request"});
-  infos.push_back({"max_requests", kScalar, "Requests that wait or run"});
+  infos.push_back({"max_requests", kScalar, "Chats that run at once"});
   infos.push_back(
       {"default_deadline_ms", kScalar, "Deadline of a request without one"});
   return infos;
