List adapters and where they are

Need: "yuccamoorctl adapters" asked for /admin/adapters, which no daemon had.

A scheduler that leads answers with one row for each adapter version and slot of its cells. The list is bounded by the slots; every configured adapter would be 170,000 rows.

The new process test failed without the path (no "adapters" in the answer) and passes with it.

--- a/lib/transport/scheduler/scheduler.cc
+++ b/lib/transport/scheduler/scheduler.cc
@@ -27,15 +27,16 @@
   return Candidate{member.id, member.address, member.failure_domain};
 }
 
+constexpr const char* kPhaseNames[] = {"loading", "ready", "draining",
+                                       "evicting"};
+
 Json EncodeWorkers(const CellState& state) {
-  constexpr const char* kPhases[] = {"loading", "ready", "draining",
-                                     "evicting"};
   Json workers = Json::array();
   for (const WorkerState& worker : state.workers) {
     Json slots = Json::array();
     for (const SlotState& slot : worker.occupied) {
       slots.push_back({{"target", slot.target},
-                       {"phase", kPhases[static_cast<int>(slot.phase)]},
+                       {"phase", kPhaseNames[static_cast<int>(slot.phase)]},
                        {"running", slot.running},
                        {"grants", slot.grants}});
     }
@@ -51,6 +52,20 @@
   return workers;
 }
 
+/// One row for each adapter version and worker that has a slot for it.
+void AppendAdapters(const CellStatus& status, Json& rows) {
+  for (const WorkerState& worker : status.state.workers) {
+    for (const SlotState& slot : worker.occupied) {
+      rows.push_back({{"target", slot.target},
+                      {"cell", status.cell},
+                      {"worker", worker.id},
+                      {"phase", kPhaseNames[static_cast<int>(slot.phase)]},
+                      {"running", slot.running},
+                      {"grants", slot.grants}});
+    }
+  }
+}
+
 Json EncodeStatus(const CellStatus& status) {
   return Json{{"cell", status.cell},
               {"leading", status.leading},
@@ -134,6 +149,14 @@
     }
     return JsonResponse(200, cells.dump());
   });
+  m_daemon->AddOperatorPath("/admin/adapters", [this](const HttpRequest&) {
+    Json rows = Json::array();
+    for (const auto& host : Hosts()) {
+      const CellStatus status = host->Status();
+      if (status.leading) AppendAdapters(status, rows);
+    }
+    return JsonResponse(200, Json{{"adapters", std::move(rows)}}.dump());
+  });
 }
 
 void Scheduler::UpdateMetrics() {
--- a/unittests/process/whole_path_test.cc
+++ b/unittests/process/whole_path_test.cc
@@ -112,4 +112,19 @@
   CHECK(cluster.Process("gateway0").Wait() == 0);
 }
 
+TEST_CASE("The leader lists adapters and where they are", "[process]") {
+  Cluster cluster(ClusterShape{});
+  CheckAnswer(cluster.Chat(0, "a0@v1", "warm"), "a0@v1");
+  const std::string leader = cluster.LeaderName();
+  REQUIRE_FALSE(leader.empty());
+  const Json answer = Json::parse(cluster.http().Get(
+      cluster.Address(leader + "/operator"), "/admin/adapters"));
+  REQUIRE(answer.contains("adapters"));
+  REQUIRE(answer.at("adapters").size() == 1);
+  const Json& row = answer.at("adapters")[0];
+  CHECK(row.at("target") == "a0@v1");
+  CHECK(row.at("cell") == "cell");
+  CHECK(row.at("phase") == "ready");
+}
+
 }  // namespace yuccamoor
