Suggest the command that a mistyped one meant

yuccamoorctl told only that a subcommand is required. It now adds the nearest command by edit distance, also below "config". The function that the check of configuration fields had for it moves to protocol/nearest_name, as CLI11 has none.

Seen before: "yuccamoorctl statsu" without a hint. Now: did you mean "status"?; "config histroy": did you mean "history"? Names further than three edits get none. Adapters are not suggested, as no command takes an adapter's name.

--- a/lib/protocol/config/config_schema_check.cc
+++ b/lib/protocol/config/config_schema_check.cc
@@ -2,7 +2,6 @@
 /// \brief Checks of JSON against the schema table.
 
 #include <algorithm>
-#include <numeric>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -11,44 +10,24 @@
 #include "yuccamoor/protocol/config/config_json.h"
 #include "yuccamoor/protocol/config/config_schema.h"
 #include "yuccamoor/protocol/config/config_text.h"
+#include "yuccamoor/protocol/nearest_name.h"
 
 namespace yuccamoor {
 namespace {
 
 constexpr double kMostTargets = 64;
 constexpr double kMostWeight = 1'000'000;
-/// Names further apart than this are no likely slip of the keyboard.
-constexpr std::size_t kLikelySlip = 3;
-
-std::size_t EditDistance(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  std::iota(row.begin(), row.end(), 0);
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    std::size_t diagonal = row[0];
-    row[0] = i + 1;
-    for (std::size_t j = 0; j < b.size(); ++j) {
-      const std::size_t replaced = diagonal + (a[i] == b[j] ? 0 : 1);
-      diagonal = row[j + 1];
-      row[j + 1] = std::min({replaced, row[j] + 1, row[j + 1] + 1});
-    }
-  }
-  return row.back();
-}
 
 std::string HintForUnknown(std::string_view name, const ObjectSchema& schema) {
-  const FieldSchema* nearest = nullptr;
-  std::size_t distance = kLikelySlip + 1;
+  std::vector<std::string> names;
   std::string known;
   for (const FieldSchema& field : schema) {
+    names.emplace_back(field.name);
     known += known.empty() ? field.name : std::string(", ") + field.name;
-    const std::size_t d =
-        EditDistance(name.substr(0, kLongestConfigName), field.name);
-    if (d >= distance) continue;
-    distance = d;
-    nearest = &field;
   }
-  if (nearest == nullptr) return "known fields: " + known;
-  return std::string("did you mean \"") + nearest->name + "\"?";
+  const std::string nearest = NearestName(name, names);
+  if (nearest.empty()) return "known fields: " + known;
+  return "did you mean \"" + nearest + "\"?";
 }
 
 Place Below(const Place& place, std::string_view name) {
--- a/tools/yuccamoorctl/main.cc
+++ b/tools/yuccamoorctl/main.cc
@@ -12,6 +12,7 @@
 #include "node_commands.h"
 #include "table.h"
 #include "yuccamoor/protocol/config/config_text.h"
+#include "yuccamoor/protocol/nearest_name.h"
 
 namespace yuccamoor {
 namespace {
@@ -129,6 +130,23 @@
   });
 }
 
+/// Writes which command was meant, if a word that is no command is near one.
+void SuggestCommand(const CLI::App& app) {
+  const CLI::App* chosen = &app;
+  while (!chosen->get_subcommands().empty()) {
+    chosen = chosen->get_subcommands().front();
+  }
+  const auto typed = app.remaining(true);
+  std::vector<std::string> names;
+  for (const CLI::App* command : chosen->get_subcommands({})) {
+    names.push_back(command->get_name());
+  }
+  const std::string nearest =
+      typed.empty() ? std::string() : NearestName(typed.front(), names);
+  if (nearest.empty()) return;
+  std::cerr << "did you mean \"" << nearest << "\"?\n";
+}
+
 int Show(const CommandResult& result, bool json) {
   if (!result.error.empty()) {
     std::cerr << "yuccamoorctl: " << result.error << '\n';
@@ -172,7 +190,13 @@
                  "POST", "/admin/drain");
   AddExplain(app, options, chosen);
   AddConfig(app, options, chosen);
-  CLI11_PARSE(app, argc, argv);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int exit_code = app.exit(error);
+    if (exit_code != 0) SuggestCommand(app);
+    return exit_code;
+  }
   return Show(chosen(), options.json);
 }
 
