Make the stand-ins a library of their own

Cause: the fakes of the platform's services were compiled into the transport library, which the daemons link and which nobody should take for a part of the product. They are below standins now; tests, the load tool, the gateway benchmark and the stand-in programs link them, and the layer check refuses an include of them from a layer. Files are moved, not changed.

--- a/benchmarks/gateway/main.cc
+++ b/benchmarks/gateway/main.cc
@@ -18,7 +18,7 @@
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/engine_codec.h"
 #include "yuccamoor/protocol/platform/generation.h"
-#include "yuccamoor/transport/standins/engine_stand_in.h"
+#include "yuccamoor/standins/engine_stand_in.h"
 
 namespace yuccamoor {
 namespace {
--- a/include/yuccamoor/transport/standins/answer_check.h
+++ b/include/yuccamoor/standins/answer_check.h
@@ -2,8 +2,8 @@
 /// \brief Checks a streamed answer: whether it is whole, by the right target,
 /// and the answer to its own request.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_ANSWER_CHECK_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_ANSWER_CHECK_H_
+#ifndef YUCCAMOOR_STANDINS_ANSWER_CHECK_H_
+#define YUCCAMOOR_STANDINS_ANSWER_CHECK_H_
 
 #include <cstdint>
 #include <string>
@@ -61,4 +61,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_ANSWER_CHECK_H_
+#endif  // YUCCAMOOR_STANDINS_ANSWER_CHECK_H_
--- a/include/yuccamoor/transport/standins/engine_core.h
+++ b/include/yuccamoor/standins/engine_core.h
@@ -2,8 +2,8 @@
 /// \brief The engine stand-in's slots, batch and streams, apart from its
 /// transport. Takes the time as an argument.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_ENGINE_CORE_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_ENGINE_CORE_H_
+#ifndef YUCCAMOOR_STANDINS_ENGINE_CORE_H_
+#define YUCCAMOOR_STANDINS_ENGINE_CORE_H_
 
 #include <cstdint>
 #include <deque>
@@ -167,4 +167,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_ENGINE_CORE_H_
+#endif  // YUCCAMOOR_STANDINS_ENGINE_CORE_H_
--- a/include/yuccamoor/transport/standins/engine_stand_in.h
+++ b/include/yuccamoor/standins/engine_stand_in.h
@@ -1,15 +1,15 @@
 /// \file
 /// \brief Stand-in for a model engine.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_ENGINE_STAND_IN_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_ENGINE_STAND_IN_H_
+#ifndef YUCCAMOOR_STANDINS_ENGINE_STAND_IN_H_
+#define YUCCAMOOR_STANDINS_ENGINE_STAND_IN_H_
 
 #include <cstdint>
 #include <mutex>
 #include <string>
 
-#include "yuccamoor/transport/standins/engine_core.h"
-#include "yuccamoor/transport/standins/stand_in.h"
+#include "yuccamoor/standins/engine_core.h"
+#include "yuccamoor/standins/stand_in.h"
 
 namespace yuccamoor {
 
@@ -62,4 +62,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_ENGINE_STAND_IN_H_
+#endif  // YUCCAMOOR_STANDINS_ENGINE_STAND_IN_H_
--- a/include/yuccamoor/transport/standins/key_value_stand_in.h
+++ b/include/yuccamoor/standins/key_value_stand_in.h
@@ -1,17 +1,17 @@
 /// \file
 /// \brief Stand-in for the platform's key-value service.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_KEY_VALUE_STAND_IN_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_KEY_VALUE_STAND_IN_H_
+#ifndef YUCCAMOOR_STANDINS_KEY_VALUE_STAND_IN_H_
+#define YUCCAMOOR_STANDINS_KEY_VALUE_STAND_IN_H_
 
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
 
-#include "yuccamoor/transport/standins/key_value_table.h"
-#include "yuccamoor/transport/standins/stand_in.h"
-#include "yuccamoor/transport/standins/token_bucket.h"
+#include "yuccamoor/standins/key_value_table.h"
+#include "yuccamoor/standins/stand_in.h"
+#include "yuccamoor/standins/token_bucket.h"
 
 namespace yuccamoor {
 
@@ -48,4 +48,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_KEY_VALUE_STAND_IN_H_
+#endif  // YUCCAMOOR_STANDINS_KEY_VALUE_STAND_IN_H_
--- a/include/yuccamoor/transport/standins/key_value_table.h
+++ b/include/yuccamoor/standins/key_value_table.h
@@ -2,8 +2,8 @@
 /// \brief The table of the key-value stand-in, apart from its transport. Takes
 /// the time as an argument, so that tests can use it as an in-memory fake.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_KEY_VALUE_TABLE_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_KEY_VALUE_TABLE_H_
+#ifndef YUCCAMOOR_STANDINS_KEY_VALUE_TABLE_H_
+#define YUCCAMOOR_STANDINS_KEY_VALUE_TABLE_H_
 
 #include <cstdint>
 #include <map>
@@ -57,4 +57,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_KEY_VALUE_TABLE_H_
+#endif  // YUCCAMOOR_STANDINS_KEY_VALUE_TABLE_H_
--- a/include/yuccamoor/transport/standins/plain_service_stand_in.h
+++ b/include/yuccamoor/standins/plain_service_stand_in.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Stand-in for a plain service, such as a booking service.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_PLAIN_SERVICE_STAND_IN_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_PLAIN_SERVICE_STAND_IN_H_
+#ifndef YUCCAMOOR_STANDINS_PLAIN_SERVICE_STAND_IN_H_
+#define YUCCAMOOR_STANDINS_PLAIN_SERVICE_STAND_IN_H_
 
 #include <cstdint>
 #include <deque>
@@ -10,8 +10,8 @@
 #include <optional>
 #include <string>
 
+#include "yuccamoor/standins/stand_in.h"
 #include "yuccamoor/state/ids.h"
-#include "yuccamoor/transport/standins/stand_in.h"
 
 namespace yuccamoor {
 
@@ -59,4 +59,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_PLAIN_SERVICE_STAND_IN_H_
+#endif  // YUCCAMOOR_STANDINS_PLAIN_SERVICE_STAND_IN_H_
--- a/include/yuccamoor/transport/standins/stand_in.h
+++ b/include/yuccamoor/standins/stand_in.h
@@ -2,8 +2,8 @@
 /// \brief What the stand-ins for the platform's services have in common: an
 /// HTTP handler, and faults that are set by POST /faults.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_STAND_IN_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_STAND_IN_H_
+#ifndef YUCCAMOOR_STANDINS_STAND_IN_H_
+#define YUCCAMOOR_STANDINS_STAND_IN_H_
 
 #include <cstdint>
 #include <mutex>
@@ -60,4 +60,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_STAND_IN_H_
+#endif  // YUCCAMOOR_STANDINS_STAND_IN_H_
--- a/include/yuccamoor/transport/standins/stand_in_program.h
+++ b/include/yuccamoor/standins/stand_in_program.h
@@ -2,8 +2,8 @@
 /// \brief What the stand-in programs share: the port, the server and the wait
 /// for the signal to stop.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_STAND_IN_PROGRAM_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_STAND_IN_PROGRAM_H_
+#ifndef YUCCAMOOR_STANDINS_STAND_IN_PROGRAM_H_
+#define YUCCAMOOR_STANDINS_STAND_IN_PROGRAM_H_
 
 #include <cstdint>
 #include <functional>
@@ -44,4 +44,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_STAND_IN_PROGRAM_H_
+#endif  // YUCCAMOOR_STANDINS_STAND_IN_PROGRAM_H_
--- a/include/yuccamoor/transport/standins/token_bucket.h
+++ b/include/yuccamoor/standins/token_bucket.h
@@ -1,8 +1,8 @@
 /// \file
 /// \brief The rate limit of the stand-ins.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_TOKEN_BUCKET_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_TOKEN_BUCKET_H_
+#ifndef YUCCAMOOR_STANDINS_TOKEN_BUCKET_H_
+#define YUCCAMOOR_STANDINS_TOKEN_BUCKET_H_
 
 #include <algorithm>
 
@@ -38,4 +38,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_TOKEN_BUCKET_H_
+#endif  // YUCCAMOOR_STANDINS_TOKEN_BUCKET_H_
--- a/include/yuccamoor/transport/standins/token_rule.h
+++ b/include/yuccamoor/standins/token_rule.h
@@ -2,8 +2,8 @@
 /// \brief The tokens that the engine stand-in generates. They name the adapter,
 /// the version and the prompt, so that a checker can tell a right answer.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_TOKEN_RULE_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_TOKEN_RULE_H_
+#ifndef YUCCAMOOR_STANDINS_TOKEN_RULE_H_
+#define YUCCAMOOR_STANDINS_TOKEN_RULE_H_
 
 #include <cstdint>
 #include <string>
@@ -24,4 +24,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_TOKEN_RULE_H_
+#endif  // YUCCAMOOR_STANDINS_TOKEN_RULE_H_
--- a/include/yuccamoor/transport/standins/vm_list_stand_in.h
+++ b/include/yuccamoor/standins/vm_list_stand_in.h
@@ -1,14 +1,14 @@
 /// \file
 /// \brief Stand-in for the platform's lagging list of VMs.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_VM_LIST_STAND_IN_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_VM_LIST_STAND_IN_H_
+#ifndef YUCCAMOOR_STANDINS_VM_LIST_STAND_IN_H_
+#define YUCCAMOOR_STANDINS_VM_LIST_STAND_IN_H_
 
 #include <deque>
 #include <mutex>
 #include <string>
 
-#include "yuccamoor/transport/standins/stand_in.h"
+#include "yuccamoor/standins/stand_in.h"
 
 namespace yuccamoor {
 
@@ -40,4 +40,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_VM_LIST_STAND_IN_H_
+#endif  // YUCCAMOOR_STANDINS_VM_LIST_STAND_IN_H_
--- a/include/yuccamoor/transport/standins/weight_store_stand_in.h
+++ b/include/yuccamoor/standins/weight_store_stand_in.h
@@ -1,15 +1,15 @@
 /// \file
 /// \brief Stand-in for the platform's weight store.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_WEIGHT_STORE_STAND_IN_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_WEIGHT_STORE_STAND_IN_H_
+#ifndef YUCCAMOOR_STANDINS_WEIGHT_STORE_STAND_IN_H_
+#define YUCCAMOOR_STANDINS_WEIGHT_STORE_STAND_IN_H_
 
 #include <cstdint>
 #include <mutex>
 #include <string>
 
-#include "yuccamoor/transport/standins/stand_in.h"
-#include "yuccamoor/transport/standins/token_bucket.h"
+#include "yuccamoor/standins/stand_in.h"
+#include "yuccamoor/standins/token_bucket.h"
 
 namespace yuccamoor {
 
@@ -56,4 +56,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_WEIGHT_STORE_STAND_IN_H_
+#endif  // YUCCAMOOR_STANDINS_WEIGHT_STORE_STAND_IN_H_
--- a/include/yuccamoor/transport/standins/workload.h
+++ b/include/yuccamoor/standins/workload.h
@@ -3,8 +3,8 @@
 /// ramp, and all callers at once after a power cut. The same seed plans the
 /// same requests.
 
-#ifndef YUCCAMOOR_TRANSPORT_STANDINS_WORKLOAD_H_
-#define YUCCAMOOR_TRANSPORT_STANDINS_WORKLOAD_H_
+#ifndef YUCCAMOOR_STANDINS_WORKLOAD_H_
+#define YUCCAMOOR_STANDINS_WORKLOAD_H_
 
 #include <cstdint>
 #include <optional>
@@ -70,4 +70,4 @@
 
 }  // namespace yuccamoor
 
-#endif  // YUCCAMOOR_TRANSPORT_STANDINS_WORKLOAD_H_
+#endif  // YUCCAMOOR_STANDINS_WORKLOAD_H_
--- a/lib/transport/standins/answer_check.cc
+++ b/lib/standins/answer_check.cc
@@ -1,14 +1,14 @@
 /// \file
 /// \brief Checking of streamed answers.
 
-#include "yuccamoor/transport/standins/answer_check.h"
+#include "yuccamoor/standins/answer_check.h"
 
 #include <exception>
 #include <utility>
 
 #include "yuccamoor/protocol/chat_api.h"
 #include "yuccamoor/protocol/json.h"
-#include "yuccamoor/transport/standins/token_rule.h"
+#include "yuccamoor/standins/token_rule.h"
 
 namespace yuccamoor {
 
--- a/lib/transport/standins/engine_core.cc
+++ b/lib/standins/engine_core.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief The engine stand-in's slots, batch and streams.
 
-#include "yuccamoor/transport/standins/engine_core.h"
+#include "yuccamoor/standins/engine_core.h"
 
 #include <algorithm>
 
--- a/lib/transport/standins/engine_counters.cc
+++ b/lib/standins/engine_counters.cc
@@ -2,7 +2,7 @@
 /// \brief JSON form of the engine stand-in's counters.
 
 #include "yuccamoor/protocol/json.h"
-#include "yuccamoor/transport/standins/engine_core.h"
+#include "yuccamoor/standins/engine_core.h"
 
 namespace yuccamoor {
 
--- a/lib/transport/standins/engine_stand_in.cc
+++ b/lib/standins/engine_stand_in.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Stand-in for a model engine.
 
-#include "yuccamoor/transport/standins/engine_stand_in.h"
+#include "yuccamoor/standins/engine_stand_in.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <random>
@@ -10,10 +10,10 @@
 
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/engine_codec.h"
+#include "yuccamoor/standins/token_rule.h"
 #include "yuccamoor/transport/async_event.h"
 #include "yuccamoor/transport/http_client.h"
 #include "yuccamoor/transport/http_server.h"
-#include "yuccamoor/transport/standins/token_rule.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
--- a/lib/transport/standins/key_value_stand_in.cc
+++ b/lib/standins/key_value_stand_in.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Stand-in for the platform's key-value service.
 
-#include "yuccamoor/transport/standins/key_value_stand_in.h"
+#include "yuccamoor/standins/key_value_stand_in.h"
 
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/platform/key_value_codec.h"
--- a/lib/transport/standins/key_value_table.cc
+++ b/lib/standins/key_value_table.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief The table of the key-value stand-in.
 
-#include "yuccamoor/transport/standins/key_value_table.h"
+#include "yuccamoor/standins/key_value_table.h"
 
 namespace yuccamoor {
 namespace {
--- a/lib/transport/standins/plain_service_stand_in.cc
+++ b/lib/standins/plain_service_stand_in.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Stand-in for a plain service.
 
-#include "yuccamoor/transport/standins/plain_service_stand_in.h"
+#include "yuccamoor/standins/plain_service_stand_in.h"
 
 #include <utility>
 
--- a/lib/transport/standins/stand_in.cc
+++ b/lib/standins/stand_in.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief The faults that every stand-in knows.
 
-#include "yuccamoor/transport/standins/stand_in.h"
+#include "yuccamoor/standins/stand_in.h"
 
 #include <exception>
 
--- a/lib/transport/standins/stand_in_program.cc
+++ b/lib/standins/stand_in_program.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief What the stand-in programs share.
 
-#include "yuccamoor/transport/standins/stand_in_program.h"
+#include "yuccamoor/standins/stand_in_program.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
@@ -9,9 +9,9 @@
 #include <fstream>
 #include <iostream>
 
+#include "yuccamoor/standins/stand_in.h"
 #include "yuccamoor/transport/http_client.h"
 #include "yuccamoor/transport/http_server.h"
-#include "yuccamoor/transport/standins/stand_in.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
--- a/lib/transport/standins/token_rule.cc
+++ b/lib/standins/token_rule.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief The tokens that the engine stand-in generates.
 
-#include "yuccamoor/transport/standins/token_rule.h"
+#include "yuccamoor/standins/token_rule.h"
 
 #include <sstream>
 
--- a/lib/transport/standins/vm_list_stand_in.cc
+++ b/lib/standins/vm_list_stand_in.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Stand-in for the platform's lagging list of VMs.
 
-#include "yuccamoor/transport/standins/vm_list_stand_in.h"
+#include "yuccamoor/standins/vm_list_stand_in.h"
 
 #include "yuccamoor/protocol/platform/vm_list_codec.h"
 #include "yuccamoor/transport/http_server.h"
--- a/lib/transport/standins/weight_store_stand_in.cc
+++ b/lib/standins/weight_store_stand_in.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Stand-in for the platform's weight store.
 
-#include "yuccamoor/transport/standins/weight_store_stand_in.h"
+#include "yuccamoor/standins/weight_store_stand_in.h"
 
 #include <algorithm>
 
--- a/lib/transport/standins/workload.cc
+++ b/lib/standins/workload.cc
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Planning of callers' requests.
 
-#include "yuccamoor/transport/standins/workload.h"
+#include "yuccamoor/standins/workload.h"
 
 #include <algorithm>
 #include <cassert>
--- a/tools/standins/kv_main.cc
+++ b/tools/standins/kv_main.cc
@@ -4,8 +4,8 @@
 #include <CLI/CLI.hpp>
 #include <memory>
 
-#include "yuccamoor/transport/standins/key_value_stand_in.h"
-#include "yuccamoor/transport/standins/stand_in_program.h"
+#include "yuccamoor/standins/key_value_stand_in.h"
+#include "yuccamoor/standins/stand_in_program.h"
 
 int main(int argc, char** argv) {
   using namespace yuccamoor;  // NOLINT(google-build-using-namespace)
--- a/tools/yuccamoor-load/caller.cc
+++ b/tools/yuccamoor-load/caller.cc
@@ -8,8 +8,8 @@
 
 #include "yuccamoor/protocol/chat_api.h"
 #include "yuccamoor/protocol/json.h"
+#include "yuccamoor/standins/answer_check.h"
 #include "yuccamoor/transport/http_client.h"
-#include "yuccamoor/transport/standins/answer_check.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
--- a/tools/yuccamoor-load/caller.h
+++ b/tools/yuccamoor-load/caller.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "load_report.h"
+#include "yuccamoor/standins/workload.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/transport/asio.h"
-#include "yuccamoor/transport/standins/workload.h"
 
 namespace yuccamoor {
 
--- a/tools/yuccamoor-load/drive.h
+++ b/tools/yuccamoor-load/drive.h
@@ -7,9 +7,9 @@
 #include <cstddef>
 
 #include "caller.h"
+#include "yuccamoor/standins/workload.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/transport/asio.h"
-#include "yuccamoor/transport/standins/workload.h"
 
 namespace yuccamoor {
 
--- a/tools/yuccamoor-load/load_report.h
+++ b/tools/yuccamoor-load/load_report.h
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "yuccamoor/standins/workload.h"
 #include "yuccamoor/state/clock.h"
-#include "yuccamoor/transport/standins/workload.h"
 
 namespace yuccamoor {
 
--- a/tools/yuccamoor-load/main.cc
+++ b/tools/yuccamoor-load/main.cc
@@ -12,8 +12,8 @@
 #include "caller.h"
 #include "drive.h"
 #include "load_report.h"
+#include "yuccamoor/standins/workload.h"
 #include "yuccamoor/transport/http_client.h"
-#include "yuccamoor/transport/standins/workload.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
--- a/unittests/process/resume_test.cc
+++ b/unittests/process/resume_test.cc
@@ -8,7 +8,7 @@
 #include "process/cluster.h"
 #include "process/stream_caller.h"
 #include "yuccamoor/protocol/request/stream_event_id.h"
-#include "yuccamoor/transport/standins/token_rule.h"
+#include "yuccamoor/standins/token_rule.h"
 
 namespace yuccamoor {
 namespace {
--- a/unittests/transport/platform/engine_contract_test.cc
+++ b/unittests/transport/platform/engine_contract_test.cc
@@ -7,10 +7,10 @@
 #include "transport/platform/stand_in_fixture.h"
 #include "yuccamoor/protocol/platform/generation.h"
 #include "yuccamoor/protocol/sse.h"
+#include "yuccamoor/standins/engine_stand_in.h"
+#include "yuccamoor/standins/token_rule.h"
+#include "yuccamoor/standins/weight_store_stand_in.h"
 #include "yuccamoor/transport/platform/http_engine_client.h"
-#include "yuccamoor/transport/standins/engine_stand_in.h"
-#include "yuccamoor/transport/standins/token_rule.h"
-#include "yuccamoor/transport/standins/weight_store_stand_in.h"
 
 namespace yuccamoor {
 namespace {
--- a/unittests/transport/platform/key_value_contract_test.cc
+++ b/unittests/transport/platform/key_value_contract_test.cc
@@ -7,8 +7,8 @@
 
 #include "support/memory_key_value.h"
 #include "transport/platform/stand_in_fixture.h"
+#include "yuccamoor/standins/key_value_stand_in.h"
 #include "yuccamoor/transport/platform/http_key_value_service.h"
-#include "yuccamoor/transport/standins/key_value_stand_in.h"
 
 namespace yuccamoor {
 namespace {
--- a/unittests/transport/platform/other_stand_ins_test.cc
+++ b/unittests/transport/platform/other_stand_ins_test.cc
@@ -6,10 +6,10 @@
 
 #include "transport/platform/stand_in_fixture.h"
 #include "yuccamoor/coordination/vm_list.h"
+#include "yuccamoor/standins/plain_service_stand_in.h"
+#include "yuccamoor/standins/vm_list_stand_in.h"
+#include "yuccamoor/standins/weight_store_stand_in.h"
 #include "yuccamoor/transport/platform/http_vm_list.h"
-#include "yuccamoor/transport/standins/plain_service_stand_in.h"
-#include "yuccamoor/transport/standins/vm_list_stand_in.h"
-#include "yuccamoor/transport/standins/weight_store_stand_in.h"
 
 namespace yuccamoor {
 namespace {
--- a/unittests/transport/platform/stand_in_fixture.h
+++ b/unittests/transport/platform/stand_in_fixture.h
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "yuccamoor/protocol/json.h"
+#include "yuccamoor/standins/stand_in.h"
 #include "yuccamoor/transport/http_client.h"
 #include "yuccamoor/transport/http_server.h"
-#include "yuccamoor/transport/standins/stand_in.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
--- a/unittests/transport/platform/workload_test.cc
+++ b/unittests/transport/platform/workload_test.cc
@@ -1,14 +1,14 @@
 /// \file
 /// \brief Tests of the callers' plan and of the check of their answers.
 
-#include "yuccamoor/transport/standins/workload.h"
+#include "yuccamoor/standins/workload.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "yuccamoor/protocol/chat_api.h"
-#include "yuccamoor/transport/standins/answer_check.h"
-#include "yuccamoor/transport/standins/token_rule.h"
+#include "yuccamoor/standins/answer_check.h"
+#include "yuccamoor/standins/token_rule.h"
 
 namespace yuccamoor {
 namespace {
--- a/utils/check_layers.sh
+++ b/utils/check_layers.sh
@@ -12,9 +12,10 @@
     status=1
   fi
 }
-check state 'coordination|protocol|transport'
-check coordination 'protocol|transport'
-check protocol 'transport'
+check state 'coordination|protocol|transport|standins'
+check coordination 'protocol|transport|standins'
+check protocol 'transport|standins'
+check transport 'standins'
 if grep -rnE '#include <(boost/(asio|beast)|nlohmann|glog|CLI|thread|mutex)' \
   include/yuccamoor/{state,coordination} lib/{state,coordination}; then
   echo "state and coordination do no I/O, locking or encoding" >&2
