Wait for forwarded requests in a shutdown, and take none that cannot be served

Cause: a gateway passes a keyed request on to its shard's home by the peers' listener. A shutdown counted the exchanges of the callers' listener only, so that it could end while a forwarded charge was under way, and the caller was told that the outcome is unknown. A home that had just been started refused with "no configuration is known", and the refusal was passed on to the caller although the first gateway could serve the request.

A shutdown now counts forwarded requests; once it drains, it refuses new ones with Yuccamoor-Not-Taken, as a home does that does not know the service. The gateway that has forwarded the request then serves it itself, still as its only sending: nothing of it was begun.

Ruled out: removing the registration first, which other gateways see up to a second later; taking such a refusal for "may have run", which makes a needless unknown.

--- a/include/yuccamoor/transport/gateway/gateway.h
+++ b/include/yuccamoor/transport/gateway/gateway.h
@@ -48,6 +48,9 @@
   void AddPeerMethods();
   void AddOperatorPaths();
   Awaitable<void> Handle(HttpExchange& exchange);
+  /// Handles a request that another gateway has sent to a key's home, or says
+  /// that it is not taken.
+  Awaitable<void> HandleForwarded(HttpExchange& exchange);
   /// What must end before a shutdown may.
   ShutdownLoad Load() const;
   void Tick();
@@ -69,6 +72,9 @@
   std::unique_ptr<HttpServer> m_server;
   std::uint64_t m_random_salt;
   std::atomic<std::uint64_t> m_request_counter{0};
+  /// Forwarded requests that are being served.
+  std::atomic<std::size_t> m_forwarded{0};
+  std::atomic<bool> m_taking_forwarded{true};
 
   /// Guards the sessions; taken before a session's own mutex.
   mutable std::shared_mutex m_sessions_mutex;
--- a/include/yuccamoor/transport/gateway/service_proxy.h
+++ b/include/yuccamoor/transport/gateway/service_proxy.h
@@ -37,6 +37,9 @@
 constexpr std::string_view kServicesPrefix = "/services/";
 /// Set between gateways on requests that must not be forwarded once more.
 constexpr const char* kForwardedHeader = "Yuccamoor-Forwarded";
+/// Set between gateways on the refusal of a forwarded request of which nothing
+/// was begun: the gateway does not know the service yet, or is shutting down.
+constexpr const char* kNotTakenHeader = "Yuccamoor-Not-Taken";
 
 /// What the proxy uses. All of it must outlive the proxy.
 struct ServiceProxyServices {
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -4,9 +4,7 @@
 #include "yuccamoor/transport/gateway/gateway.h"
 
 #include <algorithm>
-#include <chrono>
 #include <random>
-#include <thread>
 
 #include "yuccamoor/protocol/json.h"
 #include "yuccamoor/protocol/request/leaving_gossip_codec.h"
@@ -98,7 +96,7 @@
 
 void Gateway::AddPeerMethods() {
   m_daemon->SetPeerHandler(
-      [this](HttpExchange& exchange) { return Handle(exchange); });
+      [this](HttpExchange& exchange) { return HandleForwarded(exchange); });
   m_daemon->AddPeerMethod(
       std::string(kLeavingGossipMethod), [this](const std::string& parameters) {
         const auto gossip = DecodeMessage<LeavingGossip>(parameters, "gossip");
@@ -268,30 +266,4 @@
   co_await SendError(exchange, std::move(error));
 }
 
-ShutdownLoad Gateway::Load() const {
-  ShutdownLoad load;
-  load.requests_in_flight = m_server->active_exchanges();
-  load.unwritten_outcomes = !m_shards->Idle();
-  return load;
-}
-
-bool Gateway::Shutdown() {
-  constexpr auto kPollInterval = std::chrono::milliseconds(20);
-  const Clock& clock = m_daemon->clock();
-  ShutdownOptions options;
-  options.unready_time = m_settings.daemon.unready_time;
-  options.grace = m_settings.daemon.shutdown_grace;
-  ShutdownSequence sequence(options);
-  m_daemon->SetDraining();
-  sequence.Begin(clock.Now());
-  for (;;) {
-    const ShutdownPhase phase = sequence.Advance(Load(), clock.Now());
-    if (phase == ShutdownPhase::kDraining) m_server->Drain();
-    if (phase >= ShutdownPhase::kDone) break;
-    std::this_thread::sleep_for(kPollInterval);
-  }
-  m_daemon->Stop();
-  return sequence.phase() == ShutdownPhase::kDone;
-}
-
 }  // namespace yuccamoor
--- a/lib/transport/gateway/service_admission.cc
+++ b/lib/transport/gateway/service_admission.cc
@@ -35,6 +35,13 @@
   return repeat ? Outcome::kUnknown : Outcome::kNotRun;
 }
 
+/// Marks the refusal, so that a gateway that has forwarded the request serves
+/// it.
+HttpResponse NotTaken(HttpResponse refusal) {
+  refusal.headers.Add(kNotTakenHeader, "true");
+  return refusal;
+}
+
 bool IsRepeat(const HttpRequest& request) {
   return !request.headers.Find(kFirstSentAgoHeader).empty();
 }
@@ -53,15 +60,15 @@
   {
     const std::lock_guard lock(m_mutex);
     if (!m_config) {
-      return MakeError(kServiceUnavailable, "not_ready",
-                       "no configuration is known",
-                       RefusedOutcome(IsRepeat(request)), DurationMs(1'000));
+      return NotTaken(MakeError(
+          kServiceUnavailable, "not_ready", "no configuration is known",
+          RefusedOutcome(IsRepeat(request)), DurationMs(1'000)));
     }
     const auto it = m_config->services.find(service);
     if (it == m_config->services.end()) {
-      return MakeError(404, "service_not_found",
-                       "no such service: " + service.str(),
-                       RefusedOutcome(IsRepeat(request)));
+      return NotTaken(MakeError(404, "service_not_found",
+                                "no such service: " + service.str(),
+                                RefusedOutcome(IsRepeat(request))));
     }
     job.service = it->second;
     job.state = m_states.at(service);
--- a/lib/transport/gateway/service_proxy.cc
+++ b/lib/transport/gateway/service_proxy.cc
@@ -110,12 +110,17 @@
   job.scope->record().target = job.service->id.str();
   if (const auto home = HomeElsewhere(request, job)) {
     HttpReply reply = co_await Forward(request, job, *home);
-    if (reply.progress == HttpProgress::kAnswered) {
+    const bool answered = reply.progress == HttpProgress::kAnswered;
+    // A gateway that starts, lags behind or shuts down has begun nothing.
+    const bool begun_nothing =
+        reply.progress == HttpProgress::kNotSent ||
+        (answered && !reply.response.headers.Find(kNotTakenHeader).empty());
+    if (answered && !begun_nothing) {
       co_return WithoutHopHeaders(std::move(reply.response));
     }
     // The home may hold the key, or come to hold it. The shard's record
     // decides, here as there, but this sending is no longer the only one.
-    if (reply.progress != HttpProgress::kNotSent && !job.spec.first_sent_ago) {
+    if (!begun_nothing && !job.spec.first_sent_ago) {
       job.spec.first_sent_ago = DurationMs(0);
     }
   }
--- a/unittests/process/faults_test.cc
+++ b/unittests/process/faults_test.cc
@@ -1,13 +1,12 @@
 /// \file
 /// \brief Tests of pauses, outages, leaving and replacement, with processes.
 
-#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <thread>
 
 #include "process/answers.h"
 #include "process/cluster.h"
+#include "process/steady_callers.h"
 
 namespace yuccamoor {
 namespace {
@@ -25,49 +24,6 @@
   return request;
 }
 
-/// Sends chats through all ready gateways until stopped, as the balancer does.
-class SteadyCallers {
- public:
-  SteadyCallers(Cluster& cluster, int gateways)
-      : m_cluster(cluster), m_gateways(gateways), m_thread([this] { Run(); }) {}
-
-  /// Stops, and returns how many were answered.
-  int Stop() {
-    m_stop = true;
-    m_thread.join();
-    return m_answered;
-  }
-  int answered() const { return m_answered; }
-  int failed() const { return m_failed; }
-  /// What the last failure said. Read after Stop.
-  const std::string& failure() const { return m_failure; }
-
- private:
-  void Run() {
-    for (int i = 0; !m_stop; ++i) {
-      if (!m_cluster.IsReady("gateway" + std::to_string(i % m_gateways))) {
-        continue;
-      }
-      const std::string model = "a" + std::to_string(i % 2) + "@v1";
-      const HttpReply reply = m_cluster.Chat(i % m_gateways, model, "steady");
-      if (IsAnswered(reply)) {
-        ++m_answered;
-        continue;
-      }
-      ++m_failed;
-      m_failure = reply.error + reply.response.body;
-    }
-  }
-
-  Cluster& m_cluster;
-  int m_gateways;
-  std::atomic<bool> m_stop{false};
-  std::atomic<int> m_answered{0};
-  std::atomic<int> m_failed{0};
-  std::string m_failure;
-  std::thread m_thread;
-};
-
 }  // namespace
 
 TEST_CASE("A frozen gateway gets nothing evicted in use", "[process]") {
@@ -174,7 +130,7 @@
   Cluster cluster(ClusterShape{});
   CheckAnswer(cluster.Chat(0, "a0@v1", "warm"), "a0@v1");
   CheckAnswer(cluster.Chat(0, "a1@v1", "warm"), "a1@v1");
-  SteadyCallers callers(cluster, 2);
+  SteadyCallers callers(cluster, 2, ShortChats(cluster));
   for (const char* name :
        {"scheduler0", "gateway0", "scheduler1", "gateway1"}) {
     CAPTURE(name);
@@ -190,7 +146,8 @@
     cluster.Await("callers go on",
                   [&] { return callers.answered() > before + 10; });
   }
-  CHECK(callers.Stop() > 40);
+  callers.Stop();
+  CHECK(callers.answered() > 40);
   INFO(callers.failure());
   CHECK(callers.failed() == 0);
   CHECK(cluster.EngineCounter("evictions_in_use") == 0);
