Read the list of VMs on its own schedule, and every second where promised

Cause, three faults that reading seldom had brought in: - The list of VMs was read together with the members. While the key-value service is down those reads back off to 8 s, so that the list of VMs got as old although it is there: an endpoint that leaves must get nothing new after 3 s, and an election trusts a list for 4 s only. - A replica without a budget, a scheduler's, backed off in the same way, and could be 8 s late after an outage. - The interval counted from the reply. With a refresh each second the next read was always just not due, so that "every second" was every other.

The list of VMs has its own next read now, replicas without a budget read every second through failures, and intervals count from the sending.

Ruled out: shorter back-off for all, which 340 daemons would add to a service that struggles.

--- a/include/yuccamoor/coordination/membership/member_replica.h
+++ b/include/yuccamoor/coordination/membership/member_replica.h
@@ -62,7 +62,7 @@
 
 /// What a replica asks for.
 struct MemberReplicaActions {
-  /// Whether to read the lists of members and of VMs.
+  /// Whether to read the list of members.
   bool read = false;
   std::vector<MemberExchangeCall> exchanges;
 };
@@ -71,7 +71,7 @@
 struct MemberReplicaOptions {
   std::uint64_t seed = 0;
   /// What reading the lists may cost, in bytes per second. Nothing: they are
-  /// read at the least interval whatever it costs.
+  /// read at the least interval whatever it costs, also while reads fail.
   std::optional<std::int64_t> read_bytes_per_second = 500;
   /// Lists up to this size are read at the least interval: a fleet that small
   /// has too few readers for a change to be seen soon otherwise.
@@ -95,7 +95,7 @@
   MemberReplicaActions Tick(TimeMs now);
   /// Takes the reply to a read that was sent at \p sent.
   void OnList(const KvReply& reply, TimeMs sent, TimeMs now);
-  /// Takes the size of the list of VMs, which is read together with the other.
+  /// Takes the size of the list of VMs, which is read as often as the other.
   void OnVmListBytes(std::size_t bytes) { m_vm_bytes = bytes; }
   /// Takes what a write of this daemon's has changed.
   void OnWritten(const MemberNews& news, TimeMs now);
@@ -110,6 +110,8 @@
   /// Reads at the next tick.
   void ReadSoon(TimeMs now);
 
+  /// The time between two reads of the lists at their present size.
+  DurationMs ReadInterval() const;
   /// Whether a list has been read.
   bool known() const { return m_known; }
   /// When the newest read began.
@@ -148,7 +150,6 @@
   void PushNews(TimeMs now, MemberReplicaActions& actions);
   void StartExchange(const std::string& peer, std::vector<MemberNews> news,
                      MemberReplicaActions& actions);
-  DurationMs ReadInterval() const;
   /// Returns the duration times a random factor around one.
   DurationMs Spread(DurationMs duration);
   double Random();
--- a/include/yuccamoor/transport/daemon/member_registry.h
+++ b/include/yuccamoor/transport/daemon/member_registry.h
@@ -80,8 +80,8 @@
   MemberTable m_table;
   MemberReplica m_replica;
   bool m_removed = false;
-  bool m_vm_read_failed = false;
   TimeMs m_vms_listed_at;
+  TimeMs m_next_vm_read;
   std::vector<VmEntry> m_vms;
 };
 
--- a/lib/coordination/membership/member_replica.cc
+++ b/lib/coordination/membership/member_replica.cc
@@ -75,7 +75,10 @@
   m_read_pending = false;
   if (reply.status != KvStatus::kOk) {
     ++m_read_failures;
-    m_next_read = now + BackoffDelay(kReadBackoff, m_read_failures, Random());
+    m_next_read =
+        m_options.read_bytes_per_second
+            ? now + BackoffDelay(kReadBackoff, m_read_failures, Random())
+            : sent + m_options.least_read_interval;
     return;
   }
   m_read_failures = 0;
@@ -93,9 +96,10 @@
   m_changed = m_changed || !m_known;
   m_known = true;
   m_listed_at = std::max(m_listed_at, sent);
+  // From the sending on, so that the reply's way does not add to the interval.
   const DurationMs interval = ReadInterval();
   m_next_read =
-      now +
+      sent +
       (interval > m_options.least_read_interval ? Spread(interval) : interval);
 }
 
--- a/lib/transport/daemon/member_registry.cc
+++ b/lib/transport/daemon/member_registry.cc
@@ -103,10 +103,13 @@
   bool read_vms = false;
   {
     const std::lock_guard lock(m_mutex);
-    writes = m_table.Cleanups(m_services.clock.Now());
+    const TimeMs now = m_services.clock.Now();
+    writes = m_table.Cleanups(now);
     auto registration = m_table.Registration();
     if (registration && !m_removed) writes.push_back(std::move(*registration));
-    read_vms = std::exchange(m_vm_read_failed, false);
+    // Apart from the members: the list of VMs is there also while the service
+    // is down. A read that fails is repeated at the next refresh.
+    read_vms = m_services.vms != nullptr && now >= m_next_vm_read;
   }
   for (const KvRequest& write : writes) Write(write);
   if (read_vms) ReadVms();
@@ -121,11 +124,9 @@
           replica.OnList(reply, sent, now);
         });
       });
-  ReadVms();
 }
 
 void MemberRegistry::ReadVms() {
-  if (m_services.vms == nullptr) return;
   m_services.vms->Read(
       kCallTimeout, [self = shared_from_this(), sent = m_services.clock.Now()](
                         std::optional<std::vector<VmEntry>> vms) {
@@ -136,7 +137,6 @@
 void MemberRegistry::OnVms(std::optional<std::vector<VmEntry>> vms,
                            TimeMs sent) {
   const std::lock_guard lock(m_mutex);
-  m_vm_read_failed = !vms;
   if (!vms) return;
   std::size_t bytes = 0;
   for (const VmEntry& vm : *vms) {
@@ -147,6 +147,7 @@
   m_table.OnVmList(*vms, m_services.clock.Now());
   m_vms = std::move(*vms);
   m_vms_listed_at = std::max(m_vms_listed_at, sent);
+  m_next_vm_read = sent + m_replica.ReadInterval();
 }
 
 void MemberRegistry::Send(const MemberExchangeCall& call) {
--- a/unittests/coordination/membership/member_replica_test.cc
+++ b/unittests/coordination/membership/member_replica_test.cc
@@ -79,6 +79,19 @@
   CHECK_FALSE(read_again(100'000, TimeMs(10'000)));
 }
 
+TEST_CASE("A replica without a budget reads every second through an outage") {
+  MemberReplicaOptions options;
+  options.read_bytes_per_second.reset();
+  MemberReplica replica(options, TimeMs(0));
+  KvReply down;
+  down.status = KvStatus::kUnavailable;
+  for (TimeMs now(0); now < TimeMs(20'000); now = now + DurationMs(1'000)) {
+    CAPTURE(now);
+    REQUIRE(replica.Tick(now).read);
+    replica.OnList(down, now, now);
+  }
+}
+
 TEST_CASE("Members at the size to design for stay within the budget") {
   MemberFleet fleet(kDesignMembers, 1);
   fleet.RunFor(DurationMs(10'000));
