Tell calls that were cut from calls that found the listener closed

Cause: the hundred shutdowns rest on a caller's look at /readyz being younger than the unready time, 500 ms, when it connects. On a machine that is busy with other tests a refused connection would count as a cut request, though nothing was in flight.

Steady callers count such calls apart now. The replacement of every process wants none of them, as before; the hundred shutdowns want no call that was sent to fail. Ruled out: a longer unready time, which adds 25 s to the test.

--- a/unittests/process/faults_test.cc
+++ b/unittests/process/faults_test.cc
@@ -150,6 +150,7 @@
   CHECK(callers.answered() > 40);
   INFO(callers.failure());
   CHECK(callers.failed() == 0);
+  CHECK(callers.unsent() == 0);
   CHECK(cluster.EngineCounter("evictions_in_use") == 0);
 }
 
--- a/unittests/process/steady_callers.cc
+++ b/unittests/process/steady_callers.cc
@@ -26,21 +26,31 @@
   for (int number = 0; !m_stop; ++number) {
     const int gateway = number % m_gateways;
     if (!m_cluster.IsReady("gateway" + std::to_string(gateway))) continue;
-    std::string failure = m_call(gateway, number);
-    if (failure.empty()) {
+    SteadyResult result = m_call(gateway, number);
+    if (!result.sent) {
+      ++m_unsent;
+      continue;
+    }
+    if (result.failure.empty()) {
       ++m_answered;
       continue;
     }
     ++m_failed;
-    m_failure = std::move(failure);
+    m_failure = std::move(result.failure);
   }
 }
 
+SteadyResult ResultOf(const HttpReply& reply) {
+  SteadyResult result;
+  result.sent = reply.progress != HttpProgress::kNotSent;
+  if (!IsAnswered(reply)) result.failure = reply.error + reply.response.body;
+  return result;
+}
+
 SteadyCall ShortChats(Cluster& cluster) {
   return [&cluster](int gateway, int number) {
     const std::string model = "a" + std::to_string(number / 2 % 2) + "@v1";
-    const HttpReply reply = cluster.Chat(gateway, model, "steady");
-    return IsAnswered(reply) ? "" : reply.error + reply.response.body;
+    return ResultOf(cluster.Chat(gateway, model, "steady"));
   };
 }
 
--- a/unittests/process/steady_callers.h
+++ b/unittests/process/steady_callers.h
@@ -14,9 +14,19 @@
 
 namespace yuccamoor {
 
-/// Makes the call of the given number through a gateway. Returns what went
-/// wrong, or an empty string.
-using SteadyCall = std::function<std::string(int gateway, int number)>;
+/// How one call ended.
+struct SteadyResult {
+  /// Whether any byte of it was written.
+  bool sent = true;
+  /// What went wrong, or an empty string.
+  std::string failure;
+};
+
+/// Makes the call of the given number through a gateway.
+using SteadyCall = std::function<SteadyResult(int gateway, int number)>;
+
+/// Returns the end of a call that must be answered with success.
+SteadyResult ResultOf(const HttpReply& reply);
 
 /// Calls through all ready gateways in turn until stopped, as the balancer
 /// does, from a thread of its own.
@@ -33,6 +43,8 @@
 
   int answered() const { return m_answered; }
   int failed() const { return m_failed; }
+  /// Calls of which nothing could be sent; they are neither of the above.
+  int unsent() const { return m_unsent; }
   /// What the last failure said. Read after Stop.
   const std::string& failure() const { return m_failure; }
 
@@ -45,6 +57,7 @@
   std::atomic<bool> m_stop{false};
   std::atomic<int> m_answered{0};
   std::atomic<int> m_failed{0};
+  std::atomic<int> m_unsent{0};
   std::string m_failure;
   std::thread m_thread;
 };
--- a/unittests/process/stream_caller.cc
+++ b/unittests/process/stream_caller.cc
@@ -73,6 +73,7 @@
     StreamPart part;
     {
       const auto stream = co_await client.Open(address, request, options);
+      part.sent = stream->progress() != HttpProgress::kNotSent;
       part.status = stream->head().status;
       SseParser parser;
       while (auto piece = co_await stream->Read(kTimeout)) {
--- a/unittests/process/stream_caller.h
+++ b/unittests/process/stream_caller.h
@@ -18,6 +18,8 @@
 
 /// How one connection ended.
 struct StreamPart {
+  /// Whether any byte of the request was written.
+  bool sent = false;
   int status = 0;
   /// The body of an answer that is no stream.
   std::string error;
