Install only what is used

Cause: librapidcheck-dev and libbenchmark-dev stood in the install line since the beginning, and nothing includes or links them. Ruled out: a use through CMake; no find_package names them.

--- a/utils/install_dependencies.sh
+++ b/utils/install_dependencies.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 export DEBIAN_FRONTEND=noninteractive
 apt-get update
-apt-get install -y --no-install-recommends g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libboost-dev libjsoncpp-dev libjsonrpccpp-dev catch2 libcli11-dev libgoogle-glog-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev libbenchmark-dev libpcg-cpp-dev curl
+apt-get install -y --no-install-recommends g++ cmake ninja-build ccache pkg-config clang-format clang-tidy libboost-dev libjsoncpp-dev libjsonrpccpp-dev catch2 libcli11-dev libgoogle-glog-dev nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev curl
