End a shutdown only on a load read after the intake stopped

Cause: ShutdownSequence went from unready through draining to done in one step when nothing was in flight at that moment. The load had been read before the gateway stopped taking requests, and it then stopped without another look: a charge that another gateway forwarded in between was cut. Seen once in five runs of "A hundred graceful shutdowns under load cut no request", beside the other tests under AddressSanitizer, as one charge with "running".

The transition to draining now returns first; the next step, with a load read after the intake stopped, may end. Ruled out: the count of forwarded requests, which is raised before the look at whether they are taken.

Before: the new test in virtual time failed with done in place of draining, at once. After: it passes.

--- a/lib/coordination/request/shutdown_sequence.cc
+++ b/lib/coordination/request/shutdown_sequence.cc
@@ -14,7 +14,10 @@
 ShutdownPhase ShutdownSequence::Advance(const ShutdownLoad& load, TimeMs now) {
   const DurationMs elapsed = now - m_begun;
   if (m_phase == ShutdownPhase::kUnready && elapsed >= m_options.unready_time) {
+    // The load was read while requests were still taken: only a later one,
+    // without new arrivals, can tell that all have ended.
     m_phase = ShutdownPhase::kDraining;
+    return m_phase;
   }
   if (m_phase != ShutdownPhase::kDraining) return m_phase;
   const bool ended = load.requests_in_flight == 0 && !load.unwritten_outcomes &&
--- a/unittests/coordination/request/table_test.cc
+++ b/unittests/coordination/request/table_test.cc
@@ -92,4 +92,14 @@
   }
 }
 
+TEST_CASE("A shutdown ends only on a load read after the intake stopped",
+          "[shutdown]") {
+  ShutdownSequence shutdown({DurationMs(3'000), DurationMs(60'000)});
+  shutdown.Begin(TimeMs(100'000));
+  CHECK(shutdown.Advance({}, TimeMs(103'000)) == ShutdownPhase::kDraining);
+  CHECK(shutdown.Advance({1, false, false}, TimeMs(103'020)) ==
+        ShutdownPhase::kDraining);
+  CHECK(shutdown.Advance({}, TimeMs(103'040)) == ShutdownPhase::kDone);
+}
+
 }  // namespace yuccamoor
