Say failures, messages and names once, and build a prompt once

MakeApiError beside ApiError serves all. - Six messages of leadership listed their fields once to write and once to read. The JSON library's macro takes the list once; messages whose names in JSON differ keep their own functions. - The names of a test cluster's daemons were built in three places; the cluster gives them. - A chat's prompt was built for the prefix and again for each attempt, and a resumed chat drew an id that it then threw away.

Left as they are: codecs with short or differing names, and the bounds of answers and of costs, which only look alike. No behaviour, text or check changes.

--- a/benchmarks/config/in_force_benchmark.cc
+++ b/benchmarks/config/in_force_benchmark.cc
@@ -25,18 +25,6 @@
   return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
-std::vector<std::string> DaemonNames() {
-  std::vector<std::string> names;
-  names.reserve(kGateways + kSchedulers);
-  for (int i = 0; i < kGateways; ++i) {
-    names.push_back("gateway" + std::to_string(i));
-  }
-  for (int i = 0; i < kSchedulers; ++i) {
-    names.push_back("scheduler" + std::to_string(i));
-  }
-  return names;
-}
-
 std::uint64_t RevisionOf(Cluster& cluster, const std::string& daemon) {
   const std::string text = cluster.http().Get(
       cluster.Address(daemon + "/operator"), "/admin/status");
@@ -46,7 +34,7 @@
 
 /// Waits until every daemon reports the revision.
 void AwaitInForce(Cluster& cluster, std::uint64_t revision) {
-  for (const std::string& daemon : DaemonNames()) {
+  for (const std::string& daemon : cluster.DaemonNames()) {
     while (RevisionOf(cluster, daemon) < revision) {
     }
   }
--- a/include/yuccamoor/protocol/api_error.h
+++ b/include/yuccamoor/protocol/api_error.h
@@ -28,6 +28,9 @@
   Findings findings;
 };
 
+/// Returns a failure that was not run and names no time for another try.
+ApiError MakeApiError(int status, std::string type, std::string message);
+
 /// Returns {"error":{"type","message","outcome","retry_after_ms","findings"}}.
 std::string EncodeApiError(const ApiError& error);
 
--- a/lib/protocol/api_error.cc
+++ b/lib/protocol/api_error.cc
@@ -3,10 +3,20 @@
 
 #include "yuccamoor/protocol/api_error.h"
 
+#include <utility>
+
 #include "yuccamoor/protocol/json.h"
 
 namespace yuccamoor {
 
+ApiError MakeApiError(int status, std::string type, std::string message) {
+  ApiError error;
+  error.status = status;
+  error.type = std::move(type);
+  error.message = std::move(message);
+  return error;
+}
+
 std::string EncodeApiError(const ApiError& error) {
   Json body{{"type", error.type},
             {"message", error.message},
--- a/lib/protocol/leadership_codec.cc
+++ b/lib/protocol/leadership_codec.cc
@@ -7,42 +7,12 @@
 
 namespace yuccamoor {
 
-static void to_json(Json& json, const Candidate& candidate) {
-  json = Json{{"id", candidate.id},
-              {"address", candidate.address},
-              {"failure_domain", candidate.failure_domain}};
-}
-
-static void from_json(const Json& json, Candidate& candidate) {
-  json.at("id").get_to(candidate.id);
-  json.at("address").get_to(candidate.address);
-  json.at("failure_domain").get_to(candidate.failure_domain);
-}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Candidate, id, address, failure_domain)
 
-static void to_json(Json& json, const SlotKey& key) {
-  json = Json{{"worker", key.worker}, {"target", key.target}};
-}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SlotKey, worker, target)
 
-static void from_json(const Json& json, SlotKey& key) {
-  json.at("worker").get_to(key.worker);
-  json.at("target").get_to(key.target);
-}
-
-static void to_json(Json& json, const UnsettledTerm& term) {
-  json = Json{{"leader", term.leader},
-              {"incarnation", term.incarnation},
-              {"epoch", term.epoch},
-              {"unlisted", term.unlisted},
-              {"evictions", term.evictions}};
-}
-
-static void from_json(const Json& json, UnsettledTerm& term) {
-  json.at("leader").get_to(term.leader);
-  json.at("incarnation").get_to(term.incarnation);
-  json.at("epoch").get_to(term.epoch);
-  json.at("unlisted").get_to(term.unlisted);
-  json.at("evictions").get_to(term.evictions);
-}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(UnsettledTerm, leader, incarnation, epoch,
+                                   unlisted, evictions)
 
 static void to_json(Json& json, const LeadershipRecord& record) {
   json = Json{{"epoch", record.epoch},
@@ -88,51 +58,13 @@
   json.at("hold_ms").get_to(request.hold);
 }
 
-static void to_json(Json& json, const HoldReply& reply) {
-  json = Json{{"cell", reply.cell},
-              {"from", reply.from},
-              {"epoch", reply.epoch},
-              {"number", reply.number},
-              {"granted", reply.granted}};
-}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HoldReply, cell, from, epoch, number,
+                                   granted)
 
-static void from_json(const Json& json, HoldReply& reply) {
-  json.at("cell").get_to(reply.cell);
-  json.at("from").get_to(reply.from);
-  json.at("epoch").get_to(reply.epoch);
-  json.at("number").get_to(reply.number);
-  json.at("granted").get_to(reply.granted);
-}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SettleRequest, cell, to, incarnation, epoch)
 
-static void to_json(Json& json, const SettleRequest& request) {
-  json = Json{{"cell", request.cell},
-              {"to", request.to},
-              {"incarnation", request.incarnation},
-              {"epoch", request.epoch}};
-}
-
-static void from_json(const Json& json, SettleRequest& request) {
-  json.at("cell").get_to(request.cell);
-  json.at("to").get_to(request.to);
-  json.at("incarnation").get_to(request.incarnation);
-  json.at("epoch").get_to(request.epoch);
-}
-
-static void to_json(Json& json, const SettleReply& reply) {
-  json = Json{{"cell", reply.cell},
-              {"from", reply.from},
-              {"incarnation", reply.incarnation},
-              {"epoch", reply.epoch},
-              {"settled", reply.settled}};
-}
-
-static void from_json(const Json& json, SettleReply& reply) {
-  json.at("cell").get_to(reply.cell);
-  json.at("from").get_to(reply.from);
-  json.at("incarnation").get_to(reply.incarnation);
-  json.at("epoch").get_to(reply.epoch);
-  json.at("settled").get_to(reply.settled);
-}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SettleReply, cell, from, incarnation, epoch,
+                                   settled)
 
 static void to_json(Json& json, const NotLeader& answer) {
   json = Json{{"not_leader", true}, {"leader", answer.leader_address}};
--- a/lib/transport/gateway/chat_run.cc
+++ b/lib/transport/gateway/chat_run.cc
@@ -63,6 +63,7 @@
     : m_services(services),
       m_job(job),
       m_sink(sink),
+      m_prompt(BuildPrompt(job.request)),
       m_random(std::hash<RequestId>()(job.id)),
       m_assembler(job.generation, job.target, kMaxHeldFrames) {
   if (!job.resume) return;
@@ -76,7 +77,7 @@
 }
 
 Awaitable<std::optional<ApiError>> ChatRun::Execute() {
-  const std::uint64_t prefix_key = PrefixKey(BuildPrompt(m_job.request));
+  const std::uint64_t prefix_key = PrefixKey(m_prompt);
   for (;;) {
     const AcquireResult acquired = co_await WaitForGrant(prefix_key);
     if (!acquired.placement) co_return FailureOf(acquired);
@@ -148,7 +149,7 @@
   generate.request_id = m_job.generation;
   generate.attempt = static_cast<std::uint32_t>(m_attempt.value());
   generate.target = m_job.target;
-  generate.prompt = BuildPrompt(m_job.request);
+  generate.prompt = m_prompt;
   generate.max_tokens = m_job.request.max_tokens;
   generate.priority = m_job.priority;
   generate.resume_from = static_cast<std::uint32_t>(
--- a/lib/transport/gateway/chat_run.h
+++ b/lib/transport/gateway/chat_run.h
@@ -83,6 +83,7 @@
   const ChatServices& m_services;
   const ChatJob& m_job;
   TokenSink& m_sink;
+  const std::string m_prompt;
   /// For the jitter between attempts.
   std::minstd_rand m_random;
   StreamAssembler m_assembler;
--- a/lib/transport/gateway/chat_run_failure.cc
+++ b/lib/transport/gateway/chat_run_failure.cc
@@ -8,28 +8,20 @@
 
 constexpr DurationMs kRetryAfterResume(1'000);
 
-ApiError MakeError(int status, const char* type, const char* message) {
-  ApiError error;
-  error.status = status;
-  error.type = type;
-  error.message = message;
-  return error;
-}
-
 }  // namespace
 
 ApiError ChatRun::FailureOf(const AcquireResult& result) const {
   if (result.engine_lost) return Cut();
-  ApiError error = MakeError(504, "deadline_exceeded",
-                             "the request's time limit has passed");
+  ApiError error = MakeApiError(504, "deadline_exceeded",
+                                "the request's time limit has passed");
   const bool in_time = m_services.clock.Now() < m_job.deadline;
   if (result.refusal) {
     error =
-        MakeError(503, "overloaded", "the adapter cannot be served in time");
+        MakeApiError(503, "overloaded", "the adapter cannot be served in time");
     error.retry_after = result.refusal->retry_after;
   } else if (m_sink.Committed() && in_time) {
-    error = MakeError(503, "resume_unavailable",
-                      "the engine that holds the answer cannot be used now");
+    error = MakeApiError(503, "resume_unavailable",
+                         "the engine that holds the answer cannot be used now");
     error.retry_after = kRetryAfterResume;
   }
   error.outcome = m_dispatched ? Outcome::kUnknown : Outcome::kNotRun;
@@ -37,11 +29,11 @@
 }
 
 ApiError ChatRun::Cut() const {
-  ApiError error =
-      MakeError(502, "answer_cut", "the answer was lost before it was whole");
+  ApiError error = MakeApiError(502, "answer_cut",
+                                "the answer was lost before it was whole");
   if (m_job.resume) {
-    error = MakeError(410, "not_resumable",
-                      "no engine holds the rest of this answer");
+    error = MakeApiError(410, "not_resumable",
+                         "no engine holds the rest of this answer");
   }
   error.outcome = Outcome::kUnknown;
   return error;
--- a/lib/transport/gateway/chat_service.cc
+++ b/lib/transport/gateway/chat_service.cc
@@ -24,16 +24,8 @@
 
 constexpr DurationMs kRetryAfterOverload(1'000);
 
-ApiError MakeError(int status, std::string type, std::string message) {
-  ApiError error;
-  error.status = status;
-  error.type = std::move(type);
-  error.message = std::move(message);
-  return error;
-}
-
 ApiError NotReady(std::string message) {
-  ApiError error = MakeError(503, "not_ready", std::move(message));
+  ApiError error = MakeApiError(503, "not_ready", std::move(message));
   error.retry_after = kRetryAfterOverload;
   return error;
 }
@@ -156,11 +148,11 @@
     pass.emplace(std::move(*result.pass));
     co_return std::nullopt;
   }
-  ApiError error = MakeError(504, "deadline_exceeded",
-                             "the request's time limit has passed");
+  ApiError error = MakeApiError(504, "deadline_exceeded",
+                                "the request's time limit has passed");
   if (result.refused) {
-    error =
-        MakeError(503, "overloaded", "this gateway serves too many requests");
+    error = MakeApiError(503, "overloaded",
+                         "this gateway serves too many requests");
     error.retry_after = result.retry_after;
   }
   // What was begun earlier goes on at its engine.
@@ -187,9 +179,11 @@
     findings.Add(Place{"header", kTimeoutHeader, 0, 0},
                  "is not a time limit in milliseconds");
   }
-  job.generation = NewGenerationId();
   const std::string_view last_event = request.headers.Find(kLastEventHeader);
-  if (last_event.empty()) return findings;
+  if (last_event.empty()) {
+    job.generation = NewGenerationId();
+    return findings;
+  }
   job.resume = DecodeStreamEventId(last_event);
   const Place place{"header", kLastEventHeader, 0, 0};
   if (!job.resume) {
@@ -228,7 +222,7 @@
   }
   if (!findings.empty()) {
     ApiError error =
-        MakeError(400, "invalid_request", "the request is not valid");
+        MakeApiError(400, "invalid_request", "the request is not valid");
     error.findings = std::move(findings);
     return error;
   }
@@ -242,8 +236,9 @@
     job.session = m_services.directory.Session(adapter->cell);
   }
   if (!job.session) {
-    return MakeError(404, "model_not_found",
-                     "no such adapter, version or alias: " + job.request.model);
+    return MakeApiError(
+        404, "model_not_found",
+        "no such adapter, version or alias: " + job.request.model);
   }
   job.target = *target;
   job.priority = adapter->priority;
--- a/lib/transport/gateway/gateway.cc
+++ b/lib/transport/gateway/gateway.cc
@@ -259,10 +259,9 @@
     co_await m_proxy->Handle(exchange, NewRequestId(request));
     co_return;
   }
-  ApiError error;
-  error.status = chat ? 405 : 404;
-  error.type = chat ? "method_not_allowed" : "not_found";
-  error.message = "no such resource: " + request.method + " " + request.target;
+  ApiError error = MakeApiError(
+      chat ? 405 : 404, chat ? "method_not_allowed" : "not_found",
+      "no such resource: " + request.method + " " + request.target);
   co_await SendError(exchange, std::move(error));
 }
 
--- a/lib/transport/gateway/gateway_shutdown.cc
+++ b/lib/transport/gateway/gateway_shutdown.cc
@@ -37,11 +37,8 @@
     co_await Handle(exchange);
     co_return;
   }
-  ApiError error;
-  error.status = 503;
-  error.type = "not_ready";
-  error.message = "this gateway is shutting down";
-  HttpResponse refusal = ErrorResponse(error);
+  HttpResponse refusal = ErrorResponse(
+      MakeApiError(503, "not_ready", "this gateway is shutting down"));
   refusal.headers.Add(kNotTakenHeader, "true");
   co_await exchange.Send(std::move(refusal));
 }
--- a/lib/transport/gateway/service_admission.cc
+++ b/lib/transport/gateway/service_admission.cc
@@ -17,13 +17,10 @@
 
 constexpr int kServiceUnavailable = 503;
 
-HttpResponse MakeError(int status, std::string type, std::string message,
-                       Outcome outcome = Outcome::kNotRun,
-                       DurationMs retry_after = DurationMs(0)) {
-  ApiError error;
-  error.status = status;
-  error.type = std::move(type);
-  error.message = std::move(message);
+HttpResponse Refusal(int status, std::string type, std::string message,
+                     Outcome outcome = Outcome::kNotRun,
+                     DurationMs retry_after = DurationMs(0)) {
+  ApiError error = MakeApiError(status, std::move(type), std::move(message));
   error.outcome = outcome;
   error.retry_after = retry_after;
   return ErrorResponse(error);
@@ -60,15 +57,15 @@
   {
     const std::lock_guard lock(m_mutex);
     if (!m_config) {
-      return NotTaken(MakeError(
-          kServiceUnavailable, "not_ready", "no configuration is known",
-          RefusedOutcome(IsRepeat(request)), DurationMs(1'000)));
+      return NotTaken(
+          Refusal(kServiceUnavailable, "not_ready", "no configuration is known",
+                  RefusedOutcome(IsRepeat(request)), DurationMs(1'000)));
     }
     const auto it = m_config->services.find(service);
     if (it == m_config->services.end()) {
-      return NotTaken(MakeError(404, "service_not_found",
-                                "no such service: " + service.str(),
-                                RefusedOutcome(IsRepeat(request))));
+      return NotTaken(Refusal(404, "service_not_found",
+                              "no such service: " + service.str(),
+                              RefusedOutcome(IsRepeat(request))));
     }
     job.service = it->second;
     job.state = m_states.at(service);
@@ -79,9 +76,9 @@
   job.spec.deadline = RequestDeadline(request, job.service->timeout,
                                       m_services.clock.Now(), valid_limit);
   if (!valid_limit) {
-    return MakeError(400, "invalid_request",
-                     std::string(kTimeoutHeader) + " is not a time limit",
-                     RefusedOutcome(IsRepeat(request)));
+    return Refusal(400, "invalid_request",
+                   std::string(kTimeoutHeader) + " is not a time limit",
+                   RefusedOutcome(IsRepeat(request)));
   }
   return CheckKey(request, job);
 }
@@ -98,13 +95,13 @@
   job.spec.first_sent_ago =
       ParseFirstSentAgo(request.headers.Find(kFirstSentAgoHeader));
   if (IsRepeat(request) && !job.spec.first_sent_ago) {
-    return MakeError(
+    return Refusal(
         400, "invalid_request",
         std::string(kFirstSentAgoHeader) + " is not a number of milliseconds",
         Outcome::kUnknown);
   }
   if (job.spec.key.empty()) {
-    return MakeError(
+    return Refusal(
         400, "missing_idempotency_key",
         "this call needs the header " + std::string(kIdempotencyKeyHeader),
         RefusedOutcome(IsRepeat(request)));
@@ -116,9 +113,9 @@
   const std::lock_guard lock(m_mutex);
   const TimeMs now = m_services.clock.Now();
   if (job.state->share.TryTake(now)) return std::nullopt;
-  return MakeError(429, "rate_limited", "the service's limit is used up",
-                   RefusedOutcome(job.spec.first_sent_ago.has_value()),
-                   job.state->share.WaitTime(now));
+  return Refusal(429, "rate_limited", "the service's limit is used up",
+                 RefusedOutcome(job.spec.first_sent_ago.has_value()),
+                 job.state->share.WaitTime(now));
 }
 
 }  // namespace yuccamoor
--- a/unittests/process/cluster.cc
+++ b/unittests/process/cluster.cc
@@ -207,6 +207,19 @@
   return m_addresses.at(name);
 }
 
+std::vector<std::string> Cluster::DaemonNames() const {
+  std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(m_shape.gateways) +
+                static_cast<std::size_t>(m_shape.schedulers));
+  for (int i = 0; i < m_shape.gateways; ++i) {
+    names.push_back("gateway" + std::to_string(i));
+  }
+  for (int i = 0; i < m_shape.schedulers; ++i) {
+    names.push_back("scheduler" + std::to_string(i));
+  }
+  return names;
+}
+
 bool Cluster::IsReady(const std::string& name) {
   return m_http.Get(Address(name + "/operator"), "/readyz") ==
          R"({"ready":true})";
@@ -250,20 +263,13 @@
 }
 
 void Cluster::ListVms(const std::string& leaving) {
-  std::vector<std::string> ids;
-  constexpr std::size_t kMostVms = 64;
-  ids.reserve(kMostVms);
+  std::vector<std::string> names = DaemonNames();
   for (int i = 0; i < kEndpoints; ++i) {
-    ids.push_back("vm-service" + std::to_string(i));
-  }
-  for (int i = 0; i < m_shape.gateways; ++i) {
-    ids.push_back("vm-gateway" + std::to_string(i));
-  }
-  for (int i = 0; i < m_shape.schedulers; ++i) {
-    ids.push_back("vm-scheduler" + std::to_string(i));
+    names.push_back("service" + std::to_string(i));
   }
   Json vms = Json::array();
-  for (const std::string& id : ids) {
+  for (const std::string& name : names) {
+    const std::string id = "vm-" + name;
     vms.push_back({{"id", id},
                    {"failure_domain", "domain-" + id.substr(id.size() - 1)},
                    {"leaving", id == leaving}});
--- a/unittests/process/cluster.h
+++ b/unittests/process/cluster.h
@@ -53,6 +53,9 @@
   /// The folder of the processes' files, removed with the cluster.
   const std::string& folder() const { return m_folder; }
 
+  /// The gateways' names, then the schedulers'.
+  std::vector<std::string> DaemonNames() const;
+
   /// Whether the daemon says that it is ready.
   bool IsReady(const std::string& name);
   /// Asks a gateway for a chat answer.
--- a/unittests/process/publishing_test.cc
+++ b/unittests/process/publishing_test.cc
@@ -19,18 +19,6 @@
 /// publication makes about six; other daemons' calls count, too.
 constexpr std::uint64_t kMostCallsBeforeKill = 16;
 
-std::vector<std::string> DaemonNames() {
-  std::vector<std::string> names;
-  names.reserve(kGateways + kSchedulers);
-  for (int i = 0; i < kGateways; ++i) {
-    names.push_back("gateway" + std::to_string(i));
-  }
-  for (int i = 0; i < kSchedulers; ++i) {
-    names.push_back("scheduler" + std::to_string(i));
-  }
-  return names;
-}
-
 /// Calls that publishers make: reads of one key and compare-and-swaps.
 std::uint64_t PublisherCalls(Cluster& cluster) {
   const std::string text =
@@ -71,7 +59,7 @@
   shape.gateways = kGateways;
   shape.schedulers = kSchedulers;
   Cluster cluster(shape);
-  const std::vector<std::string> daemons = DaemonNames();
+  const std::vector<std::string> daemons = cluster.DaemonNames();
   RevisionWatch watch(cluster, daemons);
   std::mt19937_64 random(kSeed);
   // What the killed publishers' owner has in force.
