--- /dev/null
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -0,0 +1,161 @@
+/// \file
+/// \brief Decides the load and unload orders of one engine, at the one node
+/// that holds the right to give them.
+
+#ifndef YUCCAMOOR_COORDINATION_FLEET_ENGINE_HOST_H_
+#define YUCCAMOOR_COORDINATION_FLEET_ENGINE_HOST_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "yuccamoor/state/clock.h"
+#include "yuccamoor/state/fleet/endpoint_entry.h"
+
+namespace yuccamoor::fleet {
+
+/// A node's wish to have an adapter on the engine.
+struct LoadRequest {
+  AdapterRef adapter;
+  AdapterRevision version;
+  /// 0 is the most urgent.
+  int priority = 0;
+  NodeId requester;
+};
+
+/// One order to an engine.
+struct EngineOrder {
+  bool load = true;
+  AdapterRef adapter;
+  /// Zero loads the newest version.
+  AdapterRevision version;
+  /// Orders that the engine must have accepted so far for this one to hold. An
+  /// order that arrives late finds another count and is refused.
+  std::uint64_t expected_accepted = 0;
+  Epoch fence;
+};
+
+/// How an order ended.
+enum class OrderEnd : std::uint8_t {
+  /// Accepted; it is being carried out.
+  kAccepted,
+  /// Done, or true before.
+  kDone,
+  /// Another order is under way, or the count differs.
+  kConflict,
+  /// The engine is another one or does not know the model.
+  kRejected,
+  /// No answer: it may be carried out at any later time.
+  kUnknown,
+};
+
+/// An adapter that has come into place for a requester.
+struct LoadNotice {
+  AdapterRef adapter;
+  NodeId requester;
+};
+
+/// Figures of an engine that bound its orders.
+struct EngineHostOptions {
+  std::uint32_t adapter_slots = 0;
+  ModelId model;
+  /// Loading time of the model's weights.
+  DurationMs model_load{2'000};
+};
+
+/// What a poll asks its caller to do.
+struct EngineHostActions {
+  std::optional<EngineOrder> order;
+  bool fetch_report = false;
+  std::vector<LoadNotice> notices;
+};
+
+/// The orders of one engine. Gives one order at a time and counts every place
+/// that an adapter may take, also one whose fate is unknown, so that the
+/// engine is never ordered to hold more than it can.
+class EngineHost {
+ public:
+  /// Orders may be given from \p order_from on.
+  EngineHost(EngineHostOptions options, Epoch fence, TimeMs order_from);
+
+  /// Notes a node's wish; a repeated one refreshes it.
+  void Request(const LoadRequest& request, TimeMs now);
+  /// Notes that requests used the adapter.
+  void OnUsed(const AdapterRef& adapter, std::uint32_t requests, TimeMs now);
+  /// Notes that the engine answered that it does not hold the adapter.
+  void OnMissing(const AdapterRef& adapter, TimeMs now);
+  /// Notes that the engine has started anew and holds nothing.
+  void OnEngineRestart(TimeMs now);
+
+  /// Takes a report that was asked for by a poll; nothing if there was no
+  /// answer.
+  void OnReport(const std::optional<EngineReport>& report, TimeMs now);
+  /// Takes the end of the order that a poll returned.
+  void OnOrderEnd(OrderEnd end, TimeMs now);
+
+  /// Decides what to do now. \p loads_elsewhere counts adapters on their way
+  /// to other engines. Call it after each event and when its time may have
+  /// come.
+  EngineHostActions Poll(TimeMs now, std::uint32_t loads_elsewhere);
+
+  /// The adapters in place.
+  AdapterSet Resident() const;
+  /// Adapters on their way from the weight store.
+  std::uint32_t loading() const;
+  bool synced() const { return m_synced; }
+  std::size_t waiting() const { return m_requests.size(); }
+
+ private:
+  enum class PlaceState : std::uint8_t { kLoading, kResident, kUnloading };
+  struct Place {
+    PlaceState state = PlaceState::kLoading;
+    AdapterRevision version;
+    TimeMs ready_at;
+    TimeMs loaded_at;
+    TimeMs last_used;
+    // Requests, each counting half after a half-life.
+    double uses = 0;
+    std::uint32_t misses = 0;
+  };
+  struct Waiting {
+    LoadRequest request;
+    TimeMs asked;
+    TimeMs refreshed;
+  };
+
+  void FinishLoads(TimeMs now);
+  void CollectNotices(std::vector<LoadNotice>& notices);
+  bool IsInPlace(const LoadRequest& request) const;
+  std::optional<EngineOrder> NextOrder(TimeMs now);
+  std::optional<EngineOrder> OrderFor(const LoadRequest& request, TimeMs now);
+  std::optional<EngineOrder> UnloadVictim(TimeMs now);
+  void Resync(TimeMs at);
+  void ApplyLoad(OrderEnd end, TimeMs now);
+  void ApplyUnload(OrderEnd end);
+  DurationMs EstimateLoad(const AdapterRef& adapter) const;
+  void RememberHeld(const AdapterRef& adapter);
+  double DecayedUses(const Place& place, TimeMs now) const;
+
+  EngineHostOptions m_options;
+  Epoch m_fence;
+  TimeMs m_order_from;
+  bool m_synced = false;
+  bool m_report_pending = false;
+  TimeMs m_report_at;
+  bool m_has_model = false;
+  TimeMs m_model_ready_at;
+  std::uint64_t m_accepted = 0;
+  std::uint32_t m_loads_elsewhere = 0;
+  std::map<AdapterRef, Place> m_places;
+  std::list<Waiting> m_requests;
+  std::optional<EngineOrder> m_order;
+  TimeMs m_retry_at;
+  // Adapters that the engine's host memory probably still has, newest first.
+  std::list<AdapterRef> m_held;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_COORDINATION_FLEET_ENGINE_HOST_H_
--- /dev/null
+++ b/include/yuccamoor/protocol/fleet/http_head.h
@@ -0,0 +1,49 @@
+/// \file
+/// \brief The head of an HTTP/1.1 message as plain data.
+
+#ifndef YUCCAMOOR_PROTOCOL_FLEET_HTTP_HEAD_H_
+#define YUCCAMOOR_PROTOCOL_FLEET_HTTP_HEAD_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccamoor::fleet {
+
+/// One header field as it came.
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+/// The start line and the header fields of a request or a response.
+struct HttpHead {
+  std::string method;
+  std::string target;
+  int status = 0;
+  std::vector<HeaderField> fields;
+
+  /// Returns the value of the first field of that name in any case, or an
+  /// empty text.
+  std::string_view Find(std::string_view name) const;
+  /// Returns how many fields have that name in any case.
+  std::size_t Count(std::string_view name) const;
+};
+
+/// Whether two header names are the same but for case.
+bool SameHeaderName(std::string_view a, std::string_view b);
+
+/// Whether the field concerns one connection only and must not be forwarded:
+/// the standard ones, and those that the Connection field of \p head names.
+bool IsHopByHop(const HttpHead& head, std::string_view name);
+
+/// Appends "name: value" and a line end.
+void AppendField(std::string& out, std::string_view name,
+                 std::string_view value);
+
+/// Returns the standard reason phrase of a status, or "Status".
+std::string_view ReasonPhrase(int status);
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_PROTOCOL_FLEET_HTTP_HEAD_H_
--- /dev/null
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -0,0 +1,70 @@
+/// \file
+/// \brief Datagrams between the nodes of a fleet. Each may be lost: requests
+/// are repeated, states are told again.
+
+#ifndef YUCCAMOOR_PROTOCOL_FLEET_PEER_MESSAGES_H_
+#define YUCCAMOOR_PROTOCOL_FLEET_PEER_MESSAGES_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "yuccamoor/state/fleet/endpoint_entry.h"
+
+namespace yuccamoor::fleet {
+
+/// An engine as its holder sees it.
+struct HeldEngineStatus {
+  /// Whether the holder may give orders now.
+  bool ordering = false;
+  std::uint32_t loading = 0;
+  AdapterSet adapters;
+};
+
+/// What a node tells all others from time to time.
+struct NodeStatus {
+  NodeId node;
+  /// Requests under way, by endpoint.
+  std::map<EndpointId, std::uint32_t> in_flight;
+  /// Requests begun or under way since the last status, by engine and adapter.
+  std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> used;
+  /// The engines that the node holds.
+  std::map<EndpointId, HeldEngineStatus> held;
+};
+
+/// Asks an engine's holder to have an adapter loaded.
+struct AskLoad {
+  NodeId node;
+  EndpointId engine;
+  AdapterRef adapter;
+  AdapterRevision version;
+  int priority = 0;
+};
+
+/// Tells that an adapter is in place.
+struct TellLoaded {
+  EndpointId engine;
+  AdapterRef adapter;
+  AdapterRevision version;
+};
+
+/// Tells an engine's holder that the engine does not hold an adapter.
+struct TellMissing {
+  EndpointId engine;
+  AdapterRef adapter;
+};
+
+using PeerMessage =
+    std::variant<NodeStatus, AskLoad, TellLoaded, TellMissing>;
+
+std::string EncodePeerMessage(const PeerMessage& message);
+
+/// Returns nothing for a datagram that is no such message.
+std::optional<PeerMessage> DecodePeerMessage(std::string_view datagram);
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_PROTOCOL_FLEET_PEER_MESSAGES_H_
--- /dev/null
+++ b/include/yuccamoor/state/fleet/node_settings.h
@@ -0,0 +1,58 @@
+/// \file
+/// \brief The settings of one node, as plain data.
+
+#ifndef YUCCAMOOR_STATE_FLEET_NODE_SETTINGS_H_
+#define YUCCAMOOR_STATE_FLEET_NODE_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "yuccamoor/state/clock.h"
+#include "yuccamoor/state/ids.h"
+
+namespace yuccamoor::fleet {
+
+/// An IP number and a port.
+struct SocketAddress {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  friend bool operator==(const SocketAddress&, const SocketAddress&) = default;
+};
+
+/// Writes "ip:port".
+inline std::string ToString(const SocketAddress& address) {
+  return address.ip + ":" + std::to_string(address.port);
+}
+
+/// Parses "ip:port"; the port is zero for a text that is no such address.
+SocketAddress ParseSocketAddress(std::string_view text);
+
+/// What a node learns at its start.
+struct NodeSettings {
+  NodeId node;
+  FailureDomainId domain;
+  /// Clients connect here.
+  SocketAddress front;
+  /// The balancer asks here whether the node takes new connections.
+  SocketAddress ready;
+  /// Peers send datagrams here.
+  SocketAddress peers;
+  /// Counters and histograms are served here.
+  SocketAddress metrics;
+  SocketAddress store;
+  /// Between SIGTERM and SIGKILL.
+  DurationMs shutdown_grace{8'000};
+  /// Orders of two holders to one engine lie at least this far apart.
+  DurationMs holder_separation{3'000};
+  /// Retries per request that all nodes together may send, over a window.
+  double retry_share = 0.2;
+  DurationMs retry_window{10'000};
+  /// Retries that all nodes together may send beyond the share in a window.
+  std::uint32_t retry_slack = 0;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_STATE_FLEET_NODE_SETTINGS_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -0,0 +1,86 @@
+/// \file
+/// \brief Finds endpoints for requests, asks holders to load adapters, and
+/// keeps what this node and its peers have under way.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_DISPATCHER_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_DISPATCHER_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "yuccamoor/coordination/fleet/endpoint_choice.h"
+#include "yuccamoor/coordination/request/retry_budget.h"
+#include "yuccamoor/protocol/fleet/peer_messages.h"
+#include "yuccamoor/transport/fleet/node_context.h"
+
+namespace yuccamoor::fleet {
+
+/// Shared by all requests of a node.
+class Dispatcher {
+ public:
+  using SendToPeer = std::function<void(const NodeId&, const PeerMessage&)>;
+
+  Dispatcher(NodeContext& context, SendToPeer send);
+
+  /// Chooses an endpoint. An adapter that is in place nowhere, or needs one
+  /// more copy, is asked for.
+  EndpointChoice Choose(const EndpointQuery& query, int priority);
+
+  /// Notes that a request goes to the endpoint and that it has ended there.
+  void OnBegin(const EndpointId& endpoint,
+               const std::optional<AdapterRef>& adapter);
+  void OnEnd(const EndpointId& endpoint,
+             const std::optional<AdapterRef>& adapter);
+  /// Notes that an engine does not hold an adapter that it was thought to.
+  void OnMissing(const EndpointId& engine, const AdapterRef& adapter);
+
+  /// Takes one retry to the service out of the budget; false if none is left.
+  bool TakeRetry(const ServiceId& service);
+  /// Notes a client's request to the service, which earns a share of a retry.
+  void EarnRetry(const ServiceId& service);
+
+  void OnPeerStatus(const NodeStatus& status);
+  void OnLoaded(const TellLoaded& told);
+  void OnLocalHeld(const std::map<EndpointId, HeldEngineStatus>& held);
+  /// Adapters on their way to engines that other nodes hold.
+  std::uint32_t LoadsElsewhere() const;
+
+  /// Returns what to tell the other nodes, and starts the next interval.
+  NodeStatus TakeStatus();
+  /// Forgets peers that are silent.
+  void OnTick(TimeMs now);
+
+ private:
+  struct Peer {
+    TimeMs heard;
+    NodeStatus status;
+  };
+  struct Asked {
+    EndpointId engine;
+    TimeMs at;
+    TimeMs first;
+  };
+
+  void AskForLoad(const EndpointQuery& query, int priority,
+                  const std::vector<EndpointId>& places, bool urgent);
+  void Ask(const EndpointQuery& query, int priority, const EndpointId& engine);
+  bool IsOrdering(const EndpointId& engine, TimeMs now) const;
+  void CountPeers();
+
+  NodeContext& m_context;
+  SendToPeer m_send;
+  std::map<NodeId, Peer> m_peers;
+  std::map<EndpointId, TimeMs> m_ordering;
+  std::map<AdapterRef, std::vector<Asked>> m_asked;
+  // Requests under way, and begun in this interval.
+  std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_running;
+  std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_begun;
+  std::map<ServiceId, RetryBudget> m_retries;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_DISPATCHER_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -0,0 +1,100 @@
+/// \file
+/// \brief One request on its way to one endpoint, and the response as it comes.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_ENDPOINT_CALL_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_ENDPOINT_CALL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "yuccamoor/protocol/fleet/request_dialect.h"
+#include "yuccamoor/state/fleet/node_settings.h"
+#include "yuccamoor/transport/fleet/http_parser.h"
+#include "yuccamoor/transport/fleet/idle_connections.h"
+
+namespace yuccamoor::fleet {
+
+/// How far a call has come.
+enum class CallState : std::uint8_t {
+  kConnecting,
+  /// The request is being written or its response awaited.
+  kSent,
+  /// The response's head has come, its body is coming.
+  kAnswering,
+  kComplete,
+  /// No byte of the request was sent.
+  kNotSent,
+  /// The response did not come or broke off; the request may have run.
+  kBroken,
+};
+
+/// One attempt. Uses a kept connection if there is a good one. Single-threaded;
+/// calls back when its state or the body has moved on, never after Abort.
+class EndpointCall {
+ public:
+  using Progress = std::function<void()>;
+
+  EndpointCall(boost::asio::io_context& io, IdleConnections& idle,
+               const RequestDialect& dialect, std::string address,
+               RequestId attempt);
+  ~EndpointCall();
+  EndpointCall(const EndpointCall&) = delete;
+  EndpointCall& operator=(const EndpointCall&) = delete;
+
+  /// Sends the whole request.
+  void Start(std::string request, bool expect_no_body, TimeMs now,
+             Progress progress);
+
+  CallState state() const { return m_state; }
+  bool reused() const { return m_reused; }
+  HttpHead& head() { return m_parser->head(); }
+  const ResponseMeta& meta() const { return m_meta; }
+  /// Body bytes that nobody has taken yet.
+  std::string& body() { return m_parser->body(); }
+
+  /// Stops waking up for each arrival; Poll reads what has come.
+  void Detach();
+  /// Reads what has come without waiting. Does not call back.
+  void Poll();
+
+  /// Keeps the connection of a complete call for others if it is clean.
+  void Recycle(TimeMs now);
+  /// Closes the connection.
+  void Abort();
+
+ private:
+  void WriteMore();
+  void AwaitResponse();
+  void OnReadable();
+  void ReadAvailable();
+  void Parse(bool at_end);
+  bool TakeHead();
+  void Move(CallState state);
+  void Report();
+
+  boost::asio::io_context& m_io;
+  IdleConnections& m_idle;
+  const RequestDialect& m_dialect;
+  std::string m_address;
+  RequestId m_attempt;
+  std::unique_ptr<Socket> m_socket;
+  std::unique_ptr<HttpParser> m_parser;
+  std::string m_out;
+  std::size_t m_written = 0;
+  std::string m_in;
+  ResponseMeta m_meta;
+  Progress m_progress;
+  CallState m_state = CallState::kConnecting;
+  bool m_reused = false;
+  bool m_expect_no_body = false;
+  bool m_detached = false;
+  // Another response came on this connection: it is not used again.
+  bool m_tainted = false;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_ENDPOINT_CALL_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -0,0 +1,78 @@
+/// \file
+/// \brief Claims engines, and carries out the orders that are decided for
+/// those that this node holds.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_ENGINE_HOLDER_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_ENGINE_HOLDER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "yuccamoor/coordination/fleet/engine_control.h"
+#include "yuccamoor/coordination/fleet/engine_host.h"
+#include "yuccamoor/coordination/fleet/holder_claims.h"
+#include "yuccamoor/protocol/fleet/peer_messages.h"
+#include "yuccamoor/transport/fleet/store_session.h"
+
+namespace yuccamoor::fleet {
+
+/// The engines that this node holds.
+class EngineHolder {
+ public:
+  /// Called with an adapter that has come into place for a node.
+  using Notify = std::function<void(const NodeId&, const TellLoaded&)>;
+
+  EngineHolder(NodeContext& context, StoreSession& session,
+               EngineControl& control, Notify notify);
+
+  /// Takes up and gives up engines by the view of the store.
+  void OnViewChanged();
+  /// Claims engines, and gives orders that are due.
+  void OnTick(TimeMs now);
+
+  void OnAskLoad(const AskLoad& ask);
+  void OnTellMissing(const TellMissing& told);
+  void OnUsed(const EndpointId& engine, const AdapterRef& adapter,
+              std::uint32_t requests);
+  /// Adapters on their way to engines that other nodes hold.
+  void SetLoadsElsewhere(std::uint32_t loads) { m_loads_elsewhere = loads; }
+
+  /// Stops giving orders, before the lease is ended.
+  void Stop() { m_stopped = true; }
+
+  std::map<EndpointId, HeldEngineStatus> Status() const;
+  std::size_t held() const { return m_held.size(); }
+
+ private:
+  struct Held {
+    EndpointEntry entry;
+    EngineHost host;
+    Epoch fence;
+  };
+
+  bool MayOrder(TimeMs now) const;
+  void ClaimNext(TimeMs now);
+  void TakeUp(const EndpointId& engine, Epoch fence);
+  void Poll(const EndpointId& engine, TimeMs now);
+  void Order(const EndpointId& engine, const Held& held,
+             const EngineOrder& order);
+  void FetchReport(const EndpointId& engine, const Held& held);
+  Held* FindHeld(const EndpointId& engine, Epoch fence);
+
+  NodeContext& m_context;
+  StoreSession& m_session;
+  EngineControl& m_control;
+  Notify m_notify;
+  HolderClaims m_claims;
+  std::map<EndpointId, Held> m_held;
+  TimeMs m_started;
+  bool m_claiming = false;
+  bool m_stopped = false;
+  std::uint32_t m_loads_elsewhere = 0;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_ENGINE_HOLDER_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -0,0 +1,119 @@
+/// \file
+/// \brief One client's request from its arrival to its end.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_EXCHANGE_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_EXCHANGE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "yuccamoor/coordination/fleet/route_table.h"
+#include "yuccamoor/protocol/fleet/event_cutter.h"
+#include "yuccamoor/transport/fleet/dispatcher.h"
+#include "yuccamoor/transport/fleet/endpoint_call.h"
+#include "yuccamoor/transport/fleet/front_connection.h"
+#include "yuccamoor/transport/fleet/node_context.h"
+
+namespace yuccamoor::fleet {
+
+/// What exchanges share.
+struct ExchangeContext {
+  NodeContext& node;
+  Dispatcher& dispatcher;
+  IdleConnections& idle;
+  /// Set while the node shuts down: responses end their connections.
+  const bool& closing;
+};
+
+/// A request being served: chooses endpoints, repeats what may be repeated,
+/// passes the response on. Ends in exactly one of: an endpoint's response
+/// passed on, a refusal as not run, or a failure whose outcome is unknown.
+class Exchange {
+ public:
+  Exchange(ExchangeContext& context, std::shared_ptr<FrontConnection> client,
+           FrontRequest request, std::shared_ptr<const RouteTable> routes,
+           const RouteSpec& route);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  void Start();
+  /// Checks time limits, looks again for an endpoint, reads streams.
+  void OnTick(TimeMs now);
+  /// The client has left.
+  void OnClientGone();
+  /// Whether the exchange has ended and can go.
+  bool ended() const { return m_ended; }
+  const FrontConnection* client() const { return m_client.get(); }
+
+ private:
+  enum class Outcome : std::uint8_t { kAnswered, kRefused, kFailed, kGone };
+
+  void Dispatch(TimeMs now);
+  EndpointQuery MakeQuery(TimeMs now) const;
+  void SendTo(const EndpointId& endpoint, TimeMs now);
+  void OnProgress();
+  void OnAnswering();
+  void OnComplete();
+  void OnNotRun();
+  void OnNotSent();
+  void OnBroken();
+  void OnSilent(TimeMs now);
+  bool MayRepeat() const;
+  bool Retry(const char* reason);
+  void EndCall(bool healthy, bool counts);
+  void AbandonCall();
+
+  void PassWhole();
+  void PassEvents();
+  void FinishStream();
+  void StartStream();
+  std::string CloseField() const;
+  bool Closes() const;
+
+  void Refuse(const char* reason, std::optional<DurationMs> retry_after);
+  void Fail(int status, const char* reason);
+  /// Ends a request that no endpoint can serve any more, by how far it came.
+  void GiveUp(const char* reason, std::optional<DurationMs> retry_after);
+  void CutStream(const char* reason);
+  void OnDeadline();
+  void End(Outcome outcome, const char* reason);
+  void NoteFirstAnswer();
+
+  DurationMs Held(TimeMs now) const { return now - m_request.received; }
+  bool IsIdempotent() const;
+  bool ResumesStream() const;
+
+  ExchangeContext& m_context;
+  std::shared_ptr<FrontConnection> m_client;
+  FrontRequest m_request;
+  std::shared_ptr<const RouteTable> m_routes;
+  const RouteSpec& m_route;
+  RequestMeta m_meta;
+  ServiceId m_service;
+  TimeMs m_deadline;
+  std::unique_ptr<EndpointCall> m_call;
+  EndpointId m_endpoint;
+  FailureDomainId m_endpoint_domain;
+  TimeMs m_sent;
+  TimeMs m_last_choice;
+  TimeMs m_next_choice;
+  TimeMs m_last_poll;
+  std::vector<EndpointId> m_excluded;
+  // Endpoints that may have begun to work on the request.
+  std::uint32_t m_runs = 0;
+  std::uint32_t m_sends = 0;
+  std::optional<TimeMs> m_waiting_since;
+  EventCutter m_cutter;
+  bool m_stream_started = false;
+  bool m_answered_first = false;
+  bool m_client_gone = false;
+  bool m_ended = false;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_EXCHANGE_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -0,0 +1,59 @@
+/// \file
+/// \brief Takes clients' requests and serves each by an exchange.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_FRONT_SERVER_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_FRONT_SERVER_H_
+
+#include <list>
+#include <map>
+#include <memory>
+
+#include "yuccamoor/transport/fleet/exchange.h"
+#include "yuccamoor/transport/fleet/listener.h"
+
+namespace yuccamoor::fleet {
+
+/// The clients' side of a node.
+class FrontServer final : public FrontHandler {
+ public:
+  static Result<std::unique_ptr<FrontServer>> Create(NodeContext& node,
+                                                     Dispatcher& dispatcher);
+
+  void OnTick(TimeMs now);
+
+  /// Ends connections after their current response; requests that come later
+  /// than \p accept_until are refused.
+  void BeginShutdown(TimeMs accept_until);
+  /// Whether no request is under way.
+  bool quiet() const { return m_exchanges.empty(); }
+  std::size_t connections() const { return m_connections.size(); }
+  std::size_t in_flight() const { return m_exchanges.size(); }
+
+  void OnRequest(std::shared_ptr<FrontConnection> connection,
+                 FrontRequest request) override;
+  void OnClientGone(FrontConnection& connection) override;
+  void OnClosed(FrontConnection& connection) override;
+  std::string RejectBadRequest(int status, const HttpHead& head) override;
+
+ private:
+  FrontServer(NodeContext& node, Dispatcher& dispatcher);
+
+  void OnAccepted(boost::asio::ip::tcp::socket socket);
+  void Reply(FrontConnection& connection, const FrontRequest& request,
+             int status, const char* reason,
+             std::optional<DurationMs> retry_after);
+
+  NodeContext& m_node;
+  IdleConnections m_idle;
+  bool m_closing = false;
+  TimeMs m_accept_until = TimeMs::Never();
+  ExchangeContext m_context;
+  std::unique_ptr<Listener> m_listener;
+  std::map<FrontConnection*, std::weak_ptr<FrontConnection>> m_connections;
+  std::list<std::unique_ptr<Exchange>> m_exchanges;
+  TimeMs m_checked;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_FRONT_SERVER_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -0,0 +1,76 @@
+/// \file
+/// \brief One node of a fleet: takes requests, and holds engines.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_NODE_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_NODE_H_
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "yuccamoor/coordination/fleet/engine_control.h"
+#include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/transport/fleet/dispatcher.h"
+#include "yuccamoor/transport/fleet/engine_holder.h"
+#include "yuccamoor/transport/fleet/front_server.h"
+#include "yuccamoor/transport/fleet/peer_link.h"
+#include "yuccamoor/transport/fleet/status_server.h"
+#include "yuccamoor/transport/fleet/store_session.h"
+
+namespace yuccamoor::fleet {
+
+/// What a node needs from its platform. All must outlive the node.
+struct NodePlatform {
+  FleetStore& store;
+  EngineControl& engines;
+  /// Reads the settings again; findings mean that the old ones stay.
+  std::function<Result<NodeSettings>()> reload;
+};
+
+/// The whole node. Runs on the context's event loop.
+class Node {
+ public:
+  /// Binds every address; findings name those that failed.
+  static Result<std::unique_ptr<Node>> Create(NodeContext& context,
+                                              MetricsRegistry& registry,
+                                              NodePlatform platform);
+
+  /// Starts serving. The event loop's run ends when the node has shut down.
+  void Start();
+
+ private:
+  Node(NodeContext& context, MetricsRegistry& registry, NodePlatform platform);
+
+  Findings Bind();
+  void AwaitSignal();
+  void OnSignal(int signal);
+  void Reload();
+  void BeginShutdown();
+  void CheckShutdown(TimeMs now);
+  void Tick();
+  void TellPeers(TimeMs now);
+  void OnPeerMessage(const PeerMessage& message);
+  void NoteUsed(const NodeStatus& status);
+  bool IsReady() const;
+
+  NodeContext& m_context;
+  MetricsRegistry& m_registry;
+  NodePlatform m_platform;
+  StoreSession m_session;
+  Dispatcher m_dispatcher;
+  EngineHolder m_holder;
+  std::unique_ptr<PeerLink> m_peers;
+  std::unique_ptr<FrontServer> m_front;
+  std::unique_ptr<StatusServer> m_ready;
+  std::unique_ptr<StatusServer> m_metrics_server;
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_timer;
+  TimeMs m_told;
+  TimeMs m_flushed;
+  std::optional<TimeMs> m_stopping_since;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_NODE_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -0,0 +1,39 @@
+/// \file
+/// \brief The metrics of a node.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_NODE_METRICS_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_NODE_METRICS_H_
+
+#include "yuccamoor/transport/observability/metrics.h"
+
+namespace yuccamoor::fleet {
+
+/// The series of one node, made together so that their names stand in one
+/// place.
+struct NodeMetrics {
+  explicit NodeMetrics(MetricsRegistry& registry);
+
+  Counter& answered;
+  Counter& refused;
+  Counter& failed;
+  Counter& client_gone;
+  Counter& retries;
+  Counter& stream_events;
+  Counter& streams_resumed;
+  Counter& orders;
+  Counter& order_conflicts;
+  Counter& store_calls;
+  Counter& store_failures;
+  Counter& log_lines_dropped;
+  /// From a request's arrival to its first event or whole answer.
+  Distribution& first_answer_seconds;
+  /// Time that requests waited for an adapter to come into place.
+  Distribution& load_stall_seconds;
+  Gauge& config_version;
+  Gauge& engines_held;
+  Gauge& requests_in_flight;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_NODE_METRICS_H_
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/peer_link.h
@@ -0,0 +1,46 @@
+/// \file
+/// \brief Datagrams to and from the other nodes.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_PEER_LINK_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_PEER_LINK_H_
+
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+
+#include "yuccamoor/protocol/fleet/peer_messages.h"
+#include "yuccamoor/state/result.h"
+#include "yuccamoor/transport/fleet/node_context.h"
+
+namespace yuccamoor::fleet {
+
+/// Sends and receives peer messages. A message to this node itself is handled
+/// at once.
+class PeerLink {
+ public:
+  using Handler = std::function<void(PeerMessage)>;
+
+  /// Binds the node's own address; the finding of a failure names it.
+  static Result<std::unique_ptr<PeerLink>> Create(NodeContext& context,
+                                                  Handler handler);
+
+  /// Sends to one node; dropped if the node is not known.
+  void Send(const NodeId& node, const PeerMessage& message);
+  /// Sends to all other nodes.
+  void Broadcast(const PeerMessage& message);
+
+ private:
+  PeerLink(NodeContext& context, Handler handler);
+
+  void Receive();
+  void Drain();
+  void SendTo(const SocketAddress& address, const std::string& datagram);
+
+  NodeContext& m_context;
+  Handler m_handler;
+  boost::asio::ip::udp::socket m_socket;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_PEER_LINK_H_
--- /dev/null
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -0,0 +1,170 @@
+#include "yuccamoor/coordination/fleet/endpoint_choice.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "yuccamoor/state/stable_hash.h"
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// A copy of an adapter pays when its engines run this many requests more than
+// the average engine, beyond a share of it.
+constexpr double kCopyLoadFactor = 1.25;
+constexpr double kCopyLoadMargin = 4;
+// An engine this much above the average takes no further adapter while others
+// are less loaded.
+constexpr double kPlaceLoadFactor = 1.6;
+constexpr double kPlaceLoadMargin = 8;
+// Requests that a plain endpoint of the same failure domain may run beyond
+// one elsewhere before that one is preferred.
+constexpr double kSameDomainAdvantage = 0.35;
+
+using Candidates = std::vector<const Endpoint*>;
+
+bool IsExcluded(const EndpointQuery& query, const EndpointId& id) {
+  return std::find(query.excluded.begin(), query.excluded.end(), id) !=
+         query.excluded.end();
+}
+
+Candidates FindCandidates(const EndpointTable& table,
+                          const EndpointQuery& query, TimeMs now) {
+  Candidates healthy;
+  Candidates doubtful;
+  for (const auto& [id, endpoint] : table.all()) {
+    if (endpoint.entry.service != query.service) continue;
+    if (!EndpointTable::Usable(endpoint, now)) continue;
+    if (IsExcluded(query, id)) continue;
+    const bool closed = endpoint.breaker.Allows(now);
+    (closed ? healthy : doubtful).push_back(&endpoint);
+  }
+  return healthy.empty() ? doubtful : healthy;
+}
+
+double LoadRatio(const Endpoint& endpoint) {
+  const double slots = std::max<std::uint32_t>(endpoint.entry.slots, 1);
+  return endpoint.load() / slots;
+}
+
+const Endpoint* LeastLoaded(const Candidates& candidates,
+                            const FailureDomainId& domain) {
+  const Endpoint* best = nullptr;
+  double best_cost = 0;
+  for (const Endpoint* endpoint : candidates) {
+    double cost = LoadRatio(*endpoint);
+    if (endpoint->entry.domain != domain) cost += kSameDomainAdvantage;
+    if (!best || cost < best_cost) {
+      best = endpoint;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+std::uint64_t RendezvousScore(const std::string& adapter,
+                              const Endpoint& endpoint) {
+  return StableBucketHash(adapter + "@" + endpoint.entry.id.str());
+}
+
+bool Holds(const Endpoint& endpoint, const AdapterRef& adapter,
+           AdapterRevision at_least) {
+  if (adapter.name.empty()) return endpoint.HasModel(adapter.model);
+  const auto it = endpoint.adapters.find(adapter);
+  return it != endpoint.adapters.end() && it->second >= at_least;
+}
+
+double AverageLoad(const Candidates& candidates) {
+  double sum = 0;
+  for (const Endpoint* endpoint : candidates) sum += endpoint->load();
+  return sum / static_cast<double>(candidates.size());
+}
+
+// Engines that may load the adapter, best first: by rendezvous order, but
+// engines that hold an older version (their runs would delay the replacement)
+// or are far busier than the others come last.
+std::vector<EndpointId> PlacesFor(const Candidates& candidates,
+                                  const AdapterRef& adapter, double average) {
+  struct Place {
+    bool last_resort;
+    std::uint64_t score;
+    const Endpoint* endpoint;
+  };
+  std::vector<Place> places;
+  const std::string name = ToString(adapter);
+  for (const Endpoint* endpoint : candidates) {
+    const bool busy =
+        endpoint->load() > average * kPlaceLoadFactor + kPlaceLoadMargin;
+    const bool older = endpoint->adapters.contains(adapter);
+    const bool empty = !endpoint->HasModel(adapter.model);
+    places.push_back({busy || older || empty,
+                      RendezvousScore(name, *endpoint), endpoint});
+  }
+  std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
+    if (a.last_resort != b.last_resort) return b.last_resort;
+    return a.score > b.score;
+  });
+  std::vector<EndpointId> ids;
+  for (const Place& place : places) ids.push_back(place.endpoint->entry.id);
+  return ids;
+}
+
+Candidates HoldersOf(const Candidates& candidates, const AdapterRef& adapter,
+                     AdapterRevision at_least) {
+  Candidates holders;
+  for (const Endpoint* endpoint : candidates) {
+    if (Holds(*endpoint, adapter, at_least)) holders.push_back(endpoint);
+  }
+  return holders;
+}
+
+EndpointChoice ChooseEngine(const Candidates& candidates,
+                            const EndpointQuery& query) {
+  EndpointChoice choice;
+  choice.any_usable = true;
+  const AdapterRef& adapter = *query.adapter;
+  const double average = AverageLoad(candidates);
+  Candidates holders = HoldersOf(candidates, adapter, query.version);
+  const bool in_place = !holders.empty();
+  if (!in_place && query.accept_older) {
+    holders = HoldersOf(candidates, adapter, AdapterRevision());
+  }
+  const Endpoint* target = nullptr;
+  for (const Endpoint* holder : holders) {
+    if (!target || holder->load() < target->load()) target = holder;
+  }
+  if (target) choice.send_to = target->entry.id;
+  if (adapter.name.empty()) {
+    if (!target) choice.load_at = PlacesFor(candidates, adapter, average);
+    return choice;
+  }
+  const bool crowded =
+      target &&
+      target->load() > average * kCopyLoadFactor + kCopyLoadMargin;
+  if (!in_place || crowded) {
+    for (EndpointId& id : PlacesFor(candidates, adapter, average)) {
+      const bool holds =
+          std::any_of(holders.begin(), holders.end(),
+                      [&](const Endpoint* h) { return h->entry.id == id; });
+      if (!holds || !in_place) choice.load_at.push_back(std::move(id));
+    }
+  }
+  return choice;
+}
+
+}  // namespace
+
+EndpointChoice ChooseEndpoint(const EndpointTable& table,
+                              const EndpointQuery& query, TimeMs now) {
+  const Candidates candidates = FindCandidates(table, query, now);
+  if (candidates.empty()) return {};
+  if (query.adapter) return ChooseEngine(candidates, query);
+  EndpointChoice choice;
+  choice.any_usable = true;
+  choice.send_to = LeastLoaded(candidates, query.domain)->entry.id;
+  return choice;
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -0,0 +1,136 @@
+#include "yuccamoor/coordination/fleet/endpoint_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Endpoints register again within about two seconds of the store's return.
+constexpr DurationMs kRegisterAgainTime{2'200};
+// A holder tells its adapters several times a second.
+constexpr DurationMs kHolderStatusLifetime{1'500};
+constexpr DurationMs kFirstUnreachable{150};
+constexpr DurationMs kLongestUnreachable{1'200};
+
+constexpr CircuitOptions kBreakerOptions{.window = DurationMs(3'000),
+                                         .min_sample = 6,
+                                         .failure_share = 0.5,
+                                         .open_time = DurationMs(1'000),
+                                         .max_probes = 2,
+                                         .probes_to_close = 2};
+
+}  // namespace
+
+Endpoint::Endpoint(EndpointEntry listed)
+    : entry(std::move(listed)),
+      leaving(entry.draining),
+      adapters(entry.adapters),
+      breaker(kBreakerOptions) {}
+
+bool Endpoint::HasModel(const ModelId& model) const {
+  return std::find(entry.models.begin(), entry.models.end(), model) !=
+         entry.models.end();
+}
+
+bool EndpointTable::Put(EndpointEntry entry, TimeMs now) {
+  const auto it = m_endpoints.find(entry.id);
+  if (it == m_endpoints.end()) {
+    const EndpointId id = entry.id;
+    m_endpoints.emplace(id, Endpoint(std::move(entry)));
+    return true;
+  }
+  Endpoint& known = it->second;
+  if (known.entry.born != entry.born ||
+      known.entry.address != entry.address) {
+    const std::uint32_t in_flight = known.in_flight;
+    known = Endpoint(std::move(entry));
+    known.in_flight = in_flight;
+    return true;
+  }
+  known.missing_until.reset();
+  known.leaving = known.leaving || entry.draining;
+  known.entry = std::move(entry);
+  if (now - known.adapters_told > kHolderStatusLifetime) {
+    known.adapters = known.entry.adapters;
+  }
+  return false;
+}
+
+void EndpointTable::Remove(const EndpointId& id, TimeMs now) {
+  const auto it = m_endpoints.find(id);
+  if (it == m_endpoints.end()) return;
+  if (m_return_grace_until && now < *m_return_grace_until) {
+    it->second.missing_until = *m_return_grace_until;
+    return;
+  }
+  m_endpoints.erase(it);
+}
+
+void EndpointTable::RetainOnly(const std::vector<EndpointId>& listed,
+                               TimeMs now) {
+  std::vector<EndpointId> missing;
+  for (const auto& [id, endpoint] : m_endpoints) {
+    if (std::find(listed.begin(), listed.end(), id) == listed.end()) {
+      missing.push_back(id);
+    }
+  }
+  for (const EndpointId& id : missing) Remove(id, now);
+}
+
+void EndpointTable::OnStoreReturned(TimeMs now) {
+  m_return_grace_until = now + kRegisterAgainTime;
+}
+
+void EndpointTable::Expire(TimeMs now) {
+  std::erase_if(m_endpoints, [now](const auto& item) {
+    const auto& missing = item.second.missing_until;
+    return missing && now >= *missing;
+  });
+}
+
+void EndpointTable::MarkLeaving(const EndpointId& id) {
+  if (Endpoint* endpoint = Find(id)) endpoint->leaving = true;
+}
+
+void EndpointTable::OnConnectFailed(const EndpointId& id, TimeMs now) {
+  Endpoint* endpoint = Find(id);
+  if (!endpoint) return;
+  const std::uint32_t doublings =
+      std::min<std::uint32_t>(endpoint->connect_failures++, 3);
+  const DurationMs pause =
+      std::min(kLongestUnreachable, kFirstUnreachable * (1LL << doublings));
+  endpoint->unreachable_until = now + pause;
+}
+
+void EndpointTable::OnConnected(const EndpointId& id) {
+  if (Endpoint* endpoint = Find(id)) {
+    endpoint->connect_failures = 0;
+    endpoint->unreachable_until = TimeMs();
+  }
+}
+
+void EndpointTable::SetAdapters(const EndpointId& id, AdapterSet adapters,
+                                TimeMs now) {
+  Endpoint* endpoint = Find(id);
+  if (!endpoint) return;
+  endpoint->adapters = std::move(adapters);
+  endpoint->adapters_told = now;
+}
+
+Endpoint* EndpointTable::Find(const EndpointId& id) {
+  const auto it = m_endpoints.find(id);
+  return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+const Endpoint* EndpointTable::Find(const EndpointId& id) const {
+  const auto it = m_endpoints.find(id);
+  return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+bool EndpointTable::Usable(const Endpoint& endpoint, TimeMs now) {
+  return !endpoint.leaving && now >= endpoint.unreachable_until;
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -0,0 +1,149 @@
+#include "yuccamoor/coordination/fleet/fleet_view.h"
+
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+constexpr std::string_view kNodePrefix = "node/";
+constexpr std::string_view kHolderPrefix = "holder/";
+// Requests may begin on an older version for five seconds after the newer one
+// was named; half of that leaves room for the watch's delay.
+constexpr DurationMs kOlderAccepted{2'500};
+
+}  // namespace
+
+std::string FleetView::NodeKey(const NodeId& node) {
+  return std::string(kNodePrefix) + node.str();
+}
+
+std::string FleetView::HolderKey(const EndpointId& engine) {
+  return std::string(kHolderPrefix) + engine.str();
+}
+
+ViewNews FleetView::Apply(StoreChange change, TimeMs now) {
+  return std::visit(
+      [&](auto&& item) {
+        return ApplyChange(std::forward<decltype(item)>(item), now);
+      },
+      std::move(change));
+}
+
+void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now) {
+  m_nodes.clear();
+  m_holders.clear();
+  std::vector<EndpointId> listed;
+  for (const StoreChange& change : changes) {
+    if (const auto* written = std::get_if<EndpointWritten>(&change)) {
+      listed.push_back(written->entry.id);
+    }
+    Apply(change, now);
+  }
+  m_endpoints.RetainOnly(listed, now);
+}
+
+ViewNews FleetView::ApplyChange(ConfigWritten change, TimeMs /*now*/) {
+  if (m_routes && change.config.version <= m_routes->config().version) {
+    return ViewNews::kConfigIgnored;
+  }
+  m_routes = std::make_shared<const RouteTable>(std::move(change.config));
+  return ViewNews::kConfigApplied;
+}
+
+ViewNews FleetView::ApplyChange(const AdapterRevisionNamed& change,
+                                TimeMs now) {
+  NamedRevision& known = m_revisions[change.adapter];
+  if (change.revision <= known.revision) return ViewNews::kNothing;
+  known = {change.revision, now};
+  return ViewNews::kAdapterRevision;
+}
+
+ViewNews FleetView::ApplyChange(EndpointWritten change, TimeMs now) {
+  const EndpointId id = change.entry.id;
+  const Endpoint* known = m_endpoints.Find(id);
+  const bool was_leaving = known && known->leaving;
+  const bool leaving = change.entry.draining;
+  if (m_endpoints.Put(std::move(change.entry), now)) {
+    return ViewNews::kEndpointAdded;
+  }
+  return leaving && !was_leaving ? ViewNews::kEndpointLeaving
+                                 : ViewNews::kNothing;
+}
+
+ViewNews FleetView::ApplyChange(const EndpointRemoved& change, TimeMs now) {
+  if (!m_endpoints.Find(change.id)) return ViewNews::kNothing;
+  m_endpoints.Remove(change.id, now);
+  return ViewNews::kEndpointRemoved;
+}
+
+ViewNews FleetView::ApplyChange(const RecordWritten& change, TimeMs /*now*/) {
+  const std::string_view key = change.key;
+  if (key.starts_with(kNodePrefix)) {
+    const NodeId node(std::string(key.substr(kNodePrefix.size())));
+    m_nodes[node] = NodeRecord{ParseSocketAddress(change.value)};
+    return ViewNews::kNodeChanged;
+  }
+  if (key.starts_with(kHolderPrefix)) {
+    const EndpointId engine(std::string(key.substr(kHolderPrefix.size())));
+    m_holders[engine] = {NodeId(change.value), Epoch(change.revision.value())};
+    return ViewNews::kHolderChanged;
+  }
+  return ViewNews::kNothing;
+}
+
+ViewNews FleetView::ApplyChange(const RecordRemoved& change, TimeMs /*now*/) {
+  const std::string_view key = change.key;
+  if (key.starts_with(kNodePrefix)) {
+    m_nodes.erase(NodeId(std::string(key.substr(kNodePrefix.size()))));
+    return ViewNews::kNodeChanged;
+  }
+  if (key.starts_with(kHolderPrefix)) {
+    m_holders.erase(EndpointId(std::string(key.substr(kHolderPrefix.size()))));
+    return ViewNews::kHolderChanged;
+  }
+  return ViewNews::kNothing;
+}
+
+AdapterRevision FleetView::NewestRevision(const AdapterRef& adapter) const {
+  const auto it = m_revisions.find(adapter);
+  return it == m_revisions.end() ? AdapterRevision() : it->second.revision;
+}
+
+bool FleetView::MayBeOlder(const AdapterRef& adapter, TimeMs now) const {
+  const auto it = m_revisions.find(adapter);
+  return it != m_revisions.end() && now - it->second.learned < kOlderAccepted;
+}
+
+std::set<NodeId> FleetView::NodeIds() const {
+  std::set<NodeId> ids;
+  for (const auto& [node, record] : m_nodes) ids.insert(node);
+  return ids;
+}
+
+std::map<EndpointId, NodeId> FleetView::HolderIds() const {
+  std::map<EndpointId, NodeId> ids;
+  for (const auto& [engine, holder] : m_holders) ids[engine] = holder.node;
+  return ids;
+}
+
+std::vector<EndpointId> FleetView::Engines() const {
+  std::vector<EndpointId> engines;
+  for (const auto& [id, endpoint] : m_endpoints.all()) {
+    if (endpoint.leaving || !EngineOf(endpoint.entry.service)) continue;
+    engines.push_back(id);
+  }
+  return engines;
+}
+
+const EngineSpec* FleetView::EngineOf(const ServiceId& service) const {
+  if (!m_routes) return nullptr;
+  const auto& services = m_routes->config().services;
+  const auto it = services.find(service);
+  if (it == services.end() || !it->second.engine) return nullptr;
+  return &*it->second.engine;
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/transport/fleet/dispatcher.cc
@@ -0,0 +1,226 @@
+#include "yuccamoor/transport/fleet/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// A question that may have been lost is asked again.
+constexpr DurationMs kAskAgain{250};
+// Another engine is asked as well when an adapter takes this long.
+constexpr DurationMs kAskAnother{650};
+// One more copy of a busy adapter is asked for this seldom.
+constexpr DurationMs kAskCopy{500};
+constexpr DurationMs kAskLifetime{3'000};
+constexpr DurationMs kOrderingLifetime{1'200};
+constexpr DurationMs kPeerLifetime{1'500};
+// Arrivals at a service beyond the first of each request are bounded over all
+// nodes; each node keeps well within its part.
+constexpr double kBudgetPart = 0.5;
+constexpr double kMsPerSecond = 1'000;
+
+}  // namespace
+
+Dispatcher::Dispatcher(NodeContext& context, SendToPeer send)
+    : m_context(context), m_send(std::move(send)) {}
+
+EndpointChoice Dispatcher::Choose(const EndpointQuery& query, int priority) {
+  const TimeMs now = m_context.clock.Now();
+  EndpointChoice choice =
+      ChooseEndpoint(m_context.view.endpoints(), query, now);
+  if (!choice.load_at.empty() && query.adapter &&
+      !query.adapter->name.empty()) {
+    AskForLoad(query, priority, choice.load_at, !choice.send_to);
+  }
+  return choice;
+}
+
+bool Dispatcher::IsOrdering(const EndpointId& engine, TimeMs now) const {
+  const auto it = m_ordering.find(engine);
+  return it != m_ordering.end() && now - it->second < kOrderingLifetime;
+}
+
+void Dispatcher::AskForLoad(const EndpointQuery& query, int priority,
+                            const std::vector<EndpointId>& places,
+                            bool urgent) {
+  const TimeMs now = m_context.clock.Now();
+  std::vector<Asked>& asked = m_asked[*query.adapter];
+  std::erase_if(asked, [&](const Asked& item) {
+    return now - item.first > kAskLifetime || !IsOrdering(item.engine, now);
+  });
+  for (Asked& item : asked) {
+    if (now - item.at < kAskAgain) continue;
+    item.at = now;
+    Ask(query, priority, item.engine);
+  }
+  const DurationMs patience = urgent ? kAskAnother : kAskCopy;
+  if (!asked.empty() && now - asked.back().first < patience) return;
+  if (!urgent && !asked.empty()) return;
+  for (const EndpointId& engine : places) {
+    const bool known =
+        std::any_of(asked.begin(), asked.end(),
+                    [&](const Asked& item) { return item.engine == engine; });
+    if (known || !IsOrdering(engine, now)) continue;
+    asked.push_back({engine, now, now});
+    Ask(query, priority, engine);
+    return;
+  }
+}
+
+void Dispatcher::Ask(const EndpointQuery& query, int priority,
+                     const EndpointId& engine) {
+  const auto& holders = m_context.view.holders();
+  const auto holder = holders.find(engine);
+  if (holder == holders.end()) return;
+  AskLoad ask;
+  ask.node = m_context.settings.node;
+  ask.engine = engine;
+  ask.adapter = *query.adapter;
+  ask.version = query.version;
+  ask.priority = priority;
+  m_context.log.Event("load_asked")
+      .Text("engine", engine.str())
+      .Text("adapter", ToString(ask.adapter))
+      .Text("holder", holder->second.node.str());
+  m_send(holder->second.node, ask);
+}
+
+void Dispatcher::OnBegin(const EndpointId& endpoint,
+                         const std::optional<AdapterRef>& adapter) {
+  if (Endpoint* known = m_context.view.endpoints().Find(endpoint)) {
+    ++known->in_flight;
+    known->breaker.OnStart(m_context.clock.Now());
+  }
+  if (!adapter) return;
+  ++m_running[endpoint][*adapter];
+  ++m_begun[endpoint][*adapter];
+}
+
+void Dispatcher::OnEnd(const EndpointId& endpoint,
+                       const std::optional<AdapterRef>& adapter) {
+  if (Endpoint* known = m_context.view.endpoints().Find(endpoint)) {
+    if (known->in_flight > 0) --known->in_flight;
+  }
+  if (!adapter) return;
+  auto& running = m_running[endpoint];
+  const auto it = running.find(*adapter);
+  if (it == running.end()) return;
+  if (--it->second == 0) running.erase(it);
+  if (running.empty()) m_running.erase(endpoint);
+}
+
+void Dispatcher::OnMissing(const EndpointId& engine,
+                           const AdapterRef& adapter) {
+  if (Endpoint* known = m_context.view.endpoints().Find(engine)) {
+    known->adapters.erase(adapter);
+  }
+  const auto holder = m_context.view.holders().find(engine);
+  if (holder == m_context.view.holders().end()) return;
+  m_send(holder->second.node, TellMissing{engine, adapter});
+}
+
+bool Dispatcher::TakeRetry(const ServiceId& service) {
+  const auto it = m_retries.find(service);
+  if (it == m_retries.end()) return false;
+  const bool taken = it->second.TryTake(m_context.clock.Now());
+  if (taken) m_context.metrics.retries.Add();
+  return taken;
+}
+
+void Dispatcher::EarnRetry(const ServiceId& service) {
+  const NodeSettings& settings = m_context.settings;
+  auto it = m_retries.find(service);
+  if (it == m_retries.end()) {
+    const double nodes =
+        std::max<std::size_t>(m_context.view.nodes().size(), 1);
+    RetryBudgetOptions options;
+    options.share = settings.retry_share * kBudgetPart;
+    // A window may see the whole burst and what refills in it.
+    options.burst = settings.retry_slack * kBudgetPart / nodes;
+    options.min_per_second =
+        options.burst * kMsPerSecond /
+        static_cast<double>(settings.retry_window.ms());
+    it = m_retries.emplace(service, RetryBudget(options)).first;
+  }
+  it->second.OnSuccess(m_context.clock.Now());
+}
+
+void Dispatcher::OnPeerStatus(const NodeStatus& status) {
+  const TimeMs now = m_context.clock.Now();
+  m_peers[status.node] = {now, status};
+  for (const auto& [engine, held] : status.held) {
+    m_context.view.endpoints().SetAdapters(engine, held.adapters, now);
+    if (held.ordering) m_ordering[engine] = now;
+  }
+  CountPeers();
+}
+
+void Dispatcher::OnLocalHeld(
+    const std::map<EndpointId, HeldEngineStatus>& held) {
+  const TimeMs now = m_context.clock.Now();
+  for (const auto& [engine, state] : held) {
+    m_context.view.endpoints().SetAdapters(engine, state.adapters, now);
+    if (state.ordering) m_ordering[engine] = now;
+  }
+}
+
+void Dispatcher::OnLoaded(const TellLoaded& told) {
+  m_asked.erase(told.adapter);
+  Endpoint* engine = m_context.view.endpoints().Find(told.engine);
+  if (!engine) return;
+  engine->adapters[told.adapter] = told.version;
+  engine->adapters_told = m_context.clock.Now();
+}
+
+void Dispatcher::CountPeers() {
+  for (auto& [id, endpoint] : m_context.view.endpoints().all()) {
+    endpoint.peers_in_flight = 0;
+    for (const auto& [node, peer] : m_peers) {
+      const auto it = peer.status.in_flight.find(id);
+      if (it != peer.status.in_flight.end()) {
+        endpoint.peers_in_flight += it->second;
+      }
+    }
+  }
+}
+
+std::uint32_t Dispatcher::LoadsElsewhere() const {
+  std::uint32_t loads = 0;
+  for (const auto& [node, peer] : m_peers) {
+    for (const auto& [engine, held] : peer.status.held) loads += held.loading;
+  }
+  return loads;
+}
+
+NodeStatus Dispatcher::TakeStatus() {
+  NodeStatus status;
+  status.node = m_context.settings.node;
+  for (const auto& [id, endpoint] : m_context.view.endpoints().all()) {
+    if (endpoint.in_flight > 0) status.in_flight[id] = endpoint.in_flight;
+  }
+  status.used = std::move(m_begun);
+  m_begun.clear();
+  for (const auto& [engine, adapters] : m_running) {
+    for (const auto& [adapter, count] : adapters) {
+      // Counts what is under way once, with the weight of no new request.
+      status.used[engine].try_emplace(adapter, 0);
+    }
+  }
+  return status;
+}
+
+void Dispatcher::OnTick(TimeMs now) {
+  const std::size_t before = m_peers.size();
+  std::erase_if(m_peers, [now](const auto& item) {
+    return now - item.second.heard > kPeerLifetime;
+  });
+  if (m_peers.size() != before) CountPeers();
+  std::erase_if(m_asked, [now](const auto& item) {
+    return item.second.empty() ||
+           now - item.second.back().first > kAskLifetime;
+  });
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/transport/fleet/engine_holder.cc
@@ -0,0 +1,225 @@
+#include "yuccamoor/transport/fleet/engine_holder.h"
+
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// A holder that has not renewed its lease for this long gives no orders: its
+// records may have been taken away without a word.
+constexpr DurationMs kOrderValidity{1'500};
+constexpr DurationMs kHolderMargin{150};
+// Nodes of a starting fleet register before the first claims.
+constexpr DurationMs kClaimDelay{900};
+
+const char* ToText(OrderEnd end) {
+  switch (end) {
+    case OrderEnd::kAccepted:
+      return "accepted";
+    case OrderEnd::kDone:
+      return "done";
+    case OrderEnd::kConflict:
+      return "conflict";
+    case OrderEnd::kRejected:
+      return "rejected";
+    case OrderEnd::kUnknown:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+EngineHolder::EngineHolder(NodeContext& context, StoreSession& session,
+                           EngineControl& control, Notify notify)
+    : m_context(context),
+      m_session(session),
+      m_control(control),
+      m_notify(std::move(notify)),
+      m_claims(context.settings.node),
+      m_started(context.clock.Now()) {}
+
+bool EngineHolder::MayOrder(TimeMs now) const {
+  return !m_stopped && m_session.lease() &&
+         now - m_session.renewed() < kOrderValidity;
+}
+
+void EngineHolder::OnViewChanged() {
+  const FleetView& view = m_context.view;
+  std::erase_if(m_held, [&](const auto& item) {
+    const auto record = view.holders().find(item.first);
+    const bool ours = record != view.holders().end() &&
+                      record->second.fence == item.second.fence &&
+                      m_session.lease();
+    if (!ours) {
+      m_context.log.Event("engine_released").Text("engine", item.first.str());
+    }
+    return !ours || !view.endpoints().Find(item.first);
+  });
+  for (const auto& [engine, record] : view.holders()) {
+    if (record.node == m_context.settings.node && !m_held.contains(engine)) {
+      TakeUp(engine, record.fence);
+    }
+  }
+  for (auto& [engine, held] : m_held) {
+    const Endpoint* endpoint = view.endpoints().Find(engine);
+    if (!endpoint) continue;
+    if (endpoint->entry.born != held.entry.born) {
+      held.host.OnEngineRestart(m_context.clock.Now());
+    }
+    held.entry = endpoint->entry;
+  }
+}
+
+void EngineHolder::TakeUp(const EndpointId& engine, Epoch fence) {
+  const Endpoint* endpoint = m_context.view.endpoints().Find(engine);
+  if (!endpoint) return;
+  const EngineSpec* spec = m_context.view.EngineOf(endpoint->entry.service);
+  if (!spec || spec->models.empty()) return;
+  EngineHostOptions options;
+  options.adapter_slots = spec->adapter_slots;
+  options.model = spec->models.front().model;
+  options.model_load = spec->models.front().load;
+  // The holder before may have ordered until its own validity ended.
+  const TimeMs order_from = m_context.clock.Now() + kOrderValidity +
+                            m_context.settings.holder_separation +
+                            kHolderMargin;
+  m_held.emplace(engine, Held{endpoint->entry,
+                              EngineHost(options, fence, order_from), fence});
+  m_context.log.Event("engine_held")
+      .Text("engine", engine.str())
+      .Number("fence", fence.value())
+      .Ms("order_wait_ms", order_from - m_context.clock.Now());
+}
+
+void EngineHolder::OnTick(TimeMs now) {
+  if (!MayOrder(now)) return;
+  ClaimNext(now);
+  for (auto it = m_held.begin(); it != m_held.end();) {
+    const EndpointId engine = (it++)->first;
+    Poll(engine, now);
+  }
+}
+
+void EngineHolder::ClaimNext(TimeMs now) {
+  if (m_claiming || now - m_started < kClaimDelay) return;
+  const auto engine =
+      m_claims.NextClaim(m_context.view.Engines(), m_context.view.HolderIds(),
+                         m_context.view.NodeIds(), now);
+  if (!engine) return;
+  m_claiming = true;
+  m_session.Claim(*engine, [this, engine = *engine](std::optional<Epoch> fence) {
+    m_claiming = false;
+    if (!fence) return;
+    RecordWritten record;
+    record.key = FleetView::HolderKey(engine);
+    record.value = m_context.settings.node.str();
+    record.revision = Revision(fence->value());
+    m_context.view.Apply(record, m_context.clock.Now());
+    if (!m_held.contains(engine)) TakeUp(engine, *fence);
+  });
+}
+
+EngineHolder::Held* EngineHolder::FindHeld(const EndpointId& engine,
+                                           Epoch fence) {
+  const auto it = m_held.find(engine);
+  if (it == m_held.end() || it->second.fence != fence) return nullptr;
+  return &it->second;
+}
+
+void EngineHolder::Poll(const EndpointId& engine, TimeMs now) {
+  const auto it = m_held.find(engine);
+  if (it == m_held.end() || !MayOrder(now)) return;
+  Held& held = it->second;
+  EngineHostActions actions = held.host.Poll(now, m_loads_elsewhere);
+  const AdapterSet resident = held.host.Resident();
+  for (const LoadNotice& notice : actions.notices) {
+    const auto place = resident.find(notice.adapter);
+    if (place == resident.end()) continue;
+    m_notify(notice.requester,
+             TellLoaded{engine, notice.adapter, place->second});
+  }
+  if (actions.fetch_report) FetchReport(engine, held);
+  if (actions.order) Order(engine, held, *actions.order);
+}
+
+void EngineHolder::Order(const EndpointId& engine, const Held& held,
+                         const EngineOrder& order) {
+  m_context.metrics.orders.Add();
+  const Epoch fence = held.fence;
+  m_control.Order(held.entry, order, [this, engine, fence,
+                                      order](OrderEnd end) {
+    m_context.log.Event("engine_order")
+        .Text("engine", engine.str())
+        .Text("op", order.load ? "load" : "unload")
+        .Text("adapter", ToString(order.adapter))
+        .Number("version", order.version.value())
+        .Number("expected", order.expected_accepted)
+        .Number("fence", order.fence.value())
+        .Text("outcome", ToText(end));
+    if (end == OrderEnd::kConflict) m_context.metrics.order_conflicts.Add();
+    Held* current = FindHeld(engine, fence);
+    if (!current) return;
+    const TimeMs now = m_context.clock.Now();
+    current->host.OnOrderEnd(end, now);
+    Poll(engine, now);
+  });
+}
+
+void EngineHolder::FetchReport(const EndpointId& engine, const Held& held) {
+  const Epoch fence = held.fence;
+  m_control.FetchReport(
+      held.entry,
+      [this, engine, fence](const std::optional<EngineReport>& report) {
+        auto line = m_context.log.Event("engine_report");
+        line.Text("engine", engine.str());
+        if (report) {
+          line.Number("accepted", report->orders_accepted)
+              .Number("adapters", report->adapters.size())
+              .Number("loading", report->loading.size())
+              .Number("models", report->models.size());
+        } else {
+          line.Text("outcome", "no_answer");
+        }
+        Held* current = FindHeld(engine, fence);
+        if (!current) return;
+        current->host.OnReport(report, m_context.clock.Now());
+      });
+}
+
+void EngineHolder::OnAskLoad(const AskLoad& ask) {
+  const auto it = m_held.find(ask.engine);
+  if (it == m_held.end()) return;
+  const TimeMs now = m_context.clock.Now();
+  it->second.host.Request({ask.adapter, ask.version, ask.priority, ask.node},
+                          now);
+  Poll(ask.engine, now);
+}
+
+void EngineHolder::OnTellMissing(const TellMissing& told) {
+  const auto it = m_held.find(told.engine);
+  if (it == m_held.end()) return;
+  it->second.host.OnMissing(told.adapter, m_context.clock.Now());
+}
+
+void EngineHolder::OnUsed(const EndpointId& engine, const AdapterRef& adapter,
+                          std::uint32_t requests) {
+  const auto it = m_held.find(engine);
+  if (it == m_held.end()) return;
+  it->second.host.OnUsed(adapter, requests, m_context.clock.Now());
+}
+
+std::map<EndpointId, HeldEngineStatus> EngineHolder::Status() const {
+  std::map<EndpointId, HeldEngineStatus> status;
+  const TimeMs now = m_context.clock.Now();
+  for (const auto& [engine, held] : m_held) {
+    HeldEngineStatus& item = status[engine];
+    item.ordering = MayOrder(now) && held.host.synced();
+    item.loading = held.host.loading();
+    item.adapters = held.host.Resident();
+  }
+  return status;
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/transport/fleet/front_connection.cc
@@ -0,0 +1,204 @@
+#include "yuccamoor/transport/fleet/front_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+constexpr std::size_t kReadLimit = 65'536;
+// What a client may send ahead while its request is being answered.
+constexpr std::size_t kMaxPipelinedBytes = 65'536;
+
+HttpParserLimits ToParserLimits(const RequestLimits& limits) {
+  return {static_cast<std::uint32_t>(limits.max_header_bytes),
+          limits.max_body_bytes};
+}
+
+bool IsMethodName(const std::string& method) {
+  return !method.empty() &&
+         std::all_of(method.begin(), method.end(),
+                     [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+// Refuses what two parsers could read in two ways, and what is not for a
+// server that forwards by path.
+bool IsUnambiguous(const HttpHead& head) {
+  if (!IsMethodName(head.method) || head.method == "CONNECT") return false;
+  if (!head.target.starts_with('/')) return false;
+  if (head.Count("host") != 1) return false;
+  const std::size_t lengths = head.Count("content-length");
+  const std::size_t encodings = head.Count("transfer-encoding");
+  if (lengths + encodings > 1) return false;
+  return encodings == 0 ||
+         SameHeaderName(head.Find("transfer-encoding"), "chunked");
+}
+
+}  // namespace
+
+FrontConnection::FrontConnection(boost::asio::ip::tcp::socket socket,
+                                 FrontHandler& handler, const Clock& clock,
+                                 const RequestLimits& limits)
+    : m_socket(std::move(socket)),
+      m_handler(handler),
+      m_clock(clock),
+      m_limits(limits),
+      m_parser(HttpParser::Create(HttpParser::Kind::kRequest,
+                                  ToParserLimits(limits))),
+      m_idle_since(clock.Now()) {}
+
+void FrontConnection::Start() { AwaitReadable(); }
+
+void FrontConnection::AwaitReadable() {
+  if (m_reading || !m_open || m_closing) return;
+  m_reading = true;
+  m_socket.AwaitReadable([self = shared_from_this()] {
+    self->m_reading = false;
+    self->OnReadable();
+  });
+}
+
+void FrontConnection::OnReadable() {
+  if (!m_open) return;
+  const IoResult result = m_socket.Read(m_in, kReadLimit);
+  if (result.status == IoStatus::kEnd || result.status == IoStatus::kReset) {
+    const bool was_busy = m_busy;
+    Close();
+    if (was_busy) m_handler.OnClientGone(*this);
+    return;
+  }
+  if (!m_busy) ParseInput();
+  if (!m_busy || m_in.size() < kMaxPipelinedBytes) AwaitReadable();
+}
+
+void FrontConnection::ParseInput() {
+  if (m_in.empty() || m_closing) return;
+  if (!m_receiving) {
+    m_receiving = true;
+    m_first_byte = m_clock.Now();
+  }
+  const HttpFault fault = m_parser->Feed(m_in);
+  if (m_parser->has_head() && !IsUnambiguous(m_parser->head())) {
+    Reject(HttpFault::kMalformed);
+    return;
+  }
+  if (fault != HttpFault::kNone) {
+    Reject(fault);
+    return;
+  }
+  if (m_parser->complete()) {
+    OnWhole();
+    return;
+  }
+  if (m_parser->has_head() && !m_continue_sent &&
+      SameHeaderName(m_parser->head().Find("expect"), "100-continue")) {
+    m_continue_sent = true;
+    Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void FrontConnection::OnWhole() {
+  m_busy = true;
+  m_receiving = false;
+  m_continue_sent = false;
+  FrontRequest request;
+  request.head = std::move(m_parser->head());
+  request.body = std::move(m_parser->body());
+  request.first_byte = m_first_byte;
+  request.received = m_clock.Now();
+  m_closing = !m_parser->keep_alive();
+  m_parser->Restart(false);
+  // The client's leaving must still be noticed.
+  const bool closes_after = m_closing;
+  m_closing = false;
+  if (closes_after) request.head.fields.push_back({"Connection", "close"});
+  m_handler.OnRequest(shared_from_this(), std::move(request));
+}
+
+void FrontConnection::Reject(HttpFault fault) {
+  if (fault == HttpFault::kHeaderTooLong) {
+    RejectWith(431);
+  } else if (fault == HttpFault::kBodyTooLong) {
+    RejectWith(413);
+  } else {
+    RejectWith(400);
+  }
+}
+
+void FrontConnection::RejectWith(int status) {
+  m_in.clear();
+  m_busy = true;
+  Send(m_handler.RejectBadRequest(status, m_parser->head()));
+  Finish(true);
+}
+
+void FrontConnection::Send(std::string_view data) {
+  if (!m_open) return;
+  m_out.append(data);
+  if (!m_writing) Flush();
+}
+
+void FrontConnection::Flush() {
+  const IoResult result =
+      m_socket.Write(std::string_view(m_out).substr(m_out_begin));
+  m_out_begin += result.bytes;
+  if (result.status == IoStatus::kReset) {
+    const bool was_busy = m_busy && !m_closing;
+    Close();
+    if (was_busy) m_handler.OnClientGone(*this);
+    return;
+  }
+  if (result.status == IoStatus::kWouldBlock) {
+    m_writing = true;
+    m_socket.AwaitWritable([self = shared_from_this()] {
+      self->m_writing = false;
+      if (self->m_open) self->Flush();
+    });
+    return;
+  }
+  m_out.clear();
+  m_out_begin = 0;
+  if (m_closing) Close();
+}
+
+void FrontConnection::Finish(bool close) {
+  m_busy = false;
+  m_idle_since = m_clock.Now();
+  if (!m_open) return;
+  if (close) {
+    m_closing = true;
+    if (pending_bytes() == 0) Close();
+    return;
+  }
+  if (!m_in.empty()) {
+    // Parsed from the event loop, so that long pipelines do not nest.
+    ParseInput();
+  }
+  AwaitReadable();
+}
+
+void FrontConnection::Abort() {
+  m_socket.Close(true);
+  Close();
+}
+
+void FrontConnection::CheckTimeouts(TimeMs now) {
+  if (!m_open || m_busy || m_closing) return;
+  if (m_receiving) {
+    const bool late = now - m_first_byte >= m_limits.header_timeout &&
+                      !m_parser->has_head();
+    if (late) RejectWith(408);
+    return;
+  }
+  if (now - m_idle_since >= m_limits.idle_timeout) Close();
+}
+
+void FrontConnection::Close() {
+  if (!m_open) return;
+  m_open = false;
+  m_socket.Close();
+  m_handler.OnClosed(*this);
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/transport/fleet/front_server.cc
@@ -0,0 +1,136 @@
+#include "yuccamoor/transport/fleet/front_server.h"
+
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// A node without a configuration will have one soon.
+constexpr DurationMs kNoConfigRetryAfter{300};
+constexpr DurationMs kShutdownRetryAfter{50};
+constexpr DurationMs kCheckInterval{250};
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+Result<std::unique_ptr<FrontServer>> FrontServer::Create(
+    NodeContext& node, Dispatcher& dispatcher) {
+  std::unique_ptr<FrontServer> server(new FrontServer(node, dispatcher));
+  auto listener =
+      Listener::Create(node.io, node.settings.front,
+                       [self = server.get()](auto socket) {
+                         self->OnAccepted(std::move(socket));
+                       });
+  if (!listener) return listener.error();
+  server->m_listener = std::move(listener).value();
+  return server;
+}
+
+FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher)
+    : m_node(node), m_context{node, dispatcher, m_idle, m_closing} {}
+
+void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
+  const auto& routes = m_node.view.routes();
+  const RequestLimits limits =
+      routes ? routes->config().limits : RequestLimits();
+  auto connection = std::make_shared<FrontConnection>(std::move(socket), *this,
+                                                      m_node.clock, limits);
+  m_connections[connection.get()] = connection;
+  connection->Start();
+}
+
+void FrontServer::OnRequest(std::shared_ptr<FrontConnection> connection,
+                            FrontRequest request) {
+  const auto routes = m_node.view.routes();
+  if (!routes) {
+    Reply(*connection, request, 503, "no configuration", kNoConfigRetryAfter);
+    return;
+  }
+  if (m_closing && request.received >= m_accept_until) {
+    Reply(*connection, request, 503, "shutting down", kShutdownRetryAfter);
+    return;
+  }
+  const RouteSpec* route = routes->Find(request.head.Find("host"),
+                                        PathOf(request.head.target));
+  if (!route) {
+    Reply(*connection, request, 404, "no route", std::nullopt);
+    return;
+  }
+  m_exchanges.push_back(std::make_unique<Exchange>(
+      m_context, std::move(connection), std::move(request), routes, *route));
+  m_exchanges.back()->Start();
+}
+
+void FrontServer::Reply(FrontConnection& connection,
+                        const FrontRequest& request, int status,
+                        const char* reason,
+                        std::optional<DurationMs> retry_after) {
+  OwnReply reply;
+  reply.status = status;
+  reply.attempt = m_node.dialect.DecodeRequest(request.head).attempt;
+  reply.retry_after = retry_after;
+  reply.close =
+      m_closing || SameHeaderName(request.head.Find("connection"), "close");
+  const auto& routes = m_node.view.routes();
+  m_node.log.Event("request_refused")
+      .Text("request", reply.attempt.str())
+      .Number("status", status)
+      .Text("reason", reason)
+      .Text("host", request.head.Find("host"))
+      .Number("config", routes ? routes->config().version.value() : 0);
+  m_node.metrics.refused.Add();
+  connection.Send(m_node.dialect.EncodeOwnReply(reply));
+  connection.Finish(reply.close);
+}
+
+void FrontServer::OnClientGone(FrontConnection& connection) {
+  for (const auto& exchange : m_exchanges) {
+    if (exchange->client() == &connection && !exchange->ended()) {
+      exchange->OnClientGone();
+    }
+  }
+}
+
+void FrontServer::OnClosed(FrontConnection& connection) {
+  m_connections.erase(&connection);
+}
+
+std::string FrontServer::RejectBadRequest(int status, const HttpHead& head) {
+  OwnReply reply;
+  reply.status = status;
+  reply.attempt = m_node.dialect.DecodeRequest(head).attempt;
+  reply.close = true;
+  m_node.log.Event("request_rejected")
+      .Text("request", reply.attempt.str())
+      .Number("status", status);
+  m_node.metrics.refused.Add();
+  return m_node.dialect.EncodeOwnReply(reply);
+}
+
+void FrontServer::OnTick(TimeMs now) {
+  // Exchanges that begin during the loop are appended and seen as well.
+  for (const auto& exchange : m_exchanges) exchange->OnTick(now);
+  m_exchanges.remove_if(
+      [](const auto& exchange) { return exchange->ended(); });
+  if (now - m_checked < kCheckInterval) return;
+  m_checked = now;
+  m_idle.Expire(now);
+  std::vector<std::shared_ptr<FrontConnection>> open;
+  for (const auto& [key, weak] : m_connections) {
+    if (auto connection = weak.lock()) open.push_back(std::move(connection));
+  }
+  for (const auto& connection : open) connection->CheckTimeouts(now);
+}
+
+void FrontServer::BeginShutdown(TimeMs accept_until) {
+  m_closing = true;
+  m_accept_until = accept_until;
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/transport/fleet/node.cc
@@ -0,0 +1,217 @@
+#include "yuccamoor/transport/fleet/node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <utility>
+#include <variant>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTick{20};
+constexpr DurationMs kLogFlush{100};
+// Nodes tell their state this often, less often in large fleets so that what
+// a node hears stays bounded.
+constexpr DurationMs kTellInterval{250};
+constexpr DurationMs kTellIntervalPerNode{8};
+// After SIGTERM, the balancer takes the node out within two questions a second
+// apart.
+constexpr DurationMs kOutOfRotation{2'500};
+// Requests that come later cannot be sure to end within the grace.
+constexpr DurationMs kAcceptTime{3'000};
+// Before the process is killed.
+constexpr DurationMs kExitMargin{500};
+
+}  // namespace
+
+Result<std::unique_ptr<Node>> Node::Create(NodeContext& context,
+                                           MetricsRegistry& registry,
+                                           NodePlatform platform) {
+  std::unique_ptr<Node> node(
+      new Node(context, registry, std::move(platform)));
+  Findings findings = node->Bind();
+  if (!findings.empty()) return findings;
+  return node;
+}
+
+Node::Node(NodeContext& context, MetricsRegistry& registry,
+           NodePlatform platform)
+    : m_context(context),
+      m_registry(registry),
+      m_platform(std::move(platform)),
+      m_session(context, m_platform.store),
+      m_dispatcher(context,
+                   [this](const NodeId& node, const PeerMessage& message) {
+                     m_peers->Send(node, message);
+                   }),
+      m_holder(context, m_session, m_platform.engines,
+               [this](const NodeId& node, const TellLoaded& told) {
+                 m_peers->Send(node, told);
+               }),
+      m_signals(context.io),
+      m_timer(context.io) {}
+
+Findings Node::Bind() {
+  const NodeSettings& settings = m_context.settings;
+  Findings findings;
+  const auto take = [&findings](auto result, auto& member) {
+    if (result) {
+      member = std::move(result).value();
+    } else {
+      findings.Append(result.error());
+    }
+  };
+  take(PeerLink::Create(m_context,
+                        [this](const PeerMessage& message) {
+                          OnPeerMessage(message);
+                        }),
+       m_peers);
+  take(FrontServer::Create(m_context, m_dispatcher), m_front);
+  take(StatusServer::Create(m_context.io, m_context.clock, settings.ready,
+                            [this](const std::string& path) {
+                              const bool ready =
+                                  path == "/ready" && IsReady();
+                              return StatusReply{ready ? 200 : 503, ""};
+                            }),
+       m_ready);
+  take(StatusServer::Create(m_context.io, m_context.clock, settings.metrics,
+                            [this](const std::string& /*path*/) {
+                              return StatusReply{200, m_registry.Render()};
+                            }),
+       m_metrics_server);
+  return findings;
+}
+
+void Node::Start() {
+  m_context.log.Event("node_started")
+      .Text("node", m_context.settings.node.str())
+      .Text("failure_domain", m_context.settings.domain.str())
+      .Text("front", ToString(m_context.settings.front))
+      .Text("store", ToString(m_context.settings.store));
+  m_signals.add(SIGTERM);
+  m_signals.add(SIGINT);
+  m_signals.add(SIGHUP);
+  AwaitSignal();
+  m_session.Start([this] { m_holder.OnViewChanged(); });
+  Tick();
+}
+
+bool Node::IsReady() const {
+  return !m_stopping_since && m_context.view.routes() != nullptr;
+}
+
+void Node::AwaitSignal() {
+  m_signals.async_wait([this](boost::system::error_code error, int signal) {
+    if (error) return;
+    OnSignal(signal);
+    AwaitSignal();
+  });
+}
+
+void Node::OnSignal(int signal) {
+  if (signal == SIGHUP) {
+    Reload();
+  } else if (!m_stopping_since) {
+    BeginShutdown();
+  }
+}
+
+void Node::Reload() {
+  const auto settings = m_platform.reload();
+  if (!settings) {
+    m_context.log.Event("settings_refused")
+        .Text("findings", settings.error().ToString());
+    return;
+  }
+  // Addresses and names are those of this process; a new start takes new ones.
+  m_context.log.Event("settings_reloaded")
+      .Text("node", settings.value().node.str());
+}
+
+void Node::BeginShutdown() {
+  const TimeMs now = m_context.clock.Now();
+  m_stopping_since = now;
+  m_context.log.Event("node_stopping")
+      .Number("in_flight", m_front->in_flight())
+      .Number("connections", m_front->connections())
+      .Number("engines_held", m_holder.held());
+  m_front->BeginShutdown(now + kAcceptTime);
+  m_holder.Stop();
+  m_session.Leave();
+}
+
+void Node::CheckShutdown(TimeMs now) {
+  if (!m_stopping_since) return;
+  const DurationMs since = now - *m_stopping_since;
+  const bool done = since >= kOutOfRotation && m_front->quiet() &&
+                    (m_front->connections() == 0 || since >= kAcceptTime);
+  const bool out_of_time =
+      since >= m_context.settings.shutdown_grace - kExitMargin;
+  if (!done && !out_of_time) return;
+  m_context.log.Event("node_stopped")
+      .Number("in_flight", m_front->in_flight())
+      .Ms("after_ms", since);
+  m_context.log.Flush();
+  m_context.io.stop();
+}
+
+void Node::Tick() {
+  const TimeMs now = m_context.clock.Now();
+  m_context.view.endpoints().Expire(now);
+  m_dispatcher.OnTick(now);
+  m_dispatcher.OnLocalHeld(m_holder.Status());
+  m_holder.SetLoadsElsewhere(m_dispatcher.LoadsElsewhere());
+  m_holder.OnTick(now);
+  m_front->OnTick(now);
+  TellPeers(now);
+  if (now - m_flushed >= kLogFlush) {
+    m_flushed = now;
+    m_context.log.Flush();
+    m_context.metrics.engines_held.Set(static_cast<double>(m_holder.held()));
+    m_context.metrics.requests_in_flight.Set(
+        static_cast<double>(m_front->in_flight()));
+  }
+  CheckShutdown(now);
+  m_timer.expires_after(kTick);
+  m_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) Tick();
+  });
+}
+
+void Node::TellPeers(TimeMs now) {
+  const auto nodes =
+      static_cast<std::int64_t>(m_context.view.nodes().size());
+  const DurationMs interval =
+      std::max(kTellInterval, kTellIntervalPerNode * nodes);
+  if (now - m_told < interval) return;
+  m_told = now;
+  NodeStatus status = m_dispatcher.TakeStatus();
+  status.held = m_holder.Status();
+  NoteUsed(status);
+  m_peers->Broadcast(status);
+}
+
+void Node::NoteUsed(const NodeStatus& status) {
+  for (const auto& [engine, adapters] : status.used) {
+    for (const auto& [adapter, requests] : adapters) {
+      m_holder.OnUsed(engine, adapter, requests);
+    }
+  }
+}
+
+void Node::OnPeerMessage(const PeerMessage& message) {
+  if (const auto* status = std::get_if<NodeStatus>(&message)) {
+    m_dispatcher.OnPeerStatus(*status);
+    NoteUsed(*status);
+  } else if (const auto* ask = std::get_if<AskLoad>(&message)) {
+    m_holder.OnAskLoad(*ask);
+  } else if (const auto* loaded = std::get_if<TellLoaded>(&message)) {
+    m_dispatcher.OnLoaded(*loaded);
+  } else if (const auto* missing = std::get_if<TellMissing>(&message)) {
+    m_holder.OnTellMissing(*missing);
+  }
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/transport/fleet/peer_link.cc
@@ -0,0 +1,90 @@
+#include "yuccamoor/transport/fleet/peer_link.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+using boost::asio::ip::udp;
+constexpr std::size_t kMaxDatagram = 65'536;
+}  // namespace
+
+Result<std::unique_ptr<PeerLink>> PeerLink::Create(NodeContext& context,
+                                                   Handler handler) {
+  std::unique_ptr<PeerLink> link(new PeerLink(context, std::move(handler)));
+  const SocketAddress& address = context.settings.peers;
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(address.ip, error);
+  if (!error) link->m_socket.open(udp::v4(), error);
+  if (!error) link->m_socket.bind({ip, address.port}, error);
+  if (!error) link->m_socket.non_blocking(true, error);
+  if (error) {
+    return Findings(Finding{Place{ToString(address), "", 0, 0},
+                            "cannot receive datagrams: " + error.message(),
+                            ""});
+  }
+  link->Receive();
+  return link;
+}
+
+PeerLink::PeerLink(NodeContext& context, Handler handler)
+    : m_context(context),
+      m_handler(std::move(handler)),
+      m_socket(context.io) {}
+
+void PeerLink::Receive() {
+  m_socket.async_wait(udp::socket::wait_read,
+                      [this](boost::system::error_code error) {
+                        if (error == boost::asio::error::operation_aborted) {
+                          return;
+                        }
+                        Drain();
+                        Receive();
+                      });
+}
+
+void PeerLink::Drain() {
+  std::array<char, kMaxDatagram> buffer;
+  for (;;) {
+    boost::system::error_code error;
+    udp::endpoint sender;
+    const std::size_t size = m_socket.receive_from(
+        boost::asio::buffer(buffer), sender, 0, error);
+    // Would block, or an earlier datagram was not deliverable.
+    if (error) return;
+    auto message = DecodePeerMessage({buffer.data(), size});
+    if (message) m_handler(std::move(*message));
+  }
+}
+
+void PeerLink::Send(const NodeId& node, const PeerMessage& message) {
+  if (node == m_context.settings.node) {
+    m_handler(message);
+    return;
+  }
+  const auto it = m_context.view.nodes().find(node);
+  if (it == m_context.view.nodes().end()) return;
+  SendTo(it->second.peers, EncodePeerMessage(message));
+}
+
+void PeerLink::Broadcast(const PeerMessage& message) {
+  const std::string datagram = EncodePeerMessage(message);
+  for (const auto& [node, record] : m_context.view.nodes()) {
+    if (node != m_context.settings.node) SendTo(record.peers, datagram);
+  }
+}
+
+void PeerLink::SendTo(const SocketAddress& address,
+                      const std::string& datagram) {
+  boost::system::error_code error;
+  const auto ip = boost::asio::ip::make_address(address.ip, error);
+  if (error) return;
+  // A datagram that cannot be sent is a lost one: messages are repeated.
+  m_socket.send_to(boost::asio::buffer(datagram), {ip, address.port}, 0,
+                   error);
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/tools/yuccamoor-node/main.cc
@@ -0,0 +1,83 @@
+// The node of a fleet on a prepared platform: gateway, and holder of engines.
+
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "platform/engine_client.h"
+#include "platform/request_dialect.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+#include "yuccamoor/state/fleet/boot_clock.h"
+#include "yuccamoor/transport/fleet/node.h"
+
+namespace {
+
+using yuccamoor::LineLog;
+using yuccamoor::MetricsRegistry;
+using yuccamoor::fleet::BootClock;
+using yuccamoor::fleet::FleetView;
+using yuccamoor::fleet::HttpCaller;
+using yuccamoor::fleet::Node;
+using yuccamoor::fleet::NodeContext;
+using yuccamoor::fleet::NodeMetrics;
+using yuccamoor::fleet::NodeSettings;
+
+// Exit status for settings or addresses that cannot be used.
+constexpr int kBadSettings = 2;
+
+int Run(const std::string& path, const NodeSettings& settings) {
+  boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO);
+  const BootClock clock;
+  LineLog log(clock, STDOUT_FILENO);
+  MetricsRegistry registry(clock);
+  NodeMetrics metrics(registry);
+  FleetView view;
+  const auto dialect = yuccamoor::platform::CreateRequestDialect();
+  NodeContext context{io, clock, settings, *dialect, view, log, metrics};
+  HttpCaller caller(io, clock);
+  yuccamoor::platform::StoreClient store(
+      caller, settings.store,
+      [&log](std::string_view key, const yuccamoor::Findings& findings) {
+        log.Event("store_value_unreadable")
+            .Text("key", key)
+            .Text("findings", findings.ToString());
+      });
+  yuccamoor::platform::EngineClient engines(caller, settings.node);
+  auto node = Node::Create(
+      context, registry,
+      {store, engines,
+       [&path] { return yuccamoor::platform::ReadSettings(path); }});
+  if (!node) {
+    std::cerr << node.error().ToString();
+    return kBadSettings;
+  }
+  node.value()->Start();
+  io.run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("Serves requests of a fleet and gives orders to its engines.");
+  std::string path;
+  bool check = false;
+  app.add_option("--settings", path, "Settings file")
+      ->envname(yuccamoor::platform::kSettingsVariable)
+      ->required();
+  app.add_flag("--check", check, "Check the settings and exit");
+  app.set_version_flag("--version", YUCCAMOOR_VERSION);
+  CLI11_PARSE(app, argc, argv);
+  const auto settings = yuccamoor::platform::ReadSettings(path);
+  if (!settings) {
+    std::cerr << settings.error().ToString();
+    return kBadSettings;
+  }
+  if (check) return EXIT_SUCCESS;
+  return Run(path, settings.value());
+}
