Keep engines with their VM over restarts and outages; refuse what comes too late

Cause: a holder stopped ordering 1.5 s into any outage of the store, and a restarted VM waited out its own earlier process (7 s without loads after a kill of all); an engine stayed blocked for good after an unload that answered 202; requests waited for adapters until their clients left.

Changed: a process adopts its VM's lease; peers confirm a holder that cannot reach the store; the last holder claims first and orders at once; reports follow an unload with runs; adapters with most waiters load first; a request whose adapter comes too late is refused with the time to come back.

Ruled out: a shortage of batch places (62% idle while requests waited).

--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -23,6 +23,8 @@
   /// 0 is the most urgent.
   int priority = 0;
   NodeId requester;
+  /// Requests that wait for it at that node.
+  std::uint32_t waiters = 1;
 };
 
 /// One order to an engine.
@@ -80,8 +82,9 @@
   /// Orders may be given from \p order_from on.
   EngineHost(EngineHostOptions options, Epoch fence, TimeMs order_from);
 
-  /// Notes a node's wish; a repeated one refreshes it.
-  void Request(const LoadRequest& request, TimeMs now);
+  /// Notes a node's wish; a repeated one refreshes it. Returns how long the
+  /// adapter will probably take to come into place.
+  DurationMs Request(const LoadRequest& request, TimeMs now);
   /// Notes that requests used the adapter.
   void OnUsed(const AdapterRef& adapter, std::uint32_t requests, TimeMs now);
   /// Notes that the engine answered that it does not hold the adapter.
@@ -105,7 +108,7 @@
   /// Adapters on their way from the weight store.
   std::uint32_t loading() const;
   bool synced() const { return m_synced; }
-  std::size_t waiting() const { return m_requests.size(); }
+  std::size_t waiting() const { return m_waiting.size(); }
 
  private:
   enum class PlaceState : std::uint8_t { kLoading, kResident, kUnloading };
@@ -119,21 +122,33 @@
     double uses = 0;
     std::uint32_t misses = 0;
   };
+  struct Requester {
+    std::uint32_t waiters = 0;
+    TimeMs refreshed;
+  };
+  // All nodes' wishes for one adapter.
   struct Waiting {
-    LoadRequest request;
+    AdapterRef adapter;
+    AdapterRevision version;
+    int priority = 0;
     TimeMs asked;
-    TimeMs refreshed;
+    std::map<NodeId, Requester> requesters;
   };
 
   void FinishLoads(TimeMs now);
   void CollectNotices(std::vector<LoadNotice>& notices);
-  bool IsInPlace(const LoadRequest& request) const;
+  bool IsInPlace(const Waiting& waiting) const;
   std::optional<EngineOrder> NextOrder(TimeMs now);
-  std::optional<EngineOrder> OrderFor(const LoadRequest& request, TimeMs now);
+  std::optional<EngineOrder> OrderFor(const Waiting& waiting, TimeMs now);
+  std::vector<const Waiting*> RankedWaiting() const;
+  DurationMs EstimateWait(const Waiting& waiting, TimeMs now) const;
+  bool IsCold(const AdapterRef& adapter) const;
+  bool MayStartLoad(bool cold) const;
+  void TakeUnloaded(const EngineReport& report, TimeMs now);
   std::optional<EngineOrder> UnloadVictim(TimeMs now);
   void Resync(TimeMs at);
   void ApplyLoad(OrderEnd end, TimeMs now);
-  void ApplyUnload(OrderEnd end);
+  void ApplyUnload(OrderEnd end, TimeMs now);
   DurationMs EstimateLoad(const AdapterRef& adapter) const;
   void RememberHeld(const AdapterRef& adapter);
   double DecayedUses(const Place& place, TimeMs now) const;
@@ -149,7 +164,7 @@
   std::uint64_t m_accepted = 0;
   std::uint32_t m_loads_elsewhere = 0;
   std::map<AdapterRef, Place> m_places;
-  std::list<Waiting> m_requests;
+  std::list<Waiting> m_waiting;
   std::optional<EngineOrder> m_order;
   TimeMs m_retry_at;
   // Adapters that the engine's host memory probably still has, newest first.
--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/endpoint_table.h"
@@ -23,8 +24,15 @@
 /// A node's record.
 struct NodeRecord {
   SocketAddress peers;
+  /// The lease that the record and the node's claims are bound to. A process
+  /// that starts again on the same VM goes on with it.
+  StoreLease lease;
 };
 
+/// Writes "ip:port lease", and parses it.
+std::string EncodeNodeRecord(const NodeRecord& record);
+NodeRecord DecodeNodeRecord(std::string_view text);
+
 /// Who may give orders to an engine.
 struct HolderRecord {
   NodeId node;
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -24,9 +24,21 @@
   AdapterSet adapters;
 };
 
+/// What a node sees in the store.
+struct StoreSight {
+  /// Whether the store has answered lately.
+  bool fresh = false;
+  /// Nodes registered.
+  std::uint32_t nodes = 0;
+  /// Fencing numbers of the engines' holders. Told only while some node cannot
+  /// reach the store.
+  std::map<EndpointId, Epoch> holders;
+};
+
 /// What a node tells all others from time to time.
 struct NodeStatus {
   NodeId node;
+  StoreSight store;
   /// Requests under way, by endpoint.
   std::map<EndpointId, std::uint32_t> in_flight;
   /// Requests begun or under way since the last status, by engine and adapter.
@@ -42,6 +54,14 @@
   AdapterRef adapter;
   AdapterRevision version;
   int priority = 0;
+  std::uint32_t waiters = 1;
+};
+
+/// Answers AskLoad: the adapter will be in place about then.
+struct TellQueued {
+  EndpointId engine;
+  AdapterRef adapter;
+  DurationMs wait{0};
 };
 
 /// Tells that an adapter is in place.
@@ -58,7 +78,7 @@
 };
 
 using PeerMessage =
-    std::variant<NodeStatus, AskLoad, TellLoaded, TellMissing>;
+    std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/state/fleet/fleet_config.h
+++ b/include/yuccamoor/state/fleet/fleet_config.h
@@ -43,6 +43,8 @@
   DurationMs timeout{0};
   /// The latency objective: to the whole answer, or to the first event.
   DurationMs objective{0};
+  /// How long clients wait for the first event of a stream.
+  DurationMs patience{0};
   /// 0 is the most urgent.
   int priority = 0;
   std::uint32_t max_attempts = 1;
--- a/include/yuccamoor/state/fleet/node_settings.h
+++ b/include/yuccamoor/state/fleet/node_settings.h
@@ -42,6 +42,8 @@
   /// Counters and histograms are served here.
   SocketAddress metrics;
   SocketAddress store;
+  /// Whether the whole fleet starts for the first time.
+  bool first_start = false;
   /// Between SIGTERM and SIGKILL.
   DurationMs shutdown_grace{8'000};
   /// Orders of two holders to one engine lie at least this far apart.
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -29,6 +29,12 @@
   /// more copy, is asked for.
   EndpointChoice Choose(const EndpointQuery& query, int priority);
 
+  /// Notes that a request waits for an adapter, and that it does so no more.
+  void AddWaiter(const AdapterRef& adapter) { ++m_waiters[adapter]; }
+  void RemoveWaiter(const AdapterRef& adapter);
+  /// Returns when the adapter will probably be in place, if a holder has said.
+  std::optional<TimeMs> ExpectedAt(const AdapterRef& adapter) const;
+
   /// Notes that a request goes to the endpoint and that it has ended there.
   void OnBegin(const EndpointId& endpoint,
                const std::optional<AdapterRef>& adapter);
@@ -44,10 +50,14 @@
 
   void OnPeerStatus(const NodeStatus& status);
   void OnLoaded(const TellLoaded& told);
+  void OnQueued(const TellQueued& told);
   void OnLocalHeld(const std::map<EndpointId, HeldEngineStatus>& held);
   /// Adapters on their way to engines that other nodes hold.
   std::uint32_t LoadsElsewhere() const;
 
+  /// Whether some node has just said that it cannot reach the store.
+  bool SomeNodeWithoutStore() const;
+
   /// Returns what to tell the other nodes, and starts the next interval.
   NodeStatus TakeStatus();
   /// Forgets peers that are silent.
@@ -62,6 +72,7 @@
     EndpointId engine;
     TimeMs at;
     TimeMs first;
+    std::optional<TimeMs> expected;
   };
 
   void AskForLoad(const EndpointQuery& query, int priority,
@@ -75,6 +86,7 @@
   std::map<NodeId, Peer> m_peers;
   std::map<EndpointId, TimeMs> m_ordering;
   std::map<AdapterRef, std::vector<Asked>> m_asked;
+  std::map<AdapterRef, std::uint32_t> m_waiters;
   // Requests under way, and begun in this interval.
   std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_running;
   std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_begun;
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "yuccamoor/coordination/fleet/engine_control.h"
@@ -32,16 +34,19 @@
   /// Claims engines, and gives orders that are due.
   void OnTick(TimeMs now);
 
-  void OnAskLoad(const AskLoad& ask);
+  /// Takes what another node sees, which tells whether this node still holds
+  /// its engines while it cannot reach the store.
+  void OnPeerStatus(const NodeStatus& status, TimeMs now);
+
+  /// Returns when the adapter will probably be in place, or nothing if this
+  /// node does not hold the engine.
+  std::optional<TellQueued> OnAskLoad(const AskLoad& ask);
   void OnTellMissing(const TellMissing& told);
   void OnUsed(const EndpointId& engine, const AdapterRef& adapter,
               std::uint32_t requests);
   /// Adapters on their way to engines that other nodes hold.
   void SetLoadsElsewhere(std::uint32_t loads) { m_loads_elsewhere = loads; }
 
-  /// Stops giving orders, before the lease is ended.
-  void Stop() { m_stopped = true; }
-
   std::map<EndpointId, HeldEngineStatus> Status() const;
   std::size_t held() const { return m_held.size(); }
 
@@ -52,7 +57,16 @@
     Epoch fence;
   };
 
+  struct PeerSight {
+    TimeMs heard;
+    StoreSight store;
+    std::set<EndpointId> held;
+  };
+
   bool MayOrder(TimeMs now) const;
+  bool PeersConfirm(TimeMs now) const;
+  bool Agrees(const PeerSight& peer) const;
+  std::set<EndpointId> LatelyHeld(TimeMs now) const;
   void ClaimNext(TimeMs now);
   void TakeUp(const EndpointId& engine, Epoch fence);
   void Poll(const EndpointId& engine, TimeMs now);
@@ -68,8 +82,10 @@
   HolderClaims m_claims;
   std::map<EndpointId, Held> m_held;
   TimeMs m_started;
+  std::map<NodeId, PeerSight> m_sights;
+  // When this node last had the right to order engines that it held.
+  std::map<EndpointId, TimeMs> m_last_valid;
   bool m_claiming = false;
-  bool m_stopped = false;
   std::uint32_t m_loads_elsewhere = 0;
 };
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -53,6 +53,8 @@
   enum class Outcome : std::uint8_t { kAnswered, kRefused, kFailed, kGone };
 
   void Dispatch(TimeMs now);
+  void Wait(TimeMs now);
+  void StopWaiting(TimeMs now);
   EndpointQuery MakeQuery(TimeMs now) const;
   void SendTo(const EndpointId& endpoint, TimeMs now);
   void OnProgress();
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -22,8 +22,10 @@
   /// Starts reading and registering. \p on_change is called after each change
   /// of the view.
   void Start(std::function<void()> on_change);
-  /// Ends the lease, so that others may take over at once.
-  void Leave();
+  /// Whether the store has answered lately.
+  bool IsFresh(TimeMs now) const;
+  /// Whether the lease of this VM's earlier process was taken over.
+  bool adopted() const { return m_adopted; }
 
   /// Whether everything was read once.
   bool has_view() const { return m_has_view; }
@@ -47,6 +49,8 @@
   void NoteAnswer(StoreStatus status);
   void LogNews(const StoreChange& change, ViewNews news);
 
+  void BeginLease();
+  void Adopt(StoreLease lease);
   void KeepLease();
   void Grant();
   void Renew();
@@ -63,7 +67,8 @@
   Revision m_as_of;
   bool m_has_view = false;
   bool m_reachable = true;
-  bool m_leaving = false;
+  bool m_lease_begun = false;
+  bool m_adopted = false;
   bool m_registered = false;
   std::uint32_t m_register_conflicts = 0;
   TimeMs m_last_answer;
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -16,9 +16,8 @@
 constexpr std::uint32_t kFullSpeedLoads = 8;
 // Adapters that may be on their way to one engine at once.
 constexpr std::uint32_t kMaxTransit = 4;
-// Loads from the weight store that one engine starts at once, so that all
-// engines together stay near full speed.
-constexpr std::uint32_t kMaxColdTransit = 2;
+// Unloads that wait for runs to end at once.
+constexpr std::uint32_t kMaxUnloading = 3;
 // An engine says that an adapter is missing: its load took longer than
 // expected.
 constexpr DurationMs kMissingExtension{60};
@@ -32,10 +31,12 @@
 // An adapter that was used this recently may still have runs.
 constexpr DurationMs kInUseTime{650};
 constexpr double kUseHalfLifeMs = 8'000;
-constexpr DurationMs kRequestLifetime{2'500};
+constexpr DurationMs kRequestLifetime{4'000};
 constexpr std::size_t kHeldAdapters = 150;
 // What a step of priority is worth in waiting time.
 constexpr DurationMs kPriorityStep{100};
+// What a waiting request is worth in waiting time of others.
+constexpr DurationMs kWaiterStep{400};
 
 }  // namespace
 
@@ -50,18 +51,22 @@
   m_report_at = at;
 }
 
-void EngineHost::Request(const LoadRequest& request, TimeMs now) {
-  for (Waiting& waiting : m_requests) {
-    if (waiting.request.adapter != request.adapter) continue;
-    if (waiting.request.requester != request.requester) continue;
-    waiting.request.version =
-        std::max(waiting.request.version, request.version);
-    waiting.request.priority =
-        std::min(waiting.request.priority, request.priority);
-    waiting.refreshed = now;
-    return;
+DurationMs EngineHost::Request(const LoadRequest& request, TimeMs now) {
+  auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
+                         [&](const Waiting& waiting) {
+                           return waiting.adapter == request.adapter;
+                         });
+  if (it == m_waiting.end()) {
+    it = m_waiting.insert(m_waiting.end(), Waiting{request.adapter,
+                                                   request.version,
+                                                   request.priority,
+                                                   now,
+                                                   {}});
   }
-  m_requests.push_back({request, now, now});
+  it->version = std::max(it->version, request.version);
+  it->priority = std::min(it->priority, request.priority);
+  it->requesters[request.requester] = {request.waiters, now};
+  return EstimateWait(*it, now);
 }
 
 void EngineHost::OnUsed(const AdapterRef& adapter, std::uint32_t requests,
@@ -107,6 +112,10 @@
     m_report_at = now + kReportLag;
     return;
   }
+  if (m_synced) {
+    TakeUnloaded(*report, now);
+    return;
+  }
   std::map<AdapterRef, Place> places;
   const auto adopt = [&](const AdapterSet& adapters, PlaceState state) {
     for (const auto& [adapter, version] : adapters) {
@@ -135,6 +144,16 @@
                           m_options.model) != report->models.end();
   m_accepted = report->orders_accepted;
   m_synced = true;
+  m_report_at = TimeMs::Never();
+  TakeUnloaded(*report, now);
+}
+
+// Frees the places of adapters that have been unloaded after their last run.
+void EngineHost::TakeUnloaded(const EngineReport& report, TimeMs now) {
+  std::erase_if(m_places, [&](const auto& item) {
+    return item.second.state == PlaceState::kUnloading &&
+           !report.adapters.contains(item.first);
+  });
   const bool unloading =
       std::any_of(m_places.begin(), m_places.end(), [](const auto& item) {
         return item.second.state == PlaceState::kUnloading;
@@ -165,7 +184,7 @@
   } else if (m_order->load) {
     ApplyLoad(end, now);
   } else {
-    ApplyUnload(end);
+    ApplyUnload(end, now);
   }
   m_order.reset();
 }
@@ -185,20 +204,27 @@
   place.ready_at = now + EstimateLoad(m_order->adapter);
 }
 
-void EngineHost::ApplyUnload(OrderEnd end) {
+void EngineHost::ApplyUnload(OrderEnd end, TimeMs now) {
   ++m_accepted;
   if (end == OrderEnd::kDone) {
     m_places.erase(m_order->adapter);
     return;
   }
+  // It still has runs; reports show when they have ended.
   m_places[m_order->adapter].state = PlaceState::kUnloading;
+  m_report_at = now + kUnloadCheck;
 }
 
 EngineHostActions EngineHost::Poll(TimeMs now, std::uint32_t loads_elsewhere) {
   m_loads_elsewhere = loads_elsewhere;
   EngineHostActions actions;
-  std::erase_if(m_requests, [now](const Waiting& waiting) {
-    return now - waiting.refreshed > kRequestLifetime;
+  for (Waiting& waiting : m_waiting) {
+    std::erase_if(waiting.requesters, [now](const auto& item) {
+      return now - item.second.refreshed > kRequestLifetime;
+    });
+  }
+  std::erase_if(m_waiting, [](const Waiting& waiting) {
+    return waiting.requesters.empty();
   });
   if (now < m_order_from) return actions;
   if (!m_order && !m_report_pending && now >= m_report_at) {
@@ -225,20 +251,64 @@
   }
 }
 
-bool EngineHost::IsInPlace(const LoadRequest& request) const {
-  const auto it = m_places.find(request.adapter);
+bool EngineHost::IsInPlace(const Waiting& waiting) const {
+  const auto it = m_places.find(waiting.adapter);
   return it != m_places.end() && it->second.state == PlaceState::kResident &&
-         it->second.version >= request.version;
+         it->second.version >= waiting.version;
 }
 
 void EngineHost::CollectNotices(std::vector<LoadNotice>& notices) {
-  std::erase_if(m_requests, [&](const Waiting& waiting) {
-    if (!IsInPlace(waiting.request)) return false;
-    notices.push_back({waiting.request.adapter, waiting.request.requester});
+  std::erase_if(m_waiting, [&](const Waiting& waiting) {
+    if (!IsInPlace(waiting)) return false;
+    for (const auto& [node, requester] : waiting.requesters) {
+      notices.push_back({waiting.adapter, node});
+    }
     return true;
   });
 }
 
+// Adapters that most requests wait for come first, so that the weight store's
+// rate serves as many as it can; waiting longer moves the others up.
+std::vector<const EngineHost::Waiting*> EngineHost::RankedWaiting() const {
+  std::vector<std::pair<TimeMs, const Waiting*>> ranked;
+  for (const Waiting& waiting : m_waiting) {
+    std::uint32_t waiters = 0;
+    for (const auto& [node, requester] : waiting.requesters) {
+      waiters += requester.waiters;
+    }
+    const TimeMs rank = waiting.asked + kPriorityStep * waiting.priority -
+                        kWaiterStep * waiters;
+    ranked.emplace_back(rank, &waiting);
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<const Waiting*> order;
+  for (const auto& [rank, waiting] : ranked) order.push_back(waiting);
+  return order;
+}
+
+DurationMs EngineHost::EstimateWait(const Waiting& waiting, TimeMs now) const {
+  const auto place = m_places.find(waiting.adapter);
+  if (place != m_places.end() && place->second.state == PlaceState::kLoading) {
+    return std::max(DurationMs(0), place->second.ready_at - now);
+  }
+  DurationMs wait = std::max(DurationMs(0), m_order_from - now);
+  std::int64_t cold_ahead = 0;
+  for (const Waiting* other : RankedWaiting()) {
+    if (other == &waiting) break;
+    if (!m_places.contains(other->adapter) && IsCold(other->adapter)) {
+      ++cold_ahead;
+    }
+  }
+  for (const auto& [adapter, busy] : m_places) {
+    if (busy.state == PlaceState::kLoading) ++cold_ahead;
+  }
+  const DurationMs load = EstimateLoad(waiting.adapter);
+  if (IsCold(waiting.adapter)) wait = wait + kColdLoad * cold_ahead;
+  return wait + load;
+}
+
 std::optional<EngineOrder> EngineHost::NextOrder(TimeMs now) {
   if (!m_has_model) {
     EngineOrder order;
@@ -247,34 +317,32 @@
     order.fence = m_fence;
     return order;
   }
-  std::vector<const Waiting*> waiting;
-  for (const Waiting& item : m_requests) waiting.push_back(&item);
-  const auto rank = [](const Waiting* item) {
-    return item->asked + kPriorityStep * item->request.priority;
-  };
-  std::stable_sort(waiting.begin(), waiting.end(),
-                   [&](const Waiting* a, const Waiting* b) {
-                     return rank(a) < rank(b);
-                   });
-  for (const Waiting* item : waiting) {
-    if (auto order = OrderFor(item->request, now)) return order;
+  for (const Waiting* waiting : RankedWaiting()) {
+    if (auto order = OrderFor(*waiting, now)) return order;
   }
   return std::nullopt;
 }
 
-std::optional<EngineOrder> EngineHost::OrderFor(const LoadRequest& request,
+bool EngineHost::MayStartLoad(bool cold) const {
+  const std::uint32_t own = loading();
+  if (own >= kMaxTransit) return false;
+  // One at a time is each engine's own; more only while the weight store
+  // serves them at full speed.
+  return !cold || own == 0 || m_loads_elsewhere + own < kFullSpeedLoads;
+}
+
+std::optional<EngineOrder> EngineHost::OrderFor(const Waiting& waiting,
                                                 TimeMs now) {
-  const auto it = m_places.find(request.adapter);
+  const auto it = m_places.find(waiting.adapter);
   const bool known = it != m_places.end();
   if (known && it->second.state != PlaceState::kResident) return std::nullopt;
-  const bool cold = EstimateLoad(request.adapter) > kWarmLoad;
-  if (loading() >= (cold ? kMaxColdTransit : kMaxTransit)) return std::nullopt;
+  if (!MayStartLoad(IsCold(waiting.adapter))) return std::nullopt;
   if (!known && m_places.size() >= m_options.adapter_slots) {
     return UnloadVictim(now);
   }
   EngineOrder order;
-  order.adapter = request.adapter;
-  order.version = request.version;
+  order.adapter = waiting.adapter;
+  order.version = waiting.version;
   order.expected_accepted = m_accepted;
   order.fence = m_fence;
   return order;
@@ -283,22 +351,22 @@
 std::optional<EngineOrder> EngineHost::UnloadVictim(TimeMs now) {
   const AdapterRef* victim = nullptr;
   double least = 0;
+  std::uint32_t unloading = 0;
   for (const auto& [adapter, place] : m_places) {
-    // One unload makes room for one load at a time.
-    if (place.state == PlaceState::kUnloading) return std::nullopt;
+    if (place.state == PlaceState::kUnloading) ++unloading;
     if (place.state != PlaceState::kResident) continue;
     if (now - place.last_used < kInUseTime) continue;
-    const bool wanted =
-        std::any_of(m_requests.begin(), m_requests.end(),
-                    [&adapter = adapter](const Waiting& waiting) {
-                      return waiting.request.adapter == adapter;
-                    });
+    const bool wanted = std::any_of(m_waiting.begin(), m_waiting.end(),
+                                    [&adapter = adapter](const Waiting& w) {
+                                      return w.adapter == adapter;
+                                    });
     if (wanted) continue;
     const double uses = DecayedUses(place, now);
     if (victim && uses >= least) continue;
     victim = &adapter;
     least = uses;
   }
+  if (unloading >= kMaxUnloading) return std::nullopt;
   if (!victim) return std::nullopt;
   EngineOrder order;
   order.load = false;
@@ -326,10 +394,12 @@
   return count;
 }
 
+bool EngineHost::IsCold(const AdapterRef& adapter) const {
+  return std::find(m_held.begin(), m_held.end(), adapter) == m_held.end();
+}
+
 DurationMs EngineHost::EstimateLoad(const AdapterRef& adapter) const {
-  if (std::find(m_held.begin(), m_held.end(), adapter) != m_held.end()) {
-    return kWarmLoad;
-  }
+  if (!IsCold(adapter)) return kWarmLoad;
   const std::uint32_t loads = m_loads_elsewhere + loading() + 1;
   if (loads <= kFullSpeedLoads) return kColdLoad;
   return kColdLoad * loads / kFullSpeedLoads;
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -1,5 +1,7 @@
 #include "yuccamoor/coordination/fleet/fleet_view.h"
 
+#include <algorithm>
+#include <charconv>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -16,6 +18,21 @@
 
 }  // namespace
 
+std::string EncodeNodeRecord(const NodeRecord& record) {
+  return ToString(record.peers) + " " + std::to_string(record.lease.value());
+}
+
+NodeRecord DecodeNodeRecord(std::string_view text) {
+  NodeRecord record;
+  const std::size_t space = std::min(text.find(' '), text.size());
+  record.peers = ParseSocketAddress(text.substr(0, space));
+  text.remove_prefix(std::min(space + 1, text.size()));
+  std::uint64_t lease = 0;
+  std::from_chars(text.data(), text.data() + text.size(), lease);
+  record.lease = StoreLease(lease);
+  return record;
+}
+
 std::string FleetView::NodeKey(const NodeId& node) {
   return std::string(kNodePrefix) + node.str();
 }
@@ -83,7 +100,7 @@
   const std::string_view key = change.key;
   if (key.starts_with(kNodePrefix)) {
     const NodeId node(std::string(key.substr(kNodePrefix.size())));
-    m_nodes[node] = NodeRecord{ParseSocketAddress(change.value)};
+    m_nodes[node] = DecodeNodeRecord(change.value);
     return ViewNews::kNodeChanged;
   }
   if (key.starts_with(kHolderPrefix)) {
--- a/lib/coordination/fleet/holder_claims.cc
+++ b/lib/coordination/fleet/holder_claims.cc
@@ -12,6 +12,10 @@
 
 // Long enough for a claim to be seen by the next node in turn.
 constexpr DurationMs kTurn{400};
+// Leaves the first claim to the last holder, which need not wait to order.
+constexpr DurationMs kLastHolderFirst{900};
+// By then the view shows who was faster.
+constexpr DurationMs kFailurePause{800};
 
 std::size_t CountHeld(const std::map<EndpointId, NodeId>& holders,
                       const std::vector<EndpointId>& engines,
@@ -32,7 +36,8 @@
 std::optional<EndpointId> HolderClaims::NextClaim(
     const std::vector<EndpointId>& engines,
     const std::map<EndpointId, NodeId>& holders, const std::set<NodeId>& nodes,
-    TimeMs now) {
+    const std::set<EndpointId>& mine, TimeMs now) {
+  if (now < m_pause_until) return std::nullopt;
   std::erase_if(m_unheld_since, [&](const auto& item) {
     return holders.contains(item.first) ||
            std::find(engines.begin(), engines.end(), item.first) ==
@@ -47,6 +52,7 @@
   for (const EndpointId& engine : engines) {
     if (holders.contains(engine)) continue;
     const TimeMs since = m_unheld_since.try_emplace(engine, now).first->second;
+    if (mine.contains(engine)) return engine;
     // Nodes that hold least go first, then by rendezvous score.
     const std::size_t own = CountHeld(holders, engines, m_self);
     std::int64_t rank = own >= fair_share ? 2 : 0;
@@ -57,9 +63,14 @@
           (held[node] == own && Score(engine, node) > Score(engine, m_self));
       if (before) ++rank;
     }
-    if (now - since >= kTurn * rank) return engine;
+    if (now - since >= kLastHolderFirst + kTurn * rank) return engine;
   }
   return std::nullopt;
 }
 
+void HolderClaims::OnFailed(const EndpointId& engine, TimeMs now) {
+  m_unheld_since.erase(engine);
+  m_pause_until = now + kFailurePause;
+}
+
 }  // namespace yuccamoor::fleet
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -30,6 +30,12 @@
   Json json;
   json["type"] = "status";
   json["node"] = status.node.str();
+  json["fresh"] = status.store.fresh;
+  json["nodes"] = status.store.nodes;
+  Json& holders = json["holders"] = Json::object();
+  for (const auto& [engine, fence] : status.store.holders) {
+    holders[engine.str()] = fence.value();
+  }
   Json& in_flight = json["in_flight"] = Json::object();
   for (const auto& [endpoint, count] : status.in_flight) {
     in_flight[endpoint.str()] = count;
@@ -58,6 +64,16 @@
   json["adapter"] = ToString(ask.adapter);
   json["version"] = ask.version.value();
   json["priority"] = ask.priority;
+  json["waiters"] = ask.waiters;
+  return json;
+}
+
+Json Encode(const TellQueued& told) {
+  Json json;
+  json["type"] = "queued";
+  json["engine"] = told.engine.str();
+  json["adapter"] = ToString(told.adapter);
+  json["wait_ms"] = told.wait.ms();
   return json;
 }
 
@@ -81,6 +97,11 @@
 NodeStatus DecodeStatus(const Json& json) {
   NodeStatus status;
   status.node = NodeId(json.at("node").get<std::string>());
+  status.store.fresh = json.at("fresh").get<bool>();
+  status.store.nodes = GetUnsigned32(json.at("nodes"));
+  for (const auto& [engine, fence] : json.at("holders").items()) {
+    status.store.holders[EndpointId(engine)] = Epoch(GetUnsigned(fence));
+  }
   for (const auto& [endpoint, count] : json.at("in_flight").items()) {
     status.in_flight[EndpointId(endpoint)] = GetUnsigned32(count);
   }
@@ -117,7 +138,12 @@
   if (type == "ask_load") {
     return AskLoad{NodeId(json.at("node").get<std::string>()), EngineOf(json),
                    AdapterOf(json), VersionOf(json),
-                   json.at("priority").get<int>()};
+                   json.at("priority").get<int>(),
+                   GetUnsigned32(json.at("waiters"))};
+  }
+  if (type == "queued") {
+    return TellQueued{EngineOf(json), AdapterOf(json),
+                      DurationMs(json.at("wait_ms").get<std::int64_t>())};
   }
   if (type == "loaded") {
     return TellLoaded{EngineOf(json), AdapterOf(json), VersionOf(json)};
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -63,7 +63,7 @@
         std::any_of(asked.begin(), asked.end(),
                     [&](const Asked& item) { return item.engine == engine; });
     if (known || !IsOrdering(engine, now)) continue;
-    asked.push_back({engine, now, now});
+    asked.push_back({engine, now, now, std::nullopt});
     Ask(query, priority, engine);
     return;
   }
@@ -80,6 +80,8 @@
   ask.adapter = *query.adapter;
   ask.version = query.version;
   ask.priority = priority;
+  const auto waiters = m_waiters.find(*query.adapter);
+  ask.waiters = waiters == m_waiters.end() ? 0 : waiters->second;
   m_context.log.Event("load_asked")
       .Text("engine", engine.str())
       .Text("adapter", ToString(ask.adapter))
@@ -174,6 +176,39 @@
   engine->adapters_told = m_context.clock.Now();
 }
 
+void Dispatcher::OnQueued(const TellQueued& told) {
+  const auto it = m_asked.find(told.adapter);
+  if (it == m_asked.end()) return;
+  for (Asked& item : it->second) {
+    if (item.engine != told.engine) continue;
+    item.expected = m_context.clock.Now() + told.wait;
+  }
+}
+
+void Dispatcher::RemoveWaiter(const AdapterRef& adapter) {
+  const auto it = m_waiters.find(adapter);
+  if (it == m_waiters.end()) return;
+  if (--it->second == 0) m_waiters.erase(it);
+}
+
+std::optional<TimeMs> Dispatcher::ExpectedAt(const AdapterRef& adapter) const {
+  const auto it = m_asked.find(adapter);
+  if (it == m_asked.end()) return std::nullopt;
+  std::optional<TimeMs> soonest;
+  for (const Asked& item : it->second) {
+    if (item.expected && (!soonest || *item.expected < *soonest)) {
+      soonest = item.expected;
+    }
+  }
+  return soonest;
+}
+
+bool Dispatcher::SomeNodeWithoutStore() const {
+  return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& item) {
+    return !item.second.status.store.fresh;
+  });
+}
+
 void Dispatcher::CountPeers() {
   for (auto& [id, endpoint] : m_context.view.endpoints().all()) {
     endpoint.peers_in_flight = 0;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -12,6 +12,9 @@
 constexpr DurationMs kHolderMargin{150};
 // Nodes of a starting fleet register before the first claims.
 constexpr DurationMs kClaimDelay{900};
+// A node that is cut off from the store hears of a new one by then.
+constexpr DurationMs kLateClaimDelay{2'200};
+constexpr DurationMs kPeerSilence{600};
 
 const char* ToText(OrderEnd end) {
   switch (end) {
@@ -41,8 +44,56 @@
       m_started(context.clock.Now()) {}
 
 bool EngineHolder::MayOrder(TimeMs now) const {
-  return !m_stopped && m_session.lease() &&
-         now - m_session.renewed() < kOrderValidity;
+  if (!m_session.lease()) return false;
+  return now - m_session.renewed() < kOrderValidity || PeersConfirm(now);
+}
+
+// Without the store, another node can only have taken an engine over if some
+// node reaches the store. All others must just have said that they hold none
+// of this node's engines, and those that reach the store that its records
+// stand.
+bool EngineHolder::PeersConfirm(TimeMs now) const {
+  const auto& nodes = m_context.view.nodes();
+  for (const auto& [node, record] : nodes) {
+    if (node == m_context.settings.node) continue;
+    const auto it = m_sights.find(node);
+    if (it == m_sights.end()) return false;
+    if (now - it->second.heard > kPeerSilence) return false;
+    if (!Agrees(it->second)) return false;
+  }
+  return !nodes.empty();
+}
+
+bool EngineHolder::Agrees(const PeerSight& peer) const {
+  for (const auto& [engine, held] : m_held) {
+    if (peer.held.contains(engine)) return false;
+    if (!peer.store.fresh) continue;
+    const auto seen = peer.store.holders.find(engine);
+    if (seen == peer.store.holders.end()) return false;
+    if (seen->second != held.fence) return false;
+  }
+  return !peer.store.fresh ||
+         peer.store.nodes == m_context.view.nodes().size();
+}
+
+void EngineHolder::OnPeerStatus(const NodeStatus& status, TimeMs now) {
+  PeerSight& sight = m_sights[status.node];
+  sight.heard = now;
+  sight.store = status.store;
+  sight.held.clear();
+  for (const auto& [engine, held] : status.held) sight.held.insert(engine);
+}
+
+// Engines that no other node can have ordered since this one did: another one
+// waits longer than this after its claim.
+std::set<EndpointId> EngineHolder::LatelyHeld(TimeMs now) const {
+  std::set<EndpointId> engines;
+  for (const auto& [engine, valid] : m_last_valid) {
+    if (now - valid < m_context.settings.holder_separation) {
+      engines.insert(engine);
+    }
+  }
+  return engines;
 }
 
 void EngineHolder::OnViewChanged() {
@@ -81,20 +132,28 @@
   options.adapter_slots = spec->adapter_slots;
   options.model = spec->models.front().model;
   options.model_load = spec->models.front().load;
-  // The holder before may have ordered until its own validity ended.
-  const TimeMs order_from = m_context.clock.Now() + kOrderValidity +
-                            m_context.settings.holder_separation +
-                            kHolderMargin;
+  const TimeMs now = m_context.clock.Now();
+  // The holder before may have ordered until its own validity ended. This VM
+  // itself need not wait.
+  const bool was_ours =
+      LatelyHeld(now).contains(engine) || m_session.adopted();
+  const DurationMs wait = was_ours
+                              ? DurationMs(0)
+                              : kOrderValidity +
+                                    m_context.settings.holder_separation +
+                                    kHolderMargin;
+  const TimeMs order_from = now + wait;
   m_held.emplace(engine, Held{endpoint->entry,
                               EngineHost(options, fence, order_from), fence});
   m_context.log.Event("engine_held")
       .Text("engine", engine.str())
       .Number("fence", fence.value())
-      .Ms("order_wait_ms", order_from - m_context.clock.Now());
+      .Ms("order_wait_ms", wait);
 }
 
 void EngineHolder::OnTick(TimeMs now) {
   if (!MayOrder(now)) return;
+  for (const auto& [engine, held] : m_held) m_last_valid[engine] = now;
   ClaimNext(now);
   for (auto it = m_held.begin(); it != m_held.end();) {
     const EndpointId engine = (it++)->first;
@@ -103,15 +162,20 @@
 }
 
 void EngineHolder::ClaimNext(TimeMs now) {
-  if (m_claiming || now - m_started < kClaimDelay) return;
+  const DurationMs delay =
+      m_context.settings.first_start ? kClaimDelay : kLateClaimDelay;
+  if (m_claiming || now - m_started < delay) return;
   const auto engine =
       m_claims.NextClaim(m_context.view.Engines(), m_context.view.HolderIds(),
-                         m_context.view.NodeIds(), now);
+                         m_context.view.NodeIds(), LatelyHeld(now), now);
   if (!engine) return;
   m_claiming = true;
   m_session.Claim(*engine, [this, engine = *engine](std::optional<Epoch> fence) {
     m_claiming = false;
-    if (!fence) return;
+    if (!fence) {
+      m_claims.OnFailed(engine, m_context.clock.Now());
+      return;
+    }
     RecordWritten record;
     record.key = FleetView::HolderKey(engine);
     record.value = m_context.settings.node.str();
@@ -188,13 +252,19 @@
       });
 }
 
-void EngineHolder::OnAskLoad(const AskLoad& ask) {
+std::optional<TellQueued> EngineHolder::OnAskLoad(const AskLoad& ask) {
   const auto it = m_held.find(ask.engine);
-  if (it == m_held.end()) return;
+  if (it == m_held.end()) return std::nullopt;
   const TimeMs now = m_context.clock.Now();
-  it->second.host.Request({ask.adapter, ask.version, ask.priority, ask.node},
-                          now);
+  LoadRequest request;
+  request.adapter = ask.adapter;
+  request.version = ask.version;
+  request.priority = ask.priority;
+  request.requester = ask.node;
+  request.waiters = ask.waiters;
+  const DurationMs wait = it->second.host.Request(request, now);
   Poll(ask.engine, now);
+  return TellQueued{ask.engine, ask.adapter, wait};
 }
 
 void EngineHolder::OnTellMissing(const TellMissing& told) {
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -29,6 +29,10 @@
 constexpr std::size_t kMaxPendingToClient = 262'144;
 constexpr DurationMs kNoEndpointRetryAfter{300};
 constexpr DurationMs kOverloadRetryAfter{200};
+// From an adapter's arrival to its first event.
+constexpr DurationMs kFirstEventTime{250};
+// Clients honour a Retry-After of up to this part of their time left.
+constexpr std::int64_t kRetryAfterPart = 3;
 constexpr DurationMs kDefaultDeadline{30'000};
 // The priority that requests without one have is 5.
 constexpr int kPriorityBase = 3;
@@ -115,18 +119,39 @@
     SendTo(*choice.send_to, now);
     return;
   }
-  if (!m_waiting_since) m_waiting_since = now;
+  Wait(now);
+}
+
+// Waits for an adapter while the answer can still come before the client
+// leaves; otherwise the client comes back when the adapter is in place.
+void Exchange::Wait(TimeMs now) {
+  if (!m_waiting_since) {
+    m_waiting_since = now;
+    m_context.dispatcher.AddWaiter(*m_meta.adapter);
+  }
+  const auto expected = m_context.dispatcher.ExpectedAt(*m_meta.adapter);
+  if (!expected || m_stream_started || m_runs > 0) return;
+  const TimeMs latest =
+      std::min(m_deadline, m_request.received + m_route.patience) -
+      kFirstEventTime;
+  if (*expected <= latest) return;
+  const DurationMs longest = (m_deadline - now) / kRetryAfterPart;
+  Refuse("adapter comes too late", std::min(*expected - now, longest));
+}
+
+void Exchange::StopWaiting(TimeMs now) {
+  if (!m_waiting_since) return;
+  constexpr double kMsPerSecond = 1'000;
+  m_context.node.metrics.load_stall_seconds.Observe(
+      static_cast<double>((now - *m_waiting_since).ms()) / kMsPerSecond);
+  m_waiting_since.reset();
+  m_context.dispatcher.RemoveWaiter(*m_meta.adapter);
 }
 
 void Exchange::SendTo(const EndpointId& endpoint, TimeMs now) {
   const Endpoint* target = m_context.node.view.endpoints().Find(endpoint);
   if (!target) return;
-  if (m_waiting_since) {
-    constexpr double kMsPerSecond = 1'000;
-    m_context.node.metrics.load_stall_seconds.Observe(
-        static_cast<double>((now - *m_waiting_since).ms()) / kMsPerSecond);
-    m_waiting_since.reset();
-  }
+  StopWaiting(now);
   Forwarding forwarding;
   forwarding.endpoint = endpoint;
   forwarding.deadline = m_deadline - now;
@@ -500,6 +525,7 @@
 void Exchange::End(Outcome outcome, const char* reason) {
   if (m_ended) return;
   m_ended = true;
+  StopWaiting(m_context.node.clock.Now());
   NodeMetrics& metrics = m_context.node.metrics;
   const char* word = "answered";
   switch (outcome) {
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -138,8 +138,6 @@
       .Number("connections", m_front->connections())
       .Number("engines_held", m_holder.held());
   m_front->BeginShutdown(now + kAcceptTime);
-  m_holder.Stop();
-  m_session.Leave();
 }
 
 void Node::CheckShutdown(TimeMs now) {
@@ -189,6 +187,13 @@
   m_told = now;
   NodeStatus status = m_dispatcher.TakeStatus();
   status.held = m_holder.Status();
+  status.store.fresh = m_session.IsFresh(now);
+  status.store.nodes = static_cast<std::uint32_t>(nodes);
+  if (status.store.fresh && m_dispatcher.SomeNodeWithoutStore()) {
+    for (const auto& [engine, holder] : m_context.view.holders()) {
+      status.store.holders[engine] = holder.fence;
+    }
+  }
   NoteUsed(status);
   m_peers->Broadcast(status);
 }
@@ -204,9 +209,13 @@
 void Node::OnPeerMessage(const PeerMessage& message) {
   if (const auto* status = std::get_if<NodeStatus>(&message)) {
     m_dispatcher.OnPeerStatus(*status);
+    m_holder.OnPeerStatus(*status, m_context.clock.Now());
     NoteUsed(*status);
   } else if (const auto* ask = std::get_if<AskLoad>(&message)) {
-    m_holder.OnAskLoad(*ask);
+    const auto queued = m_holder.OnAskLoad(*ask);
+    if (queued) m_peers->Send(ask->node, *queued);
+  } else if (const auto* queued = std::get_if<TellQueued>(&message)) {
+    m_dispatcher.OnQueued(*queued);
   } else if (const auto* loaded = std::get_if<TellLoaded>(&message)) {
     m_dispatcher.OnLoaded(*loaded);
   } else if (const auto* missing = std::get_if<TellMissing>(&message)) {
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -21,6 +21,8 @@
 constexpr DurationMs kRenewTimeout{700};
 // Conflicts, one each retry pause, that outlast an earlier process's lease.
 constexpr std::uint32_t kMaxRegisterConflicts = 16;
+// Within this, some watch has always ended.
+constexpr DurationMs kFreshTime{1'500};
 // Silence of the store that counts as an outage.
 constexpr DurationMs kOutage{1'500};
 
@@ -63,7 +65,10 @@
 void StoreSession::Start(std::function<void()> on_change) {
   m_on_change = std::move(on_change);
   ReadAll();
-  KeepLease();
+}
+
+bool StoreSession::IsFresh(TimeMs now) const {
+  return m_has_view && now - m_last_answer < kFreshTime;
 }
 
 void StoreSession::Again(DurationMs pause, std::function<void()> step) {
@@ -100,6 +105,7 @@
   m_as_of = reading.as_of;
   ApplyAll(std::move(reading), whole, now);
   m_has_view = true;
+  if (!m_lease_begun) BeginLease();
   if (changed && m_on_change) m_on_change();
   const bool starting = now - m_started < kStartTime;
   Again(starting ? kStartWatchPause : kWatchPause, [this] { Watch(); });
@@ -195,8 +201,44 @@
   SetTimer(m_lease_timer, pause, [this] { KeepLease(); });
 }
 
+// A process that starts again on its VM within the lease's time goes on with
+// the lease: the VM is still the holder of its engines.
+void StoreSession::BeginLease() {
+  m_lease_begun = true;
+  const auto& nodes = m_context.view.nodes();
+  const auto record = nodes.find(m_context.settings.node);
+  const bool same_vm = record != nodes.end() &&
+                       record->second.peers == m_context.settings.peers &&
+                       record->second.lease.value() > 0;
+  if (same_vm) {
+    Adopt(record->second.lease);
+  } else {
+    KeepLease();
+  }
+}
+
+void StoreSession::Adopt(StoreLease lease) {
+  m_context.metrics.store_calls.Add();
+  const TimeMs sent = m_context.clock.Now();
+  m_store.RenewLease(lease, kRenewTimeout, [this, lease,
+                                            sent](StoreStatus status) {
+    m_context.log.Event("lease_adopted")
+        .Number("lease", lease.value())
+        .Text("outcome", ToText(status));
+    if (status != StoreStatus::kOk) {
+      KeepLease();
+      return;
+    }
+    m_lease = lease;
+    m_renewed = sent;
+    m_registered = true;
+    m_adopted = true;
+    if (m_on_change) m_on_change();
+    LeaseAgain(kRenewInterval);
+  });
+}
+
 void StoreSession::KeepLease() {
-  if (m_leaving) return;
   if (!m_lease) {
     Grant();
   } else if (!m_registered) {
@@ -226,7 +268,7 @@
   m_context.metrics.store_calls.Add();
   m_store.CreateRecord(
       FleetView::NodeKey(m_context.settings.node),
-      ToString(m_context.settings.peers), *m_lease,
+      EncodeNodeRecord({m_context.settings.peers, *m_lease}), *m_lease,
       [this](const WriteReply& reply) {
         if (reply.status == StoreStatus::kLeaseEnded) {
           LoseLease("lease ended");
@@ -272,16 +314,6 @@
   LeaseAgain(kRetryPause);
 }
 
-void StoreSession::Leave() {
-  m_leaving = true;
-  m_lease_timer.cancel();
-  if (!m_lease) return;
-  m_store.EndLease(*m_lease, [this](StoreStatus status) {
-    m_context.log.Event("lease_ended").Text("outcome", ToText(status));
-  });
-  m_lease.reset();
-}
-
 void StoreSession::Claim(const EndpointId& engine,
                          std::function<void(std::optional<Epoch>)> done) {
   if (!m_lease) {
