Load what most requests ask for; copies only for much busier engines

Changed: one engine is asked for an adapter; copies only to the least loaded engine; engines that nobody has ordered yet are ordered without a wait; an unanswered order is followed at once; reports are not read too early.

Ruled out: batch places and prefill.

--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -23,8 +23,8 @@
   /// 0 is the most urgent.
   int priority = 0;
   NodeId requester;
-  /// Requests that wait for it at that node.
-  std::uint32_t waiters = 1;
+  /// Requests for it at that node since it was asked for.
+  std::uint32_t demand = 1;
 };
 
 /// One order to an engine.
@@ -107,7 +107,8 @@
   AdapterSet Resident() const;
   /// Adapters on their way from the weight store.
   std::uint32_t loading() const;
-  bool synced() const { return m_synced; }
+  /// Whether adapters can be loaded: the state is known and the model is there.
+  bool can_load() const { return m_loadable; }
   std::size_t waiting() const { return m_waiting.size(); }
 
  private:
@@ -123,7 +124,7 @@
     std::uint32_t misses = 0;
   };
   struct Requester {
-    std::uint32_t waiters = 0;
+    std::uint32_t demand = 0;
     TimeMs refreshed;
   };
   // All nodes' wishes for one adapter.
@@ -157,16 +158,16 @@
   Epoch m_fence;
   TimeMs m_order_from;
   bool m_synced = false;
+  bool m_loadable = false;
   bool m_report_pending = false;
   TimeMs m_report_at;
   bool m_has_model = false;
-  TimeMs m_model_ready_at;
   std::uint64_t m_accepted = 0;
+  TimeMs m_last_accepted;
   std::uint32_t m_loads_elsewhere = 0;
   std::map<AdapterRef, Place> m_places;
   std::list<Waiting> m_waiting;
   std::optional<EngineOrder> m_order;
-  TimeMs m_retry_at;
   // Adapters that the engine's host memory probably still has, newest first.
   std::list<AdapterRef> m_held;
 };
--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -79,6 +79,12 @@
   }
   std::set<NodeId> NodeIds() const;
   std::map<EndpointId, NodeId> HolderIds() const;
+  /// Engines that no node can have ordered: each was seen to register, and no
+  /// holder of it since.
+  const std::set<EndpointId>& NeverHeld() const { return m_never_held; }
+  bool NeverHeld(const EndpointId& engine) const {
+    return m_never_held.contains(engine);
+  }
   /// Engines that may be ordered: listed, of a service with engines.
   std::vector<EndpointId> Engines() const;
   const EngineSpec* EngineOf(const ServiceId& service) const;
@@ -105,6 +111,7 @@
   std::map<AdapterRef, NamedRevision> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
+  std::set<EndpointId> m_never_held;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/coordination/fleet/holder_claims.h
+++ b/include/yuccamoor/coordination/fleet/holder_claims.h
@@ -25,12 +25,13 @@
   /// Returns an engine to claim now, if any. \p holders maps each held engine
   /// to its holder, \p nodes are the live ones, this one included.
   /// \p mine are engines that this node held last and may go on ordering at
-  /// once; it claims these before all others.
+  /// once; it claims these before all others. \p never_held have no last
+  /// holder to wait for.
   std::optional<EndpointId> NextClaim(
       const std::vector<EndpointId>& engines,
       const std::map<EndpointId, NodeId>& holders,
       const std::set<NodeId>& nodes, const std::set<EndpointId>& mine,
-      TimeMs now);
+      const std::set<EndpointId>& never_held, TimeMs now);
   /// Notes that a claim has failed: another one was faster, or the store did
   /// not take it.
   void OnFailed(const EndpointId& engine, TimeMs now);
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -21,6 +21,8 @@
   /// Whether the holder may give orders now.
   bool ordering = false;
   std::uint32_t loading = 0;
+  /// Adapters that wait to be loaded.
+  std::uint32_t waiting = 0;
   AdapterSet adapters;
 };
 
@@ -54,7 +56,8 @@
   AdapterRef adapter;
   AdapterRevision version;
   int priority = 0;
-  std::uint32_t waiters = 1;
+  /// Requests for it since it was asked for.
+  std::uint32_t demand = 1;
 };
 
 /// Answers AskLoad: the adapter will be in place about then.
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -29,9 +29,9 @@
   /// more copy, is asked for.
   EndpointChoice Choose(const EndpointQuery& query, int priority);
 
-  /// Notes that a request waits for an adapter, and that it does so no more.
-  void AddWaiter(const AdapterRef& adapter) { ++m_waiters[adapter]; }
-  void RemoveWaiter(const AdapterRef& adapter);
+  /// Notes a request for an adapter that is not in place. It counts until the
+  /// adapter is, also if it is refused meanwhile: its client comes back.
+  void AddDemand(const AdapterRef& adapter) { ++m_demand[adapter]; }
   /// Returns when the adapter will probably be in place, if a holder has said.
   std::optional<TimeMs> ExpectedAt(const AdapterRef& adapter) const;
 
@@ -68,6 +68,11 @@
     TimeMs heard;
     NodeStatus status;
   };
+  // An engine whose holder gives orders.
+  struct Ordering {
+    TimeMs told;
+    std::uint32_t waiting = 0;
+  };
   struct Asked {
     EndpointId engine;
     TimeMs at;
@@ -78,15 +83,25 @@
   void AskForLoad(const EndpointQuery& query, int priority,
                   const std::vector<EndpointId>& places, bool urgent);
   void Ask(const EndpointQuery& query, int priority, const EndpointId& engine);
+  void NoteOrdering(const EndpointId& engine, const HeldEngineStatus& held);
   bool IsOrdering(const EndpointId& engine, TimeMs now) const;
+  std::optional<EndpointId> PlaceToAsk(const AdapterRef& adapter,
+                                       const std::vector<EndpointId>& places,
+                                       const std::vector<Asked>& asked,
+                                       TimeMs now) const;
+  void NoteHomes(const EndpointId& engine, const AdapterSet& adapters);
   void CountPeers();
 
   NodeContext& m_context;
   SendToPeer m_send;
   std::map<NodeId, Peer> m_peers;
-  std::map<EndpointId, TimeMs> m_ordering;
+  std::map<EndpointId, Ordering> m_ordering;
   std::map<AdapterRef, std::vector<Asked>> m_asked;
-  std::map<AdapterRef, std::uint32_t> m_waiters;
+  // Requests since the adapter was asked for.
+  std::map<AdapterRef, std::uint32_t> m_demand;
+  // The engine that held an adapter last: its host memory probably still has
+  // it.
+  std::map<AdapterRef, EndpointId> m_homes;
   // Requests under way, and begun in this interval.
   std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_running;
   std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_begun;
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -109,6 +109,8 @@
   std::uint32_t m_runs = 0;
   std::uint32_t m_sends = 0;
   std::optional<TimeMs> m_waiting_since;
+  DurationMs m_waited{0};
+  DurationMs m_first_answer{0};
   EventCutter m_cutter;
   bool m_stream_started = false;
   bool m_answered_first = false;
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -11,10 +11,11 @@
 
 namespace {
 
-// A copy of an adapter pays when its engines run this many requests more than
-// the average engine, beyond a share of it.
-constexpr double kCopyLoadFactor = 1.25;
-constexpr double kCopyLoadMargin = 4;
+// A copy of an adapter takes a load from the weight store's rate, and a fuller
+// batch slows its requests but little: a copy pays only when the adapter's
+// engines run this much more than the average one.
+constexpr double kCopyLoadFactor = 1.5;
+constexpr double kCopyLoadMargin = 10;
 // An engine this much above the average takes no further adapter while others
 // are less loaded.
 constexpr double kPlaceLoadFactor = 1.6;
@@ -120,6 +121,22 @@
   return holders;
 }
 
+// The least loaded engine without the adapter, if it is below the average.
+std::vector<EndpointId> PlaceForCopy(const Candidates& candidates,
+                                     const Candidates& holders,
+                                     double average) {
+  const Endpoint* best = nullptr;
+  for (const Endpoint* endpoint : candidates) {
+    if (endpoint->load() >= average) continue;
+    if (std::find(holders.begin(), holders.end(), endpoint) != holders.end()) {
+      continue;
+    }
+    if (!best || endpoint->load() < best->load()) best = endpoint;
+  }
+  if (!best) return {};
+  return {best->entry.id};
+}
+
 EndpointChoice ChooseEngine(const Candidates& candidates,
                             const EndpointQuery& query) {
   EndpointChoice choice;
@@ -143,13 +160,10 @@
   const bool crowded =
       target &&
       target->load() > average * kCopyLoadFactor + kCopyLoadMargin;
-  if (!in_place || crowded) {
-    for (EndpointId& id : PlacesFor(candidates, adapter, average)) {
-      const bool holds =
-          std::any_of(holders.begin(), holders.end(),
-                      [&](const Endpoint* h) { return h->entry.id == id; });
-      if (!holds || !in_place) choice.load_at.push_back(std::move(id));
-    }
+  if (!in_place) {
+    choice.load_at = PlacesFor(candidates, adapter, average);
+  } else if (crowded) {
+    choice.load_at = PlaceForCopy(candidates, holders, average);
   }
   return choice;
 }
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -27,7 +27,6 @@
 constexpr DurationMs kReportLag{350};
 constexpr DurationMs kReportRetry{400};
 constexpr DurationMs kUnloadCheck{700};
-constexpr DurationMs kUnknownOrderPause{300};
 // An adapter that was used this recently may still have runs.
 constexpr DurationMs kInUseTime{650};
 constexpr double kUseHalfLifeMs = 8'000;
@@ -36,7 +35,7 @@
 // What a step of priority is worth in waiting time.
 constexpr DurationMs kPriorityStep{100};
 // What a waiting request is worth in waiting time of others.
-constexpr DurationMs kWaiterStep{400};
+constexpr DurationMs kRequestStep{400};
 
 }  // namespace
 
@@ -46,9 +45,11 @@
   Resync(order_from);
 }
 
+// Reports are old: one that was fetched too early would not count the last
+// order.
 void EngineHost::Resync(TimeMs at) {
   m_synced = false;
-  m_report_at = at;
+  m_report_at = std::max(at, m_last_accepted + kReportLag);
 }
 
 DurationMs EngineHost::Request(const LoadRequest& request, TimeMs now) {
@@ -65,7 +66,7 @@
   }
   it->version = std::max(it->version, request.version);
   it->priority = std::min(it->priority, request.priority);
-  it->requesters[request.requester] = {request.waiters, now};
+  it->requesters[request.requester] = {request.demand, now};
   return EstimateWait(*it, now);
 }
 
@@ -98,6 +99,7 @@
   m_held.clear();
   m_accepted = 0;
   m_has_model = false;
+  m_loadable = false;
   Resync(std::max(now, m_order_from));
 }
 
@@ -108,10 +110,6 @@
     m_report_at = now + kReportRetry;
     return;
   }
-  if (report->order_in_progress) {
-    m_report_at = now + kReportLag;
-    return;
-  }
   if (m_synced) {
     TakeUnloaded(*report, now);
     return;
@@ -142,8 +140,14 @@
   m_places = std::move(places);
   m_has_model = std::find(report->models.begin(), report->models.end(),
                           m_options.model) != report->models.end();
+  if (!m_has_model && report->order_in_progress) {
+    // The model's weights are on their way.
+    m_report_at = now + kReportLag;
+    return;
+  }
   m_accepted = report->orders_accepted;
   m_synced = true;
+  m_loadable = m_has_model;
   m_report_at = TimeMs::Never();
   TakeUnloaded(*report, now);
 }
@@ -170,17 +174,15 @@
   }
   if (end == OrderEnd::kUnknown) {
     // The place stays free in the books: the order can only take effect while
-    // the count of accepted orders is unchanged, and then every later order
-    // conflicts until the next report.
+    // the count of accepted orders is unchanged. The next order that is
+    // accepted rules it out; if it came first, that one conflicts.
     m_order.reset();
-    m_retry_at = now + kUnknownOrderPause;
-    Resync(now + kReportLag);
     return;
   }
+  m_last_accepted = now;
   if (m_order->adapter.name.empty()) {
     m_accepted += end == OrderEnd::kAccepted ? 1 : 0;
-    m_model_ready_at = now + m_options.model_load;
-    Resync(m_model_ready_at);
+    Resync(now + m_options.model_load);
   } else if (m_order->load) {
     ApplyLoad(end, now);
   } else {
@@ -234,7 +236,7 @@
   if (!m_synced) return actions;
   FinishLoads(now);
   CollectNotices(actions.notices);
-  if (!m_order && now >= m_retry_at && !m_report_pending) {
+  if (!m_order && !m_report_pending) {
     m_order = NextOrder(now);
     actions.order = m_order;
   }
@@ -272,12 +274,12 @@
 std::vector<const EngineHost::Waiting*> EngineHost::RankedWaiting() const {
   std::vector<std::pair<TimeMs, const Waiting*>> ranked;
   for (const Waiting& waiting : m_waiting) {
-    std::uint32_t waiters = 0;
+    std::uint32_t demand = 0;
     for (const auto& [node, requester] : waiting.requesters) {
-      waiters += requester.waiters;
+      demand += requester.demand;
     }
     const TimeMs rank = waiting.asked + kPriorityStep * waiting.priority -
-                        kWaiterStep * waiters;
+                        kRequestStep * demand;
     ranked.emplace_back(rank, &waiting);
   }
   std::stable_sort(
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -59,6 +59,8 @@
     }
     Apply(change, now);
   }
+  // Holders may have come and gone unseen.
+  m_never_held.clear();
   m_endpoints.RetainOnly(listed, now);
 }
 
@@ -84,6 +86,7 @@
   const bool was_leaving = known && known->leaving;
   const bool leaving = change.entry.draining;
   if (m_endpoints.Put(std::move(change.entry), now)) {
+    if (!known) m_never_held.insert(id);
     return ViewNews::kEndpointAdded;
   }
   return leaving && !was_leaving ? ViewNews::kEndpointLeaving
@@ -93,6 +96,7 @@
 ViewNews FleetView::ApplyChange(const EndpointRemoved& change, TimeMs now) {
   if (!m_endpoints.Find(change.id)) return ViewNews::kNothing;
   m_endpoints.Remove(change.id, now);
+  m_never_held.erase(change.id);
   return ViewNews::kEndpointRemoved;
 }
 
@@ -106,6 +110,7 @@
   if (key.starts_with(kHolderPrefix)) {
     const EndpointId engine(std::string(key.substr(kHolderPrefix.size())));
     m_holders[engine] = {NodeId(change.value), Epoch(change.revision.value())};
+    m_never_held.erase(engine);
     return ViewNews::kHolderChanged;
   }
   return ViewNews::kNothing;
--- a/lib/coordination/fleet/holder_claims.cc
+++ b/lib/coordination/fleet/holder_claims.cc
@@ -36,7 +36,8 @@
 std::optional<EndpointId> HolderClaims::NextClaim(
     const std::vector<EndpointId>& engines,
     const std::map<EndpointId, NodeId>& holders, const std::set<NodeId>& nodes,
-    const std::set<EndpointId>& mine, TimeMs now) {
+    const std::set<EndpointId>& mine,
+    const std::set<EndpointId>& never_held, TimeMs now) {
   if (now < m_pause_until) return std::nullopt;
   std::erase_if(m_unheld_since, [&](const auto& item) {
     return holders.contains(item.first) ||
@@ -63,7 +64,9 @@
           (held[node] == own && Score(engine, node) > Score(engine, m_self));
       if (before) ++rank;
     }
-    if (now - since >= kLastHolderFirst + kTurn * rank) return engine;
+    const DurationMs head_start =
+        never_held.contains(engine) ? DurationMs(0) : kLastHolderFirst;
+    if (now - since >= head_start + kTurn * rank) return engine;
   }
   return std::nullopt;
 }
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -51,6 +51,7 @@
     Json& item = held[engine.str()];
     item["ordering"] = state.ordering;
     item["loading"] = state.loading;
+    item["waiting"] = state.waiting;
     item["adapters"] = EncodeAdapters(state.adapters);
   }
   return json;
@@ -64,7 +65,7 @@
   json["adapter"] = ToString(ask.adapter);
   json["version"] = ask.version.value();
   json["priority"] = ask.priority;
-  json["waiters"] = ask.waiters;
+  json["demand"] = ask.demand;
   return json;
 }
 
@@ -115,6 +116,7 @@
     HeldEngineStatus& held = status.held[EndpointId(engine)];
     held.ordering = item.at("ordering").get<bool>();
     held.loading = GetUnsigned32(item.at("loading"));
+    held.waiting = GetUnsigned32(item.at("waiting"));
     held.adapters = DecodeAdapters(item.at("adapters"));
   }
   return status;
@@ -139,7 +141,7 @@
     return AskLoad{NodeId(json.at("node").get<std::string>()), EngineOf(json),
                    AdapterOf(json), VersionOf(json),
                    json.at("priority").get<int>(),
-                   GetUnsigned32(json.at("waiters"))};
+                   GetUnsigned32(json.at("demand"))};
   }
   if (type == "queued") {
     return TellQueued{EngineOf(json), AdapterOf(json),
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -9,10 +9,9 @@
 
 // A question that may have been lost is asked again.
 constexpr DurationMs kAskAgain{250};
-// Another engine is asked as well when an adapter takes this long.
-constexpr DurationMs kAskAnother{650};
-// One more copy of a busy adapter is asked for this seldom.
-constexpr DurationMs kAskCopy{500};
+// Another engine is asked when the first one's holder does not answer.
+constexpr DurationMs kAskAnother{400};
+constexpr std::size_t kMaxHomes = 8'192;
 constexpr DurationMs kAskLifetime{3'000};
 constexpr DurationMs kOrderingLifetime{1'200};
 constexpr DurationMs kPeerLifetime{1'500};
@@ -39,7 +38,7 @@
 
 bool Dispatcher::IsOrdering(const EndpointId& engine, TimeMs now) const {
   const auto it = m_ordering.find(engine);
-  return it != m_ordering.end() && now - it->second < kOrderingLifetime;
+  return it != m_ordering.end() && now - it->second.told < kOrderingLifetime;
 }
 
 void Dispatcher::AskForLoad(const EndpointQuery& query, int priority,
@@ -55,20 +54,58 @@
     item.at = now;
     Ask(query, priority, item.engine);
   }
-  const DurationMs patience = urgent ? kAskAnother : kAskCopy;
-  if (!asked.empty() && now - asked.back().first < patience) return;
-  if (!urgent && !asked.empty()) return;
+  // A holder that has answered is loading it: a second load elsewhere would
+  // only take from the weight store's rate.
+  const bool answered =
+      std::any_of(asked.begin(), asked.end(),
+                  [](const Asked& item) { return item.expected.has_value(); });
+  if (answered || (!urgent && !asked.empty())) return;
+  if (!asked.empty() && now - asked.back().first < kAskAnother) return;
+  const auto engine = PlaceToAsk(*query.adapter, places, asked, now);
+  if (!engine) return;
+  asked.push_back({*engine, now, now, std::nullopt});
+  // Until the holder tells its state again.
+  ++m_ordering[*engine].waiting;
+  Ask(query, priority, *engine);
+}
+
+// Returns the engine that held the adapter last, else the one of the first two
+// where fewer loads wait. More than two would draw all nodes to one engine
+// while its state is told late.
+std::optional<EndpointId> Dispatcher::PlaceToAsk(
+    const AdapterRef& adapter, const std::vector<EndpointId>& places,
+    const std::vector<Asked>& asked, TimeMs now) const {
+  const auto home = m_homes.find(adapter);
+  std::vector<EndpointId> open;
   for (const EndpointId& engine : places) {
     const bool known =
         std::any_of(asked.begin(), asked.end(),
                     [&](const Asked& item) { return item.engine == engine; });
     if (known || !IsOrdering(engine, now)) continue;
-    asked.push_back({engine, now, now, std::nullopt});
-    Ask(query, priority, engine);
-    return;
+    if (home != m_homes.end() && home->second == engine) return engine;
+    open.push_back(engine);
+  }
+  if (open.empty()) return std::nullopt;
+  if (open.size() == 1) return open.front();
+  const bool second_is_freer =
+      m_ordering.at(open[1]).waiting < m_ordering.at(open[0]).waiting;
+  return second_is_freer ? open[1] : open[0];
+}
+
+void Dispatcher::NoteHomes(const EndpointId& engine,
+                           const AdapterSet& adapters) {
+  for (const auto& [adapter, version] : adapters) {
+    m_homes.try_emplace(adapter, engine);
+    if (m_homes.size() > kMaxHomes) m_homes.erase(m_homes.begin());
   }
 }
 
+void Dispatcher::NoteOrdering(const EndpointId& engine,
+                              const HeldEngineStatus& held) {
+  if (!held.ordering) return;
+  m_ordering[engine] = {m_context.clock.Now(), held.waiting + held.loading};
+}
+
 void Dispatcher::Ask(const EndpointQuery& query, int priority,
                      const EndpointId& engine) {
   const auto& holders = m_context.view.holders();
@@ -80,8 +117,8 @@
   ask.adapter = *query.adapter;
   ask.version = query.version;
   ask.priority = priority;
-  const auto waiters = m_waiters.find(*query.adapter);
-  ask.waiters = waiters == m_waiters.end() ? 0 : waiters->second;
+  const auto demand = m_demand.find(*query.adapter);
+  ask.demand = demand == m_demand.end() ? 0 : demand->second;
   m_context.log.Event("load_asked")
       .Text("engine", engine.str())
       .Text("adapter", ToString(ask.adapter))
@@ -154,7 +191,8 @@
   m_peers[status.node] = {now, status};
   for (const auto& [engine, held] : status.held) {
     m_context.view.endpoints().SetAdapters(engine, held.adapters, now);
-    if (held.ordering) m_ordering[engine] = now;
+    NoteOrdering(engine, held);
+    NoteHomes(engine, held.adapters);
   }
   CountPeers();
 }
@@ -164,12 +202,14 @@
   const TimeMs now = m_context.clock.Now();
   for (const auto& [engine, state] : held) {
     m_context.view.endpoints().SetAdapters(engine, state.adapters, now);
-    if (state.ordering) m_ordering[engine] = now;
+    NoteOrdering(engine, state);
+    NoteHomes(engine, state.adapters);
   }
 }
 
 void Dispatcher::OnLoaded(const TellLoaded& told) {
   m_asked.erase(told.adapter);
+  m_demand.erase(told.adapter);
   Endpoint* engine = m_context.view.endpoints().Find(told.engine);
   if (!engine) return;
   engine->adapters[told.adapter] = told.version;
@@ -185,12 +225,6 @@
   }
 }
 
-void Dispatcher::RemoveWaiter(const AdapterRef& adapter) {
-  const auto it = m_waiters.find(adapter);
-  if (it == m_waiters.end()) return;
-  if (--it->second == 0) m_waiters.erase(it);
-}
-
 std::optional<TimeMs> Dispatcher::ExpectedAt(const AdapterRef& adapter) const {
   const auto it = m_asked.find(adapter);
   if (it == m_asked.end()) return std::nullopt;
@@ -252,6 +286,12 @@
     return now - item.second.heard > kPeerLifetime;
   });
   if (m_peers.size() != before) CountPeers();
+  std::erase_if(m_demand, [this](const auto& item) {
+    return !m_asked.contains(item.first);
+  });
+  std::erase_if(m_homes, [this](const auto& item) {
+    return !m_context.view.endpoints().Find(item.second);
+  });
   std::erase_if(m_asked, [now](const auto& item) {
     return item.second.empty() ||
            now - item.second.back().first > kAskLifetime;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -135,9 +135,10 @@
   const TimeMs now = m_context.clock.Now();
   // The holder before may have ordered until its own validity ended. This VM
   // itself need not wait.
-  const bool was_ours =
-      LatelyHeld(now).contains(engine) || m_session.adopted();
-  const DurationMs wait = was_ours
+  const bool no_other = m_context.view.NeverHeld(engine) ||
+                        LatelyHeld(now).contains(engine) ||
+                        m_session.adopted();
+  const DurationMs wait = no_other
                               ? DurationMs(0)
                               : kOrderValidity +
                                     m_context.settings.holder_separation +
@@ -167,7 +168,8 @@
   if (m_claiming || now - m_started < delay) return;
   const auto engine =
       m_claims.NextClaim(m_context.view.Engines(), m_context.view.HolderIds(),
-                         m_context.view.NodeIds(), LatelyHeld(now), now);
+                         m_context.view.NodeIds(), LatelyHeld(now),
+                         m_context.view.NeverHeld(), now);
   if (!engine) return;
   m_claiming = true;
   m_session.Claim(*engine, [this, engine = *engine](std::optional<Epoch> fence) {
@@ -180,8 +182,8 @@
     record.key = FleetView::HolderKey(engine);
     record.value = m_context.settings.node.str();
     record.revision = Revision(fence->value());
-    m_context.view.Apply(record, m_context.clock.Now());
     if (!m_held.contains(engine)) TakeUp(engine, *fence);
+    m_context.view.Apply(record, m_context.clock.Now());
   });
 }
 
@@ -261,7 +263,7 @@
   request.version = ask.version;
   request.priority = ask.priority;
   request.requester = ask.node;
-  request.waiters = ask.waiters;
+  request.demand = ask.demand;
   const DurationMs wait = it->second.host.Request(request, now);
   Poll(ask.engine, now);
   return TellQueued{ask.engine, ask.adapter, wait};
@@ -285,8 +287,9 @@
   const TimeMs now = m_context.clock.Now();
   for (const auto& [engine, held] : m_held) {
     HeldEngineStatus& item = status[engine];
-    item.ordering = MayOrder(now) && held.host.synced();
+    item.ordering = MayOrder(now) && held.host.can_load();
     item.loading = held.host.loading();
+    item.waiting = static_cast<std::uint32_t>(held.host.waiting());
     item.adapters = held.host.Resident();
   }
   return status;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -127,7 +127,7 @@
 void Exchange::Wait(TimeMs now) {
   if (!m_waiting_since) {
     m_waiting_since = now;
-    m_context.dispatcher.AddWaiter(*m_meta.adapter);
+    m_context.dispatcher.AddDemand(*m_meta.adapter);
   }
   const auto expected = m_context.dispatcher.ExpectedAt(*m_meta.adapter);
   if (!expected || m_stream_started || m_runs > 0) return;
@@ -141,11 +141,12 @@
 
 void Exchange::StopWaiting(TimeMs now) {
   if (!m_waiting_since) return;
+  const DurationMs waited = now - *m_waiting_since;
+  m_waited = m_waited + waited;
   constexpr double kMsPerSecond = 1'000;
   m_context.node.metrics.load_stall_seconds.Observe(
-      static_cast<double>((now - *m_waiting_since).ms()) / kMsPerSecond);
+      static_cast<double>(waited.ms()) / kMsPerSecond);
   m_waiting_since.reset();
-  m_context.dispatcher.RemoveWaiter(*m_meta.adapter);
 }
 
 void Exchange::SendTo(const EndpointId& endpoint, TimeMs now) {
@@ -364,10 +365,10 @@
 void Exchange::NoteFirstAnswer() {
   if (m_answered_first) return;
   m_answered_first = true;
+  m_first_answer = Held(m_context.node.clock.Now());
   constexpr double kMsPerSecond = 1'000;
   m_context.node.metrics.first_answer_seconds.Observe(
-      static_cast<double>(Held(m_context.node.clock.Now()).ms()) /
-      kMsPerSecond);
+      static_cast<double>(m_first_answer.ms()) / kMsPerSecond);
 }
 
 void Exchange::PassWhole() {
@@ -555,6 +556,8 @@
       .Number("runs", m_runs)
       .Number("sends", m_sends)
       .Number("events", m_cutter.events())
+      .Ms("waited_ms", m_waited)
+      .Ms("first_ms", m_first_answer)
       .Ms("held_ms", Held(now));
   if (m_client_gone) return;
   const bool cut = outcome == Outcome::kFailed && m_stream_started;
