Space prompts at each engine, and copy adapters by their share of requests

Prompts that several nodes sent to one engine within some 200 ms were the cause in each episode read.

Ruled out: the interval at which streams are read (15 ms instead of 60: no change); copies by load. Changed: all nodes tell each other the prompts they send, and hold one back while half of the engine's time is taken; adapters with a large share of requests get copies.

--- /dev/null
+++ b/include/yuccamoor/coordination/fleet/adapter_popularity.h
@@ -0,0 +1,41 @@
+/// \file
+/// \brief Which adapters get so many requests that one engine is too few.
+
+#ifndef YUCCAMOOR_COORDINATION_FLEET_ADAPTER_POPULARITY_H_
+#define YUCCAMOOR_COORDINATION_FLEET_ADAPTER_POPULARITY_H_
+
+#include <cstdint>
+#include <map>
+
+#include "yuccamoor/state/clock.h"
+#include "yuccamoor/state/fleet/endpoint_entry.h"
+
+namespace yuccamoor::fleet {
+
+/// Counts the requests of all nodes by adapter; old ones count less and less.
+class AdapterPopularity {
+ public:
+  void Note(const AdapterRef& adapter, std::uint32_t requests, TimeMs now);
+
+  /// Returns how many of the engines should hold the adapter, at least one.
+  std::uint32_t CopiesWanted(const AdapterRef& adapter, std::uint32_t engines,
+                             TimeMs now) const;
+
+  /// Forgets adapters that are hardly asked for any more.
+  void Expire(TimeMs now);
+
+ private:
+  struct Count {
+    double requests = 0;
+    TimeMs updated;
+  };
+
+  static double Decayed(const Count& count, TimeMs now);
+
+  std::map<AdapterRef, Count> m_counts;
+  Count m_total;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_COORDINATION_FLEET_ADAPTER_POPULARITY_H_
--- a/include/yuccamoor/coordination/fleet/endpoint_choice.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_choice.h
@@ -5,6 +5,7 @@
 #ifndef YUCCAMOOR_COORDINATION_FLEET_ENDPOINT_CHOICE_H_
 #define YUCCAMOOR_COORDINATION_FLEET_ENDPOINT_CHOICE_H_
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -23,6 +24,8 @@
   AdapterRevision version;
   /// An older version is accepted while the newer one is in place nowhere.
   bool accept_older = false;
+  /// Engines that should hold the adapter.
+  std::uint32_t copies = 1;
   /// The client's failure domain, preferred where loads are alike.
   FailureDomainId domain;
   /// Endpoints that have failed this request.
@@ -43,9 +46,7 @@
 /// Chooses among the endpoints of the query's service. Engines that hold the
 /// adapter come first, the least loaded of them; without one, the adapter's
 /// place is taken by rendezvous hashing, so that all nodes agree without a
-/// message and an adapter returns to the engine that still has it in host
-/// memory. An adapter whose engines are much busier than others gets one more
-/// copy.
+/// message. An adapter with fewer copies than wanted gets one more.
 EndpointChoice ChooseEndpoint(const EndpointTable& table,
                               const EndpointQuery& query, TimeMs now);
 
--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -36,6 +36,8 @@
   /// the entry.
   AdapterSet adapters;
   TimeMs adapters_told;
+  /// When the prompts that were sent to it will have been prefilled.
+  TimeMs prefill_until;
   CircuitBreaker breaker;
 
   std::uint32_t load() const { return in_flight + peers_in_flight; }
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -37,6 +37,10 @@
   std::map<EndpointId, Epoch> holders;
 };
 
+/// Requests by engine and adapter.
+using UsedAdapters =
+    std::map<EndpointId, std::map<AdapterRef, std::uint32_t>>;
+
 /// What a node tells all others from time to time.
 struct NodeStatus {
   NodeId node;
@@ -44,7 +48,7 @@
   /// Requests under way, by endpoint.
   std::map<EndpointId, std::uint32_t> in_flight;
   /// Requests begun or under way since the last status, by engine and adapter.
-  std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> used;
+  UsedAdapters used;
   /// The engines that the node holds.
   std::map<EndpointId, HeldEngineStatus> held;
 };
@@ -80,8 +84,14 @@
   AdapterRef adapter;
 };
 
-using PeerMessage =
-    std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing>;
+/// Tells that an engine has a large prompt to prefill.
+struct TellPrompt {
+  EndpointId engine;
+  std::uint32_t tokens = 0;
+};
+
+using PeerMessage = std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded,
+                                 TellMissing, TellPrompt>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/protocol/fleet/request_dialect.h
+++ b/include/yuccamoor/protocol/fleet/request_dialect.h
@@ -22,6 +22,7 @@
   std::optional<AdapterRef> adapter;
   /// How long the client waits.
   std::optional<DurationMs> deadline;
+  std::uint32_t prompt_tokens = 0;
   /// Set by a client that continues a stream.
   std::string last_event_id;
 };
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/endpoint_choice.h"
+#include "yuccamoor/coordination/fleet/adapter_popularity.h"
 #include "yuccamoor/coordination/request/retry_budget.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/node_context.h"
@@ -22,12 +23,19 @@
 class Dispatcher {
  public:
   using SendToPeer = std::function<void(const NodeId&, const PeerMessage&)>;
+  using Broadcast = std::function<void(const PeerMessage&)>;
 
-  Dispatcher(NodeContext& context, SendToPeer send);
+  Dispatcher(NodeContext& context, SendToPeer send, Broadcast broadcast);
 
   /// Chooses an endpoint. An adapter that is in place nowhere, or needs one
   /// more copy, is asked for.
-  EndpointChoice Choose(const EndpointQuery& query, int priority);
+  EndpointChoice Choose(EndpointQuery query, int priority);
+
+  /// Whether the engine can take the prompt without holding up its streams.
+  bool AllowsPrompt(const EndpointId& engine, std::uint32_t tokens) const;
+  /// Notes a prompt that is sent to the engine, and tells peers of a large one.
+  void OnPrompt(const EndpointId& engine, std::uint32_t tokens);
+  void OnPeerPrompt(const TellPrompt& told);
 
   /// Notes a request for an adapter that is not in place. It counts until the
   /// adapter is, also if it is refused meanwhile: its client comes back.
@@ -84,6 +92,7 @@
                   const std::vector<EndpointId>& places, bool urgent);
   void Ask(const EndpointQuery& query, int priority, const EndpointId& engine);
   void NoteOrdering(const EndpointId& engine, const HeldEngineStatus& held);
+  std::uint32_t CountEngines(const ServiceId& service, TimeMs now) const;
   bool IsOrdering(const EndpointId& engine, TimeMs now) const;
   std::optional<EndpointId> PlaceToAsk(const AdapterRef& adapter,
                                        const std::vector<EndpointId>& places,
@@ -91,9 +100,12 @@
                                        TimeMs now) const;
   void NoteHomes(const EndpointId& engine, const AdapterSet& adapters);
   void CountPeers();
+  void NotePopularity(const UsedAdapters& used, TimeMs now);
 
   NodeContext& m_context;
   SendToPeer m_send;
+  Broadcast m_broadcast;
+  AdapterPopularity m_popularity;
   std::map<NodeId, Peer> m_peers;
   std::map<EndpointId, Ordering> m_ordering;
   std::map<AdapterRef, std::vector<Asked>> m_asked;
@@ -103,8 +115,8 @@
   // it.
   std::map<AdapterRef, EndpointId> m_homes;
   // Requests under way, and begun in this interval.
-  std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_running;
-  std::map<EndpointId, std::map<AdapterRef, std::uint32_t>> m_begun;
+  UsedAdapters m_running;
+  UsedAdapters m_begun;
   std::map<ServiceId, RetryBudget> m_retries;
 };
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -53,6 +53,7 @@
   enum class Outcome : std::uint8_t { kAnswered, kRefused, kFailed, kGone };
 
   void Dispatch(TimeMs now);
+  bool HoldsBack(const EndpointId& endpoint, TimeMs now) const;
   void Wait(TimeMs now);
   void StopWaiting(TimeMs now);
   EndpointQuery MakeQuery(TimeMs now) const;
@@ -71,6 +72,7 @@
 
   void PassWhole();
   void PassEvents();
+  void NotePause();
   void FinishStream();
   void StartStream();
   std::string CloseField() const;
@@ -111,6 +113,8 @@
   std::optional<TimeMs> m_waiting_since;
   DurationMs m_waited{0};
   DurationMs m_first_answer{0};
+  std::optional<TimeMs> m_last_events;
+  DurationMs m_longest_pause{0};
   EventCutter m_cutter;
   bool m_stream_started = false;
   bool m_answered_first = false;
--- /dev/null
+++ b/lib/coordination/fleet/adapter_popularity.cc
@@ -0,0 +1,51 @@
+#include "yuccamoor/coordination/fleet/adapter_popularity.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Short enough to follow demand that moves to other adapters within seconds.
+constexpr double kTimeConstantMs = 1'500;
+// An engine's fair share of all requests of which one adapter may take this
+// part before it gets one more copy.
+constexpr double kShareOfEngine = 0.4;
+// Too few requests to tell a popular adapter.
+constexpr double kMinRequests = 6;
+constexpr double kForgottenRequests = 0.05;
+
+}  // namespace
+
+double AdapterPopularity::Decayed(const Count& count, TimeMs now) {
+  const auto age = static_cast<double>((now - count.updated).ms());
+  return count.requests * std::exp(-age / kTimeConstantMs);
+}
+
+void AdapterPopularity::Note(const AdapterRef& adapter, std::uint32_t requests,
+                             TimeMs now) {
+  Count& count = m_counts[adapter];
+  count = {Decayed(count, now) + requests, now};
+  m_total = {Decayed(m_total, now) + requests, now};
+}
+
+std::uint32_t AdapterPopularity::CopiesWanted(const AdapterRef& adapter,
+                                              std::uint32_t engines,
+                                              TimeMs now) const {
+  const auto it = m_counts.find(adapter);
+  if (it == m_counts.end() || engines == 0) return 1;
+  const double requests = Decayed(it->second, now);
+  const double total = Decayed(m_total, now);
+  if (requests < kMinRequests || total <= 0) return 1;
+  const double copies = requests / total * engines / kShareOfEngine;
+  return std::clamp(static_cast<std::uint32_t>(std::ceil(copies)), 1U, engines);
+}
+
+void AdapterPopularity::Expire(TimeMs now) {
+  std::erase_if(m_counts, [now](const auto& item) {
+    return Decayed(item.second, now) < kForgottenRequests;
+  });
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -5,17 +5,15 @@
 #include <string>
 #include <utility>
 
+#include "yuccamoor/coordination/fleet/prefill_pacing.h"
 #include "yuccamoor/state/stable_hash.h"
 
 namespace yuccamoor::fleet {
 
 namespace {
 
-// A copy of an adapter takes a load from the weight store's rate, and a fuller
-// batch slows its requests but little: a copy pays only when the adapter's
-// engines run this much more than the average one.
-constexpr double kCopyLoadFactor = 1.5;
-constexpr double kCopyLoadMargin = 10;
+// Prefill time that weighs as much as one running request.
+constexpr double kBacklogMsPerRequest = 8;
 // An engine this much above the average takes no further adapter while others
 // are less loaded.
 constexpr double kPlaceLoadFactor = 1.6;
@@ -121,24 +119,36 @@
   return holders;
 }
 
-// The least loaded engine without the adapter, if it is below the average.
-std::vector<EndpointId> PlaceForCopy(const Candidates& candidates,
-                                     const Candidates& holders,
-                                     double average) {
-  const Endpoint* best = nullptr;
+// Engines without the adapter, in the order in which all nodes choose them.
+std::vector<EndpointId> PlacesForCopy(const Candidates& candidates,
+                                      const Candidates& holders,
+                                      const AdapterRef& adapter,
+                                      double average) {
+  Candidates others;
   for (const Endpoint* endpoint : candidates) {
-    if (endpoint->load() >= average) continue;
-    if (std::find(holders.begin(), holders.end(), endpoint) != holders.end()) {
-      continue;
+    if (std::find(holders.begin(), holders.end(), endpoint) == holders.end()) {
+      others.push_back(endpoint);
     }
-    if (!best || endpoint->load() < best->load()) best = endpoint;
   }
-  if (!best) return {};
-  return {best->entry.id};
+  return PlacesFor(others, adapter, average);
+}
+
+// The engine that begins with a prompt soonest.
+const Endpoint* Freest(const Candidates& holders, TimeMs now) {
+  const Endpoint* best = nullptr;
+  double least = 0;
+  for (const Endpoint* holder : holders) {
+    const auto backlog = static_cast<double>(PrefillBacklog(*holder, now).ms());
+    const double cost = holder->load() + backlog / kBacklogMsPerRequest;
+    if (best && cost >= least) continue;
+    best = holder;
+    least = cost;
+  }
+  return best;
 }
 
 EndpointChoice ChooseEngine(const Candidates& candidates,
-                            const EndpointQuery& query) {
+                            const EndpointQuery& query, TimeMs now) {
   EndpointChoice choice;
   choice.any_usable = true;
   const AdapterRef& adapter = *query.adapter;
@@ -148,22 +158,12 @@
   if (!in_place && query.accept_older) {
     holders = HoldersOf(candidates, adapter, AdapterRevision());
   }
-  const Endpoint* target = nullptr;
-  for (const Endpoint* holder : holders) {
-    if (!target || holder->load() < target->load()) target = holder;
-  }
+  const Endpoint* target = Freest(holders, now);
   if (target) choice.send_to = target->entry.id;
-  if (adapter.name.empty()) {
-    if (!target) choice.load_at = PlacesFor(candidates, adapter, average);
-    return choice;
-  }
-  const bool crowded =
-      target &&
-      target->load() > average * kCopyLoadFactor + kCopyLoadMargin;
   if (!in_place) {
     choice.load_at = PlacesFor(candidates, adapter, average);
-  } else if (crowded) {
-    choice.load_at = PlaceForCopy(candidates, holders, average);
+  } else if (!adapter.name.empty() && holders.size() < query.copies) {
+    choice.load_at = PlacesForCopy(candidates, holders, adapter, average);
   }
   return choice;
 }
@@ -174,7 +174,7 @@
                               const EndpointQuery& query, TimeMs now) {
   const Candidates candidates = FindCandidates(table, query, now);
   if (candidates.empty()) return {};
-  if (query.adapter) return ChooseEngine(candidates, query);
+  if (query.adapter) return ChooseEngine(candidates, query, now);
   EndpointChoice choice;
   choice.any_usable = true;
   choice.send_to = LeastLoaded(candidates, query.domain)->entry.id;
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -95,6 +95,14 @@
   return json;
 }
 
+Json Encode(const TellPrompt& told) {
+  Json json;
+  json["type"] = "prompt";
+  json["engine"] = told.engine.str();
+  json["tokens"] = told.tokens;
+  return json;
+}
+
 NodeStatus DecodeStatus(const Json& json) {
   NodeStatus status;
   status.node = NodeId(json.at("node").get<std::string>());
@@ -150,6 +158,9 @@
   if (type == "loaded") {
     return TellLoaded{EngineOf(json), AdapterOf(json), VersionOf(json)};
   }
+  if (type == "prompt") {
+    return TellPrompt{EngineOf(json), GetUnsigned32(json.at("tokens"))};
+  }
   if (type == "missing") return TellMissing{EngineOf(json), AdapterOf(json)};
   return std::nullopt;
 }
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "yuccamoor/coordination/fleet/prefill_pacing.h"
+
 namespace yuccamoor::fleet {
 
 namespace {
@@ -11,6 +13,9 @@
 constexpr DurationMs kAskAgain{250};
 // Another engine is asked when the first one's holder does not answer.
 constexpr DurationMs kAskAnother{400};
+// Prompts of this many tokens are told to the other nodes: a few of them at
+// once hold up an engine's streams.
+constexpr std::uint32_t kLargePrompt = 0;
 constexpr std::size_t kMaxHomes = 8'192;
 constexpr DurationMs kAskLifetime{3'000};
 constexpr DurationMs kOrderingLifetime{1'200};
@@ -22,11 +27,35 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(NodeContext& context, SendToPeer send)
-    : m_context(context), m_send(std::move(send)) {}
+Dispatcher::Dispatcher(NodeContext& context, SendToPeer send,
+                       Broadcast broadcast)
+    : m_context(context),
+      m_send(std::move(send)),
+      m_broadcast(std::move(broadcast)) {}
+
+bool Dispatcher::AllowsPrompt(const EndpointId& engine,
+                              std::uint32_t tokens) const {
+  const Endpoint* known = m_context.view.endpoints().Find(engine);
+  return !known ||
+         fleet::AllowsPrompt(*known, tokens, m_context.clock.Now());
+}
+
+void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
+  OnPeerPrompt({engine, tokens});
+  if (tokens >= kLargePrompt) m_broadcast(TellPrompt{engine, tokens});
+}
+
+void Dispatcher::OnPeerPrompt(const TellPrompt& told) {
+  Endpoint* known = m_context.view.endpoints().Find(told.engine);
+  if (known) NotePrompt(*known, told.tokens, m_context.clock.Now());
+}
 
-EndpointChoice Dispatcher::Choose(const EndpointQuery& query, int priority) {
+EndpointChoice Dispatcher::Choose(EndpointQuery query, int priority) {
   const TimeMs now = m_context.clock.Now();
+  if (query.adapter && !query.adapter->name.empty()) {
+    query.copies = m_popularity.CopiesWanted(
+        *query.adapter, CountEngines(query.service, now), now);
+  }
   EndpointChoice choice =
       ChooseEndpoint(m_context.view.endpoints(), query, now);
   if (!choice.load_at.empty() && query.adapter &&
@@ -36,6 +65,17 @@
   return choice;
 }
 
+std::uint32_t Dispatcher::CountEngines(const ServiceId& service,
+                                       TimeMs now) const {
+  std::uint32_t engines = 0;
+  for (const auto& [id, endpoint] : m_context.view.endpoints().all()) {
+    const bool counts = endpoint.entry.service == service &&
+                        EndpointTable::Usable(endpoint, now);
+    if (counts) ++engines;
+  }
+  return engines;
+}
+
 bool Dispatcher::IsOrdering(const EndpointId& engine, TimeMs now) const {
   const auto it = m_ordering.find(engine);
   return it != m_ordering.end() && now - it->second.told < kOrderingLifetime;
@@ -189,6 +229,7 @@
 void Dispatcher::OnPeerStatus(const NodeStatus& status) {
   const TimeMs now = m_context.clock.Now();
   m_peers[status.node] = {now, status};
+  NotePopularity(status.used, now);
   for (const auto& [engine, held] : status.held) {
     m_context.view.endpoints().SetAdapters(engine, held.adapters, now);
     NoteOrdering(engine, held);
@@ -197,6 +238,14 @@
   CountPeers();
 }
 
+void Dispatcher::NotePopularity(const UsedAdapters& used, TimeMs now) {
+  for (const auto& [engine, adapters] : used) {
+    for (const auto& [adapter, requests] : adapters) {
+      if (requests > 0) m_popularity.Note(adapter, requests, now);
+    }
+  }
+}
+
 void Dispatcher::OnLocalHeld(
     const std::map<EndpointId, HeldEngineStatus>& held) {
   const TimeMs now = m_context.clock.Now();
@@ -269,6 +318,7 @@
   for (const auto& [id, endpoint] : m_context.view.endpoints().all()) {
     if (endpoint.in_flight > 0) status.in_flight[id] = endpoint.in_flight;
   }
+  NotePopularity(m_begun, m_context.clock.Now());
   status.used = std::move(m_begun);
   m_begun.clear();
   for (const auto& [engine, adapters] : m_running) {
@@ -281,6 +331,7 @@
 }
 
 void Dispatcher::OnTick(TimeMs now) {
+  m_popularity.Expire(now);
   const std::size_t before = m_peers.size();
   std::erase_if(m_peers, [now](const auto& item) {
     return now - item.second.heard > kPeerLifetime;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -29,6 +29,8 @@
 constexpr std::size_t kMaxPendingToClient = 262'144;
 constexpr DurationMs kNoEndpointRetryAfter{300};
 constexpr DurationMs kOverloadRetryAfter{200};
+// A prompt waits for others until this part of its objective has passed.
+constexpr std::int64_t kHoldBackPart = 2;
 // From an adapter's arrival to its first event.
 constexpr DurationMs kFirstEventTime{250};
 // Clients honour a Retry-After of up to this part of their time left.
@@ -116,12 +118,23 @@
     return;
   }
   if (choice.send_to) {
-    SendTo(*choice.send_to, now);
+    if (!HoldsBack(*choice.send_to, now)) SendTo(*choice.send_to, now);
     return;
   }
   Wait(now);
 }
 
+// Whether the prompt should wait for others at its engine: while there is time
+// to, so that it does not make the streams there late.
+bool Exchange::HoldsBack(const EndpointId& endpoint, TimeMs now) const {
+  if (!m_meta.adapter || m_stream_started) return false;
+  const DurationMs longest =
+      m_route.priority == 0 ? m_route.objective / kHoldBackPart
+                            : m_route.objective - kFirstEventTime;
+  if (Held(now) >= longest) return false;
+  return !m_context.dispatcher.AllowsPrompt(endpoint, m_meta.prompt_tokens);
+}
+
 // Waits for an adapter while the answer can still come before the client
 // leaves; otherwise the client comes back when the adapter is in place.
 void Exchange::Wait(TimeMs now) {
@@ -177,10 +190,14 @@
       .Text("route", m_route.name)
       .Text("endpoint", endpoint.str())
       .Number("load", target->load())
+      .Number("prompt_tokens", m_meta.prompt_tokens)
       .Ms("held_ms", Held(now))
       .Ms("adapters_age_ms", now - target->adapters_told)
       .Number("config", m_routes->config().version.value());
   m_context.dispatcher.OnBegin(endpoint, m_meta.adapter);
+  if (m_meta.adapter) {
+    m_context.dispatcher.OnPrompt(endpoint, m_meta.prompt_tokens);
+  }
   m_call = std::make_unique<EndpointCall>(
       m_context.node.io, m_context.idle, m_context.node.dialect,
       target->entry.address, m_meta.attempt);
@@ -407,9 +424,16 @@
   m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
   if (!m_stream_started) StartStream();
   if (m_ended) return;
+  NotePause();
   m_client->Send(ChunkOf(events));
 }
 
+void Exchange::NotePause() {
+  const TimeMs now = m_context.node.clock.Now();
+  if (m_last_events) m_longest_pause = std::max(m_longest_pause, now - *m_last_events);
+  m_last_events = now;
+}
+
 void Exchange::FinishStream() {
   PassEvents();
   if (m_ended) return;
@@ -484,7 +508,8 @@
     return;
   }
   if (!m_call) {
-    if (now - m_last_choice >= kChooseAgain || now >= m_next_choice) {
+    const bool holding_back = m_meta.adapter && !m_waiting_since;
+    if (now - m_last_choice >= kChooseAgain || holding_back || now >= m_next_choice) {
       Dispatch(now);
     }
     return;
@@ -558,6 +583,7 @@
       .Number("events", m_cutter.events())
       .Ms("waited_ms", m_waited)
       .Ms("first_ms", m_first_answer)
+      .Ms("longest_pause_ms", m_longest_pause)
       .Ms("held_ms", Held(now));
   if (m_client_gone) return;
   const bool cut = outcome == Outcome::kFailed && m_stream_started;
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -45,6 +45,9 @@
       m_dispatcher(context,
                    [this](const NodeId& node, const PeerMessage& message) {
                      m_peers->Send(node, message);
+                   },
+                   [this](const PeerMessage& message) {
+                     m_peers->Broadcast(message);
                    }),
       m_holder(context, m_session, m_platform.engines,
                [this](const NodeId& node, const TellLoaded& told) {
@@ -218,6 +221,8 @@
     m_dispatcher.OnQueued(*queued);
   } else if (const auto* loaded = std::get_if<TellLoaded>(&message)) {
     m_dispatcher.OnLoaded(*loaded);
+  } else if (const auto* prompt = std::get_if<TellPrompt>(&message)) {
+    m_dispatcher.OnPeerPrompt(*prompt);
   } else if (const auto* missing = std::get_if<TellMissing>(&message)) {
     m_holder.OnTellMissing(*missing);
   }
