--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -163,7 +163,7 @@
   TimeMs m_report_at;
   bool m_has_model = false;
   std::uint64_t m_accepted = 0;
-  TimeMs m_last_accepted;
+  std::optional<TimeMs> m_last_accepted;
   std::uint32_t m_loads_elsewhere = 0;
   std::map<AdapterRef, Place> m_places;
   std::list<Waiting> m_waiting;
--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -47,9 +47,9 @@
   std::string key;
 };
 
-using StoreChange = std::variant<ConfigWritten, AdapterRevisionNamed,
-                                 EndpointWritten, EndpointRemoved,
-                                 RecordWritten, RecordRemoved>;
+using StoreChange =
+    std::variant<ConfigWritten, AdapterRevisionNamed, EndpointWritten,
+                 EndpointRemoved, RecordWritten, RecordRemoved>;
 
 /// How a call ended.
 enum class StoreStatus : std::uint8_t {
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -1,6 +1,6 @@
 /// \file
-/// \brief Spaces prompts at each engine, so that prefilling several at once does
-/// not hold up the streams that run there.
+/// \brief Spaces prompts at each engine, so that prefilling several at once
+/// does not hold up the streams that run there.
 ///
 /// An engine's steps prefill a piece of every waiting prompt before the next
 /// token of the running streams. The pacing estimates how long the prompts
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -38,8 +38,7 @@
 };
 
 /// Requests by engine and adapter.
-using UsedAdapters =
-    std::map<EndpointId, std::map<AdapterRef, std::uint32_t>>;
+using UsedAdapters = std::map<EndpointId, std::map<AdapterRef, std::uint32_t>>;
 
 /// What a node tells all others from time to time.
 struct NodeStatus {
--- a/include/yuccamoor/protocol/fleet/request_dialect.h
+++ b/include/yuccamoor/protocol/fleet/request_dialect.h
@@ -72,8 +72,7 @@
   virtual RequestMeta DecodeRequest(const HttpHead& head) const = 0;
   /// Returns the whole request as the endpoint gets it. Headers that only the
   /// system may set are dropped from the client's.
-  virtual std::string EncodeRequest(const HttpHead& head,
-                                    std::string_view body,
+  virtual std::string EncodeRequest(const HttpHead& head, std::string_view body,
                                     const Forwarding& forwarding) const = 0;
   virtual ResponseMeta DecodeResponse(const HttpHead& head) const = 0;
   /// Returns the start line and the fields of an endpoint's response for the
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -11,8 +11,8 @@
 #include <memory>
 #include <vector>
 
-#include "yuccamoor/coordination/fleet/endpoint_choice.h"
 #include "yuccamoor/coordination/fleet/adapter_popularity.h"
+#include "yuccamoor/coordination/fleet/endpoint_choice.h"
 #include "yuccamoor/coordination/request/retry_budget.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/node_context.h"
--- a/include/yuccamoor/transport/fleet/listener.h
+++ b/include/yuccamoor/transport/fleet/listener.h
@@ -20,9 +20,9 @@
   using Accepted = std::function<void(boost::asio::ip::tcp::socket)>;
 
   /// Binds and listens; the finding of a failure names the address.
-  static Result<std::unique_ptr<Listener>> Create(
-      boost::asio::io_context& io, const SocketAddress& address,
-      Accepted accepted);
+  static Result<std::unique_ptr<Listener>> Create(boost::asio::io_context& io,
+                                                  const SocketAddress& address,
+                                                  Accepted accepted);
 
   void Close();
 
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -98,8 +98,8 @@
         endpoint->load() > average * kPlaceLoadFactor + kPlaceLoadMargin;
     const bool older = endpoint->adapters.contains(adapter);
     const bool empty = !endpoint->HasModel(adapter.model);
-    places.push_back({busy || older || empty,
-                      RendezvousScore(name, *endpoint), endpoint});
+    places.push_back(
+        {busy || older || empty, RendezvousScore(name, *endpoint), endpoint});
   }
   std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
     if (a.last_resort != b.last_resort) return b.last_resort;
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -49,7 +49,10 @@
 // order.
 void EngineHost::Resync(TimeMs at) {
   m_synced = false;
-  m_report_at = std::max(at, m_last_accepted + kReportLag);
+  m_report_at = at;
+  if (m_last_accepted) {
+    m_report_at = std::max(at, *m_last_accepted + kReportLag);
+  }
 }
 
 DurationMs EngineHost::Request(const LoadRequest& request, TimeMs now) {
@@ -58,11 +61,9 @@
                            return waiting.adapter == request.adapter;
                          });
   if (it == m_waiting.end()) {
-    it = m_waiting.insert(m_waiting.end(), Waiting{request.adapter,
-                                                   request.version,
-                                                   request.priority,
-                                                   now,
-                                                   {}});
+    it = m_waiting.insert(
+        m_waiting.end(),
+        Waiting{request.adapter, request.version, request.priority, now, {}});
   }
   it->version = std::max(it->version, request.version);
   it->priority = std::min(it->priority, request.priority);
--- a/lib/coordination/fleet/holder_claims.cc
+++ b/lib/coordination/fleet/holder_claims.cc
@@ -36,8 +36,8 @@
 std::optional<EndpointId> HolderClaims::NextClaim(
     const std::vector<EndpointId>& engines,
     const std::map<EndpointId, NodeId>& holders, const std::set<NodeId>& nodes,
-    const std::set<EndpointId>& mine,
-    const std::set<EndpointId>& never_held, TimeMs now) {
+    const std::set<EndpointId>& mine, const std::set<EndpointId>& never_held,
+    TimeMs now) {
   if (now < m_pause_until) return std::nullopt;
   std::erase_if(m_unheld_since, [&](const auto& item) {
     return holders.contains(item.first) ||
--- a/lib/protocol/fleet/http_head.cc
+++ b/lib/protocol/fleet/http_head.cc
@@ -49,18 +49,15 @@
 }
 
 std::size_t HttpHead::Count(std::string_view name) const {
-  return static_cast<std::size_t>(
-      std::count_if(fields.begin(), fields.end(), [&](const HeaderField& f) {
-        return SameHeaderName(f.name, name);
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      fields.begin(), fields.end(),
+      [&](const HeaderField& f) { return SameHeaderName(f.name, name); }));
 }
 
 bool IsHopByHop(const HttpHead& head, std::string_view name) {
-  const bool standard =
-      std::any_of(kHopByHop.begin(), kHopByHop.end(),
-                  [&](std::string_view hop) {
-                    return SameHeaderName(hop, name);
-                  });
+  const bool standard = std::any_of(
+      kHopByHop.begin(), kHopByHop.end(),
+      [&](std::string_view hop) { return SameHeaderName(hop, name); });
   return standard || ListContains(head.Find("connection"), name);
 }
 
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -146,8 +146,10 @@
   const auto type = json.at("type").get<std::string>();
   if (type == "status") return DecodeStatus(json);
   if (type == "ask_load") {
-    return AskLoad{NodeId(json.at("node").get<std::string>()), EngineOf(json),
-                   AdapterOf(json), VersionOf(json),
+    return AskLoad{NodeId(json.at("node").get<std::string>()),
+                   EngineOf(json),
+                   AdapterOf(json),
+                   VersionOf(json),
                    json.at("priority").get<int>(),
                    GetUnsigned32(json.at("demand"))};
   }
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -36,8 +36,7 @@
 bool Dispatcher::AllowsPrompt(const EndpointId& engine,
                               std::uint32_t tokens) const {
   const Endpoint* known = m_context.view.endpoints().Find(engine);
-  return !known ||
-         fleet::AllowsPrompt(*known, tokens, m_context.clock.Now());
+  return !known || fleet::AllowsPrompt(*known, tokens, m_context.clock.Now());
 }
 
 void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
@@ -218,9 +217,8 @@
     options.share = settings.retry_share * kBudgetPart;
     // A window may see the whole burst and what refills in it.
     options.burst = settings.retry_slack * kBudgetPart / nodes;
-    options.min_per_second =
-        options.burst * kMsPerSecond /
-        static_cast<double>(settings.retry_window.ms());
+    options.min_per_second = options.burst * kMsPerSecond /
+                             static_cast<double>(settings.retry_window.ms());
     it = m_retries.emplace(service, RetryBudget(options)).first;
   }
   it->second.OnSuccess(m_context.clock.Now());
@@ -344,8 +342,7 @@
     return !m_context.view.endpoints().Find(item.second);
   });
   std::erase_if(m_asked, [now](const auto& item) {
-    return item.second.empty() ||
-           now - item.second.back().first > kAskLifetime;
+    return item.second.empty() || now - item.second.back().first > kAskLifetime;
   });
 }
 
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -89,8 +89,7 @@
   }
   const IoResult result = m_socket->Read(m_in, kReadLimit);
   Parse(result.status == IoStatus::kEnd);
-  if (result.status == IoStatus::kReset &&
-      m_state != CallState::kComplete) {
+  if (result.status == IoStatus::kReset && m_state != CallState::kComplete) {
     m_state = CallState::kBroken;
   }
 }
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -72,8 +72,7 @@
     if (seen == peer.store.holders.end()) return false;
     if (seen->second != held.fence) return false;
   }
-  return !peer.store.fresh ||
-         peer.store.nodes == m_context.view.nodes().size();
+  return !peer.store.fresh || peer.store.nodes == m_context.view.nodes().size();
 }
 
 void EngineHolder::OnPeerStatus(const NodeStatus& status, TimeMs now) {
@@ -136,13 +135,11 @@
   // The holder before may have ordered until its own validity ended. This VM
   // itself need not wait.
   const bool no_other = m_context.view.NeverHeld(engine) ||
-                        LatelyHeld(now).contains(engine) ||
-                        m_session.adopted();
-  const DurationMs wait = no_other
-                              ? DurationMs(0)
-                              : kOrderValidity +
-                                    m_context.settings.holder_separation +
-                                    kHolderMargin;
+                        LatelyHeld(now).contains(engine) || m_session.adopted();
+  const DurationMs wait = no_other ? DurationMs(0)
+                                   : kOrderValidity +
+                                         m_context.settings.holder_separation +
+                                         kHolderMargin;
   const TimeMs order_from = now + wait;
   m_held.emplace(engine, Held{endpoint->entry,
                               EngineHost(options, fence, order_from), fence});
@@ -172,19 +169,20 @@
                          m_context.view.NeverHeld(), now);
   if (!engine) return;
   m_claiming = true;
-  m_session.Claim(*engine, [this, engine = *engine](std::optional<Epoch> fence) {
-    m_claiming = false;
-    if (!fence) {
-      m_claims.OnFailed(engine, m_context.clock.Now());
-      return;
-    }
-    RecordWritten record;
-    record.key = FleetView::HolderKey(engine);
-    record.value = m_context.settings.node.str();
-    record.revision = Revision(fence->value());
-    if (!m_held.contains(engine)) TakeUp(engine, *fence);
-    m_context.view.Apply(record, m_context.clock.Now());
-  });
+  m_session.Claim(*engine,
+                  [this, engine = *engine](std::optional<Epoch> fence) {
+                    m_claiming = false;
+                    if (!fence) {
+                      m_claims.OnFailed(engine, m_context.clock.Now());
+                      return;
+                    }
+                    RecordWritten record;
+                    record.key = FleetView::HolderKey(engine);
+                    record.value = m_context.settings.node.str();
+                    record.revision = Revision(fence->value());
+                    if (!m_held.contains(engine)) TakeUp(engine, *fence);
+                    m_context.view.Apply(record, m_context.clock.Now());
+                  });
 }
 
 EngineHolder::Held* EngineHolder::FindHeld(const EndpointId& engine,
@@ -214,23 +212,24 @@
                          const EngineOrder& order) {
   m_context.metrics.orders.Add();
   const Epoch fence = held.fence;
-  m_control.Order(held.entry, order, [this, engine, fence,
-                                      order](OrderEnd end) {
-    m_context.log.Event("engine_order")
-        .Text("engine", engine.str())
-        .Text("op", order.load ? "load" : "unload")
-        .Text("adapter", ToString(order.adapter))
-        .Number("version", order.version.value())
-        .Number("expected", order.expected_accepted)
-        .Number("fence", order.fence.value())
-        .Text("outcome", ToText(end));
-    if (end == OrderEnd::kConflict) m_context.metrics.order_conflicts.Add();
-    Held* current = FindHeld(engine, fence);
-    if (!current) return;
-    const TimeMs now = m_context.clock.Now();
-    current->host.OnOrderEnd(end, now);
-    Poll(engine, now);
-  });
+  m_control.Order(held.entry, order,
+                  [this, engine, fence, order](OrderEnd end) {
+                    m_context.log.Event("engine_order")
+                        .Text("engine", engine.str())
+                        .Text("op", order.load ? "load" : "unload")
+                        .Text("adapter", ToString(order.adapter))
+                        .Number("version", order.version.value())
+                        .Number("expected", order.expected_accepted)
+                        .Number("fence", order.fence.value())
+                        .Text("outcome", ToText(end));
+                    if (end == OrderEnd::kConflict)
+                      m_context.metrics.order_conflicts.Add();
+                    Held* current = FindHeld(engine, fence);
+                    if (!current) return;
+                    const TimeMs now = m_context.clock.Now();
+                    current->host.OnOrderEnd(end, now);
+                    Poll(engine, now);
+                  });
 }
 
 void EngineHolder::FetchReport(const EndpointId& engine, const Held& held) {
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -66,8 +66,8 @@
       m_meta(context.node.dialect.DecodeRequest(m_request.head)) {
   const DurationMs wait = m_meta.deadline.value_or(kDefaultDeadline);
   m_deadline = m_request.received + std::min(wait, m_route.timeout);
-  m_service = RouteTable::PickService(
-      m_route, StableBucketHash(m_meta.attempt.str()));
+  m_service =
+      RouteTable::PickService(m_route, StableBucketHash(m_meta.attempt.str()));
   if (!m_context.node.view.EngineOf(m_service)) m_meta.adapter.reset();
 }
 
@@ -128,9 +128,9 @@
 // to, so that it does not make the streams there late.
 bool Exchange::HoldsBack(const EndpointId& endpoint, TimeMs now) const {
   if (!m_meta.adapter || m_stream_started) return false;
-  const DurationMs longest =
-      m_route.priority == 0 ? m_route.objective / kHoldBackPart
-                            : m_route.objective - kFirstEventTime;
+  const DurationMs longest = m_route.priority == 0
+                                 ? m_route.objective / kHoldBackPart
+                                 : m_route.objective - kFirstEventTime;
   if (Held(now) >= longest) return false;
   return !m_context.dispatcher.AllowsPrompt(endpoint, m_meta.prompt_tokens);
 }
@@ -392,8 +392,7 @@
   NoteFirstAnswer();
   const bool healthy = m_call->head().status < 500;
   const std::string body = std::move(m_call->body());
-  std::string out =
-      m_context.node.dialect.EncodeResponseHead(m_call->head());
+  std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
   out += CloseField();
   AppendField(out, "Content-Length", std::to_string(body.size()));
   out.append("\r\n").append(body);
@@ -405,8 +404,7 @@
 void Exchange::StartStream() {
   NoteFirstAnswer();
   m_stream_started = true;
-  std::string out =
-      m_context.node.dialect.EncodeResponseHead(m_call->head());
+  std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
   out += CloseField();
   out += "Transfer-Encoding: chunked\r\n\r\n";
   m_client->Send(out);
@@ -430,7 +428,8 @@
 
 void Exchange::NotePause() {
   const TimeMs now = m_context.node.clock.Now();
-  if (m_last_events) m_longest_pause = std::max(m_longest_pause, now - *m_last_events);
+  if (m_last_events)
+    m_longest_pause = std::max(m_longest_pause, now - *m_last_events);
   m_last_events = now;
 }
 
@@ -484,9 +483,7 @@
   }
 }
 
-void Exchange::CutStream(const char* reason) {
-  End(Outcome::kFailed, reason);
-}
+void Exchange::CutStream(const char* reason) { End(Outcome::kFailed, reason); }
 
 void Exchange::OnDeadline() {
   const bool may_have_run =
@@ -509,7 +506,8 @@
   }
   if (!m_call) {
     const bool holding_back = m_meta.adapter && !m_waiting_since;
-    if (now - m_last_choice >= kChooseAgain || holding_back || now >= m_next_choice) {
+    if (now - m_last_choice >= kChooseAgain || holding_back ||
+        now >= m_next_choice) {
       Dispatch(now);
     }
     return;
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -186,8 +186,8 @@
 void FrontConnection::CheckTimeouts(TimeMs now) {
   if (!m_open || m_busy || m_closing) return;
   if (m_receiving) {
-    const bool late = now - m_first_byte >= m_limits.header_timeout &&
-                      !m_parser->has_head();
+    const bool late =
+        now - m_first_byte >= m_limits.header_timeout && !m_parser->has_head();
     if (late) RejectWith(408);
     return;
   }
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -22,11 +22,10 @@
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher) {
   std::unique_ptr<FrontServer> server(new FrontServer(node, dispatcher));
-  auto listener =
-      Listener::Create(node.io, node.settings.front,
-                       [self = server.get()](auto socket) {
-                         self->OnAccepted(std::move(socket));
-                       });
+  auto listener = Listener::Create(node.io, node.settings.front,
+                                   [self = server.get()](auto socket) {
+                                     self->OnAccepted(std::move(socket));
+                                   });
   if (!listener) return listener.error();
   server->m_listener = std::move(listener).value();
   return server;
@@ -56,8 +55,8 @@
     Reply(*connection, request, 503, "shutting down", kShutdownRetryAfter);
     return;
   }
-  const RouteSpec* route = routes->Find(request.head.Find("host"),
-                                        PathOf(request.head.target));
+  const RouteSpec* route =
+      routes->Find(request.head.Find("host"), PathOf(request.head.target));
   if (!route) {
     Reply(*connection, request, 404, "no route", std::nullopt);
     return;
@@ -116,8 +115,7 @@
 void FrontServer::OnTick(TimeMs now) {
   // Exchanges that begin during the loop are appended and seen as well.
   for (const auto& exchange : m_exchanges) exchange->OnTick(now);
-  m_exchanges.remove_if(
-      [](const auto& exchange) { return exchange->ended(); });
+  m_exchanges.remove_if([](const auto& exchange) { return exchange->ended(); });
   if (now - m_checked < kCheckInterval) return;
   m_checked = now;
   m_idle.Expire(now);
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -50,8 +50,8 @@
         [self = shared_from_this()](boost::system::error_code error) {
           if (!error) self->End(false);
         });
-    m_socket = m_caller.m_idle.Take(ToString(m_call.address),
-                                    m_caller.m_clock.Now());
+    m_socket =
+        m_caller.m_idle.Take(ToString(m_call.address), m_caller.m_clock.Now());
     if (m_socket) {
       WriteMore();
       return;
--- a/lib/transport/fleet/http_parser.cc
+++ b/lib/transport/fleet/http_parser.cc
@@ -38,8 +38,8 @@
     error = {};
     m_head.status = status;
   }
-  void on_field_impl(http::field /*field*/, string_view name,
-                     string_view value, ErrorCode& error) override {
+  void on_field_impl(http::field /*field*/, string_view name, string_view value,
+                     ErrorCode& error) override {
     error = {};
     // Trailer fields come after the head and are dropped.
     if (!m_has_head) m_head.fields.push_back({ToText(name), ToText(value)});
@@ -89,8 +89,7 @@
     while (used < buffer.size() && !m_collector->is_done()) {
       ErrorCode error;
       const std::size_t n = m_collector->put(
-          boost::asio::const_buffer(buffer.data() + used,
-                                    buffer.size() - used),
+          boost::asio::const_buffer(buffer.data() + used, buffer.size() - used),
           error);
       used += n;
       if (error == http::error::need_more) break;
--- a/lib/transport/fleet/idle_connections.cc
+++ b/lib/transport/fleet/idle_connections.cc
@@ -24,8 +24,7 @@
 }
 
 void IdleConnections::Put(const std::string& address,
-                          std::unique_ptr<Socket> socket,
-                          TimeMs usable_until) {
+                          std::unique_ptr<Socket> socket, TimeMs usable_until) {
   std::vector<Idle>& idle = m_idle[address];
   if (idle.size() >= kMaxIdlePerAddress) return;
   socket->Detach();
--- a/lib/transport/fleet/listener.cc
+++ b/lib/transport/fleet/listener.cc
@@ -14,9 +14,9 @@
 constexpr std::chrono::milliseconds kAcceptPause{50};
 }  // namespace
 
-Result<std::unique_ptr<Listener>> Listener::Create(
-    boost::asio::io_context& io, const SocketAddress& address,
-    Accepted accepted) {
+Result<std::unique_ptr<Listener>> Listener::Create(boost::asio::io_context& io,
+                                                   const SocketAddress& address,
+                                                   Accepted accepted) {
   std::unique_ptr<Listener> listener(new Listener(io, std::move(accepted)));
   tcp::acceptor& acceptor = listener->m_acceptor;
   boost::system::error_code error;
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -29,8 +29,7 @@
 Result<std::unique_ptr<Node>> Node::Create(NodeContext& context,
                                            MetricsRegistry& registry,
                                            NodePlatform platform) {
-  std::unique_ptr<Node> node(
-      new Node(context, registry, std::move(platform)));
+  std::unique_ptr<Node> node(new Node(context, registry, std::move(platform)));
   Findings findings = node->Bind();
   if (!findings.empty()) return findings;
   return node;
@@ -42,13 +41,12 @@
       m_registry(registry),
       m_platform(std::move(platform)),
       m_session(context, m_platform.store),
-      m_dispatcher(context,
-                   [this](const NodeId& node, const PeerMessage& message) {
-                     m_peers->Send(node, message);
-                   },
-                   [this](const PeerMessage& message) {
-                     m_peers->Broadcast(message);
-                   }),
+      m_dispatcher(
+          context,
+          [this](const NodeId& node, const PeerMessage& message) {
+            m_peers->Send(node, message);
+          },
+          [this](const PeerMessage& message) { m_peers->Broadcast(message); }),
       m_holder(context, m_session, m_platform.engines,
                [this](const NodeId& node, const TellLoaded& told) {
                  m_peers->Send(node, told);
@@ -66,16 +64,14 @@
       findings.Append(result.error());
     }
   };
-  take(PeerLink::Create(m_context,
-                        [this](const PeerMessage& message) {
-                          OnPeerMessage(message);
-                        }),
+  take(PeerLink::Create(
+           m_context,
+           [this](const PeerMessage& message) { OnPeerMessage(message); }),
        m_peers);
   take(FrontServer::Create(m_context, m_dispatcher), m_front);
   take(StatusServer::Create(m_context.io, m_context.clock, settings.ready,
                             [this](const std::string& path) {
-                              const bool ready =
-                                  path == "/ready" && IsReady();
+                              const bool ready = path == "/ready" && IsReady();
                               return StatusReply{ready ? 200 : 503, ""};
                             }),
        m_ready);
@@ -182,8 +178,7 @@
 }
 
 void Node::TellPeers(TimeMs now) {
-  const auto nodes =
-      static_cast<std::int64_t>(m_context.view.nodes().size());
+  const auto nodes = static_cast<std::int64_t>(m_context.view.nodes().size());
   const DurationMs interval =
       std::max(kTellInterval, kTellIntervalPerNode * nodes);
   if (now - m_told < interval) return;
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -27,9 +27,9 @@
                                   "Calls to the store without success")),
       log_lines_dropped(r.GetCounter("yuccamoor_log_lines_dropped_total",
                                      "Log lines left out")),
-      first_answer_seconds(r.GetDistribution(
-          "yuccamoor_first_answer_seconds",
-          "Time to the first event or the whole answer")),
+      first_answer_seconds(
+          r.GetDistribution("yuccamoor_first_answer_seconds",
+                            "Time to the first event or the whole answer")),
       load_stall_seconds(
           r.GetDistribution("yuccamoor_load_stall_seconds",
                             "Time that requests waited for an adapter")),
--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -31,9 +31,7 @@
 }
 
 PeerLink::PeerLink(NodeContext& context, Handler handler)
-    : m_context(context),
-      m_handler(std::move(handler)),
-      m_socket(context.io) {}
+    : m_context(context), m_handler(std::move(handler)), m_socket(context.io) {}
 
 void PeerLink::Receive() {
   m_socket.async_wait(udp::socket::wait_read,
@@ -51,8 +49,8 @@
   for (;;) {
     boost::system::error_code error;
     udp::endpoint sender;
-    const std::size_t size = m_socket.receive_from(
-        boost::asio::buffer(buffer), sender, 0, error);
+    const std::size_t size =
+        m_socket.receive_from(boost::asio::buffer(buffer), sender, 0, error);
     // Would block, or an earlier datagram was not deliverable.
     if (error) return;
     auto message = DecodePeerMessage({buffer.data(), size});
@@ -83,8 +81,7 @@
   const auto ip = boost::asio::ip::make_address(address.ip, error);
   if (error) return;
   // A datagram that cannot be sent is a lost one: messages are repeated.
-  m_socket.send_to(boost::asio::buffer(datagram), {ip, address.port}, 0,
-                   error);
+  m_socket.send_to(boost::asio::buffer(datagram), {ip, address.port}, 0, error);
 }
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/socket.cc
+++ b/lib/transport/fleet/socket.cc
@@ -112,8 +112,8 @@
 IoResult Socket::Write(std::string_view data) {
   std::size_t total = 0;
   while (total < data.size()) {
-    const ssize_t n = ::send(Handle(), data.data() + total,
-                             data.size() - total, MSG_DONTWAIT | MSG_NOSIGNAL);
+    const ssize_t n = ::send(Handle(), data.data() + total, data.size() - total,
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
     if (n >= 0) {
       total += static_cast<std::size_t>(n);
       continue;
--- a/lib/transport/fleet/status_server.cc
+++ b/lib/transport/fleet/status_server.cc
@@ -22,8 +22,7 @@
   std::unique_ptr<StatusServer> server(
       new StatusServer(clock, std::move(answer)));
   auto listener = Listener::Create(
-      io, address,
-      [self = server.get()](boost::asio::ip::tcp::socket socket) {
+      io, address, [self = server.get()](boost::asio::ip::tcp::socket socket) {
         std::make_shared<FrontConnection>(std::move(socket), *self,
                                           self->m_clock, RequestLimits())
             ->Start();
@@ -39,8 +38,7 @@
 void StatusServer::OnRequest(std::shared_ptr<FrontConnection> connection,
                              FrontRequest request) {
   connection->Send(Encode(m_answer(request.head.target)));
-  connection->Finish(
-      SameHeaderName(request.head.Find("connection"), "close"));
+  connection->Finish(SameHeaderName(request.head.Find("connection"), "close"));
 }
 
 void StatusServer::OnClientGone(FrontConnection& /*connection*/) {}
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -220,22 +220,22 @@
 void StoreSession::Adopt(StoreLease lease) {
   m_context.metrics.store_calls.Add();
   const TimeMs sent = m_context.clock.Now();
-  m_store.RenewLease(lease, kRenewTimeout, [this, lease,
-                                            sent](StoreStatus status) {
-    m_context.log.Event("lease_adopted")
-        .Number("lease", lease.value())
-        .Text("outcome", ToText(status));
-    if (status != StoreStatus::kOk) {
-      KeepLease();
-      return;
-    }
-    m_lease = lease;
-    m_renewed = sent;
-    m_registered = true;
-    m_adopted = true;
-    if (m_on_change) m_on_change();
-    LeaseAgain(kRenewInterval);
-  });
+  m_store.RenewLease(lease, kRenewTimeout,
+                     [this, lease, sent](StoreStatus status) {
+                       m_context.log.Event("lease_adopted")
+                           .Number("lease", lease.value())
+                           .Text("outcome", ToText(status));
+                       if (status != StoreStatus::kOk) {
+                         KeepLease();
+                         return;
+                       }
+                       m_lease = lease;
+                       m_renewed = sent;
+                       m_registered = true;
+                       m_adopted = true;
+                       if (m_on_change) m_on_change();
+                       LeaseAgain(kRenewInterval);
+                     });
 }
 
 void StoreSession::KeepLease() {
--- a/tools/yuccamoor-node/main.cc
+++ b/tools/yuccamoor-node/main.cc
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <string>
 
@@ -30,6 +31,19 @@
 // Exit status for settings or addresses that cannot be used.
 constexpr int kBadSettings = 2;
 
+// Runs the event loop to its end. A handler that fails ends with its own
+// request or call, not with all the others of the process.
+void RunLoop(boost::asio::io_context& io, LineLog& log) {
+  for (;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& error) {
+      log.Event("handler_failed").Text("error", error.what());
+    }
+  }
+}
+
 int Run(const std::string& path, const NodeSettings& settings) {
   boost::asio::io_context io(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO);
   const BootClock clock;
@@ -48,16 +62,16 @@
             .Text("findings", findings.ToString());
       });
   yuccamoor::platform::EngineClient engines(caller, settings.node);
-  auto node = Node::Create(
-      context, registry,
-      {store, engines,
-       [&path] { return yuccamoor::platform::ReadSettings(path); }});
+  auto node = Node::Create(context, registry,
+                           {store, engines, [&path] {
+                              return yuccamoor::platform::ReadSettings(path);
+                            }});
   if (!node) {
     std::cerr << node.error().ToString();
     return kBadSettings;
   }
   node.value()->Start();
-  io.run();
+  RunLoop(io, log);
   return EXIT_SUCCESS;
 }
 
--- /dev/null
+++ b/unittests/coordination/fleet/endpoint_choice_test.cc
@@ -0,0 +1,132 @@
+/// \file
+/// \brief Tests of where a request goes, and where its adapter is loaded.
+
+#include "yuccamoor/coordination/fleet/endpoint_choice.h"
+
+#include <catch2/catch.hpp>
+
+#include "coordination/fleet/fleet_fakes.h"
+#include "yuccamoor/coordination/fleet/adapter_popularity.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+EndpointTable Engines(int count) {
+  EndpointTable table;
+  for (int i = 1; i <= count; ++i) {
+    table.Put(EngineEntry("e" + std::to_string(i)), TimeMs(0));
+  }
+  return table;
+}
+
+EndpointQuery Query(const std::string& adapter) {
+  EndpointQuery query;
+  query.service = kEngines;
+  query.adapter = Adapter(adapter);
+  query.domain = FailureDomainId("a");
+  return query;
+}
+
+void SetHeld(EndpointTable& table, const std::string& engine,
+             const std::string& adapter, std::uint64_t version = 1) {
+  table.Find(EndpointId(engine))->adapters[Adapter(adapter)] =
+      AdapterRevision(version);
+}
+
+}  // namespace
+
+TEST_CASE("A request goes to an engine that holds its adapter",
+          "[fleet][choice]") {
+  EndpointTable table = Engines(3);
+  SetHeld(table, "e2", "a1");
+  const EndpointChoice choice = ChooseEndpoint(table, Query("a1"), TimeMs(0));
+  CHECK(choice.send_to == EndpointId("e2"));
+  CHECK(choice.load_at.empty());
+}
+
+TEST_CASE("All nodes choose the same place for an adapter", "[fleet][choice]") {
+  const EndpointTable table = Engines(5);
+  const EndpointChoice one = ChooseEndpoint(table, Query("a1"), TimeMs(0));
+  const EndpointChoice two = ChooseEndpoint(table, Query("a1"), TimeMs(9));
+  CHECK_FALSE(one.send_to);
+  CHECK(one.load_at == two.load_at);
+  CHECK(one.load_at.size() == 5);
+}
+
+TEST_CASE("Of several engines, the one that begins soonest gets the request",
+          "[fleet][choice][load]") {
+  EndpointTable table = Engines(2);
+  SetHeld(table, "e1", "a1");
+  SetHeld(table, "e2", "a1");
+  table.Find(EndpointId("e1"))->in_flight = 3;
+  CHECK(ChooseEndpoint(table, Query("a1"), TimeMs(0)).send_to ==
+        EndpointId("e2"));
+  // Prompts on their way weigh as well.
+  table.Find(EndpointId("e2"))->prefill_until = TimeMs(200);
+  CHECK(ChooseEndpoint(table, Query("a1"), TimeMs(0)).send_to ==
+        EndpointId("e1"));
+}
+
+TEST_CASE("A busy adapter gets one more copy, at an engine without it",
+          "[fleet][choice][load]") {
+  EndpointTable table = Engines(3);
+  SetHeld(table, "e1", "a1");
+  EndpointQuery query = Query("a1");
+  query.copies = 2;
+  const EndpointChoice choice = ChooseEndpoint(table, query, TimeMs(0));
+  CHECK(choice.send_to == EndpointId("e1"));
+  REQUIRE_FALSE(choice.load_at.empty());
+  CHECK(choice.load_at.front() != EndpointId("e1"));
+}
+
+TEST_CASE("A newer version loads beside the older one, which answers meanwhile",
+          "[fleet][choice]") {
+  EndpointTable table = Engines(3);
+  SetHeld(table, "e1", "a1", 1);
+  EndpointQuery query = Query("a1");
+  query.version = AdapterRevision(2);
+  query.accept_older = true;
+  EndpointChoice choice = ChooseEndpoint(table, query, TimeMs(0));
+  CHECK(choice.send_to == EndpointId("e1"));
+  REQUIRE_FALSE(choice.load_at.empty());
+  CHECK(choice.load_at.front() != EndpointId("e1"));
+  query.accept_older = false;
+  choice = ChooseEndpoint(table, query, TimeMs(0));
+  CHECK_FALSE(choice.send_to);
+  SetHeld(table, "e3", "a1", 2);
+  CHECK(ChooseEndpoint(table, query, TimeMs(0)).send_to == EndpointId("e3"));
+}
+
+TEST_CASE("Leaving, unreachable and excluded endpoints get nothing",
+          "[fleet][choice]") {
+  EndpointTable table = Engines(3);
+  for (const char* id : {"e1", "e2", "e3"}) SetHeld(table, id, "a1");
+  table.MarkLeaving(EndpointId("e1"));
+  table.OnConnectFailed(EndpointId("e2"), TimeMs(0));
+  EndpointQuery query = Query("a1");
+  CHECK(ChooseEndpoint(table, query, TimeMs(1)).send_to == EndpointId("e3"));
+  query.excluded = {EndpointId("e3")};
+  const EndpointChoice choice = ChooseEndpoint(table, query, TimeMs(1));
+  CHECK_FALSE(choice.any_usable);
+  CHECK_FALSE(choice.send_to);
+}
+
+TEST_CASE("Copies follow an adapter's share of requests",
+          "[fleet][choice][load]") {
+  // Pattern: the busiest adapter takes a fifth of all requests of nine engines.
+  AdapterPopularity popularity;
+  const TimeMs now(1'000);
+  popularity.Note(Adapter("top"), 22, now);
+  popularity.Note(Adapter("second"), 9, now);
+  popularity.Note(Adapter("rest"), 69, now);
+  popularity.Note(Adapter("rare"), 1, now);
+  CHECK(popularity.CopiesWanted(Adapter("top"), 9, now) == 5);
+  CHECK(popularity.CopiesWanted(Adapter("second"), 9, now) == 3);
+  CHECK(popularity.CopiesWanted(Adapter("rare"), 9, now) == 1);
+  CHECK(popularity.CopiesWanted(Adapter("none"), 9, now) == 1);
+  // Demand moves on: seconds later it is busy no more.
+  CHECK(popularity.CopiesWanted(Adapter("top"), 9, now + DurationMs(4'000)) ==
+        1);
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -0,0 +1,75 @@
+/// \file
+/// \brief Tests of what a node knows of its fleet.
+
+#include "yuccamoor/coordination/fleet/fleet_view.h"
+
+#include <catch2/catch.hpp>
+
+#include "coordination/fleet/fleet_fakes.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+RecordWritten Holder(const std::string& engine, const std::string& node,
+                     std::uint64_t revision) {
+  return {FleetView::HolderKey(EndpointId(engine)), node, Revision(revision)};
+}
+
+}  // namespace
+
+TEST_CASE("A configuration's version never goes back", "[fleet][view]") {
+  FleetView view;
+  CHECK(view.Apply(ConfigWritten{EngineConfig(7)}, TimeMs(0)) ==
+        ViewNews::kConfigApplied);
+  CHECK(view.Apply(ConfigWritten{EngineConfig(5)}, TimeMs(1)) ==
+        ViewNews::kConfigIgnored);
+  view.Reset({ConfigWritten{EngineConfig(6)}}, TimeMs(2));
+  CHECK(view.routes()->config().version == Revision(7));
+}
+
+TEST_CASE("An engine seen to register that no node has held is known as such",
+          "[fleet][view]") {
+  FleetView view;
+  view.Apply(ConfigWritten{EngineConfig(1)}, TimeMs(0));
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(0));
+  CHECK(view.NeverHeld(EndpointId("e1")));
+  SECTION("until a holder is seen") {
+    view.Apply(Holder("e1", "n1", 9), TimeMs(1));
+  }
+  SECTION("until changes may have been missed") {
+    view.Reset({EndpointWritten{EngineEntry("e1")}}, TimeMs(1));
+  }
+  CHECK_FALSE(view.NeverHeld(EndpointId("e1")));
+}
+
+TEST_CASE("A holder's fencing number is its record's revision",
+          "[fleet][view]") {
+  FleetView view;
+  view.Apply(Holder("e1", "n1", 9), TimeMs(0));
+  view.Apply(RecordRemoved{FleetView::HolderKey(EndpointId("e1"))}, TimeMs(1));
+  CHECK(view.holders().empty());
+  view.Apply(Holder("e1", "n2", 14), TimeMs(2));
+  CHECK(view.holders().at(EndpointId("e1")).fence == Epoch(14));
+}
+
+TEST_CASE("An older version may answer for a while after a newer is named",
+          "[fleet][view]") {
+  FleetView view;
+  const AdapterRef adapter = Adapter("a1");
+  view.Apply(AdapterRevisionNamed{adapter, AdapterRevision(2)}, TimeMs(100));
+  CHECK(view.NewestRevision(adapter) == AdapterRevision(2));
+  CHECK(view.MayBeOlder(adapter, TimeMs(2'000)));
+  CHECK_FALSE(view.MayBeOlder(adapter, TimeMs(3'000)));
+  view.Apply(AdapterRevisionNamed{adapter, AdapterRevision(1)}, TimeMs(4'000));
+  CHECK(view.NewestRevision(adapter) == AdapterRevision(2));
+}
+
+TEST_CASE("A node's record tells its address and lease", "[fleet][view]") {
+  const NodeRecord record{{"10.0.0.1", 7'380}, StoreLease(77)};
+  const NodeRecord decoded = DecodeNodeRecord(EncodeNodeRecord(record));
+  CHECK(decoded.peers == record.peers);
+  CHECK(decoded.lease == record.lease);
+  CHECK(DecodeNodeRecord("nonsense").peers.port == 0);
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/unittests/coordination/fleet/prefill_pacing_test.cc
@@ -0,0 +1,101 @@
+/// \file
+/// \brief Tests of the spacing of prompts, against an engine whose steps
+/// prefill prompts between the tokens of its streams.
+
+#include "yuccamoor/coordination/fleet/prefill_pacing.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+
+#include "coordination/fleet/fleet_fakes.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+// The figures of the users' engines.
+constexpr double kStepMs = 6.5;
+constexpr double kTokensPerMs = 38.7;
+constexpr double kChunkTokens = 4'096;
+constexpr int kStepsPerEvent = 5;
+// By then the engine's streams have had several events.
+constexpr int kBurstMs = 200;
+
+// Steps of one engine: prefills up to a chunk, then a token of each stream.
+class SteppingEngine {
+ public:
+  void Add(double tokens) { m_backlog += tokens; }
+
+  // Runs until the time and returns the longest pause between events so far.
+  double RunUntil(double ms) {
+    while (m_now < ms) {
+      const double chunk = std::min(m_backlog, kChunkTokens);
+      m_backlog -= chunk;
+      m_now += kStepMs + chunk / kTokensPerMs;
+      m_ends.push_back(m_now);
+      if (m_ends.size() > kStepsPerEvent) {
+        m_longest = std::max(m_longest, m_now - m_ends.front());
+        m_ends.pop_front();
+      }
+    }
+    return m_longest;
+  }
+
+ private:
+  double m_now = 0;
+  double m_backlog = 0;
+  double m_longest = 0;
+  std::deque<double> m_ends;
+};
+
+// Plays a burst of prompts at one moment and returns the longest pause.
+double PlayBurst(bool paced, std::uint32_t seed) {
+  std::mt19937 random(seed);
+  std::lognormal_distribution<double> sizes(6.4, 0.8);
+  Endpoint endpoint(EngineEntry("e1"));
+  SteppingEngine engine;
+  std::deque<std::uint32_t> waiting;
+  for (int i = 0; i < 16; ++i) {
+    waiting.push_back(
+        static_cast<std::uint32_t>(std::min(sizes(random), 3'300.0)));
+  }
+  double longest = 0;
+  for (int ms = 0; ms < 4'000; ms += 10) {
+    const TimeMs now(ms);
+    while (ms >= kBurstMs && !waiting.empty()) {
+      if (paced && !AllowsPrompt(endpoint, waiting.front(), now)) break;
+      NotePrompt(endpoint, waiting.front(), now);
+      engine.Add(waiting.front());
+      waiting.pop_front();
+    }
+    longest = engine.RunUntil(ms);
+  }
+  CHECK(waiting.empty());
+  return longest;
+}
+
+}  // namespace
+
+TEST_CASE("A burst of prompts does not make running streams late",
+          "[fleet][pacing][load]") {
+  // Pattern: demand moves to one adapter, and all nodes send its prompts to one
+  // engine at once. Streams are late after 250 ms between events.
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    CHECK(PlayBurst(true, seed) <= 250);
+  }
+  CHECK(PlayBurst(false, 1) > 250);
+}
+
+TEST_CASE("A large prompt goes when nothing else is prefilled",
+          "[fleet][pacing]") {
+  Endpoint endpoint(EngineEntry("e1"));
+  CHECK(AllowsPrompt(endpoint, 8'000, TimeMs(0)));
+  NotePrompt(endpoint, 800, TimeMs(0));
+  CHECK_FALSE(AllowsPrompt(endpoint, 8'000, TimeMs(1)));
+  CHECK(AllowsPrompt(endpoint, 800, TimeMs(1)));
+  CHECK(AllowsPrompt(endpoint, 8'000, TimeMs(100)));
+}
+
+}  // namespace yuccamoor::fleet
