Take engines up only once it is known whether the lease was adopted

Cause: after a kill of all, a restarted node took its engines up from the first reading of the store, before the answer to the renewal of its lease, and so waited 4.65 s like a stranger; no adapter was loaded meanwhile, and requests waited until their clients left.

Ruled out: the balancer and the start itself (the store is read after 18 ms). Requests are also refused when nobody gives orders.

--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -43,6 +43,9 @@
   /// Returns when the adapter will probably be in place, if a holder has said.
   std::optional<TimeMs> ExpectedAt(const AdapterRef& adapter) const;
 
+  /// Whether some engine of the service can be asked to load.
+  bool AnyOrdering(const ServiceId& service) const;
+
   /// Notes that a request goes to the endpoint and that it has ended there.
   void OnBegin(const EndpointId& endpoint,
                const std::optional<AdapterRef>& adapter);
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -64,6 +64,14 @@
   return choice;
 }
 
+bool Dispatcher::AnyOrdering(const ServiceId& service) const {
+  const TimeMs now = m_context.clock.Now();
+  const auto& all = m_context.view.endpoints().all();
+  return std::any_of(all.begin(), all.end(), [&](const auto& item) {
+    return item.second.entry.service == service && IsOrdering(item.first, now);
+  });
+}
+
 std::uint32_t Dispatcher::CountEngines(const ServiceId& service,
                                        TimeMs now) const {
   std::uint32_t engines = 0;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -107,7 +107,10 @@
     }
     return !ours || !view.endpoints().Find(item.first);
   });
+  // Without a lease it is not yet known whether this VM's earlier process held
+  // them until now.
   for (const auto& [engine, record] : view.holders()) {
+    if (!m_session.lease()) break;
     if (record.node == m_context.settings.node && !m_held.contains(engine)) {
       TakeUp(engine, record.fence);
     }
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -31,6 +31,9 @@
 constexpr DurationMs kOverloadRetryAfter{200};
 // A prompt waits for others until this part of its objective has passed.
 constexpr std::int64_t kHoldBackPart = 2;
+// Holders tell several times a second that they give orders.
+constexpr DurationMs kNobodyLoadsTime{500};
+constexpr DurationMs kNobodyRetryAfter{1'500};
 // From an adapter's arrival to its first event.
 constexpr DurationMs kFirstEventTime{250};
 // Clients honour a Retry-After of up to this part of their time left.
@@ -142,8 +145,14 @@
     m_waiting_since = now;
     m_context.dispatcher.AddDemand(*m_meta.adapter);
   }
+  if (m_stream_started || m_runs > 0) return;
   const auto expected = m_context.dispatcher.ExpectedAt(*m_meta.adapter);
-  if (!expected || m_stream_started || m_runs > 0) return;
+  if (!expected) {
+    const bool nobody_loads = now - *m_waiting_since >= kNobodyLoadsTime &&
+                              !m_context.dispatcher.AnyOrdering(m_service);
+    if (nobody_loads) Refuse("no holder gives orders", kNobodyRetryAfter);
+    return;
+  }
   const TimeMs latest =
       std::min(m_deadline, m_request.received + m_route.patience) -
       kFirstEventTime;
