Go on telling nodes that the store no longer lists

Ruled out: loss of datagrams. Changed: messages go on for 15 s after a registration ends; in fleets beyond 16 nodes only large prompts are told; the pause between watches follows the bounds of the settings.

--- a/include/yuccamoor/state/fleet/node_settings.h
+++ b/include/yuccamoor/state/fleet/node_settings.h
@@ -46,6 +46,8 @@
   bool first_start = false;
   /// Between SIGTERM and SIGKILL.
   DurationMs shutdown_grace{8'000};
+  /// How soon a change in the store has to be in force at every node.
+  DurationMs change_time{2'000};
   /// Orders of two holders to one engine lie at least this far apart.
   DurationMs holder_separation{3'000};
   /// Retries per request that all nodes together may send, over a window.
--- a/include/yuccamoor/transport/fleet/peer_link.h
+++ b/include/yuccamoor/transport/fleet/peer_link.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 
 #include "yuccamoor/protocol/fleet/peer_messages.h"
@@ -15,7 +16,8 @@
 namespace yuccamoor::fleet {
 
 /// Sends and receives peer messages. A message to this node itself is handled
-/// at once.
+/// at once. A node whose registration has gone still gets messages for a while:
+/// it may live and be cut off from the store only.
 class PeerLink {
  public:
   using Handler = std::function<void(PeerMessage)>;
@@ -32,6 +34,12 @@
  private:
   PeerLink(NodeContext& context, Handler handler);
 
+  struct KnownNode {
+    SocketAddress address;
+    TimeMs listed;
+  };
+
+  void UpdateKnown();
   void Receive();
   void Drain();
   void SendTo(const SocketAddress& address, const std::string& datagram);
@@ -39,6 +47,8 @@
   NodeContext& m_context;
   Handler m_handler;
   boost::asio::ip::udp::socket m_socket;
+  // Nodes that are registered, or were until lately.
+  std::map<NodeId, KnownNode> m_known;
 };
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -13,9 +13,11 @@
 constexpr DurationMs kAskAgain{250};
 // Another engine is asked when the first one's holder does not answer.
 constexpr DurationMs kAskAnother{400};
-// Prompts of this many tokens are told to the other nodes: a few of them at
-// once hold up an engine's streams.
-constexpr std::uint32_t kLargePrompt = 0;
+// Prompts are told to the other nodes, as a few of them at once hold up an
+// engine's streams. In a large fleet only those that are large by themselves,
+// so that what a node hears stays bounded.
+constexpr std::size_t kSmallFleet = 16;
+constexpr std::uint32_t kLargePrompt = 2'000;
 constexpr std::size_t kMaxHomes = 8'192;
 constexpr DurationMs kAskLifetime{3'000};
 constexpr DurationMs kOrderingLifetime{1'200};
@@ -41,7 +43,9 @@
 
 void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
   OnPeerPrompt({engine, tokens});
-  if (tokens >= kLargePrompt) m_broadcast(TellPrompt{engine, tokens});
+  const bool tell = m_context.view.nodes().size() <= kSmallFleet ||
+                    tokens >= kLargePrompt;
+  if (tell) m_broadcast(TellPrompt{engine, tokens});
 }
 
 void Dispatcher::OnPeerPrompt(const TellPrompt& told) {
--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -9,6 +9,8 @@
 
 namespace {
 using boost::asio::ip::udp;
+// Longer than the store's outages for single nodes usually last.
+constexpr DurationMs kUnlistedTime{15'000};
 constexpr std::size_t kMaxDatagram = 65'536;
 }  // namespace
 
@@ -63,16 +65,28 @@
     m_handler(message);
     return;
   }
-  const auto it = m_context.view.nodes().find(node);
-  if (it == m_context.view.nodes().end()) return;
-  SendTo(it->second.peers, EncodePeerMessage(message));
+  UpdateKnown();
+  const auto it = m_known.find(node);
+  if (it == m_known.end()) return;
+  SendTo(it->second.address, EncodePeerMessage(message));
 }
 
 void PeerLink::Broadcast(const PeerMessage& message) {
+  UpdateKnown();
   const std::string datagram = EncodePeerMessage(message);
+  for (const auto& [node, known] : m_known) {
+    if (node != m_context.settings.node) SendTo(known.address, datagram);
+  }
+}
+
+void PeerLink::UpdateKnown() {
+  const TimeMs now = m_context.clock.Now();
   for (const auto& [node, record] : m_context.view.nodes()) {
-    if (node != m_context.settings.node) SendTo(record.peers, datagram);
+    m_known[node] = {record.peers, now};
   }
+  std::erase_if(m_known, [now](const auto& item) {
+    return now - item.second.listed > kUnlistedTime;
+  });
 }
 
 void PeerLink::SendTo(const SocketAddress& address,
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr DurationMs kWatchTime{2'000};
-// Between two watches, so that several changes come together; well within the
-// two seconds in which a change has to be in force.
-constexpr DurationMs kWatchPause{700};
+// Between two watches, so that several changes come together: a third of the
+// time in which a change has to be in force.
+constexpr std::int64_t kWatchPausePart = 3;
 // A starting fleet's nodes find each other quickly.
 constexpr DurationMs kStartWatchPause{150};
 constexpr DurationMs kStartTime{4'000};
@@ -108,7 +108,8 @@
   if (!m_lease_begun) BeginLease();
   if (changed && m_on_change) m_on_change();
   const bool starting = now - m_started < kStartTime;
-  Again(starting ? kStartWatchPause : kWatchPause, [this] { Watch(); });
+  const DurationMs pause = m_context.settings.change_time / kWatchPausePart;
+  Again(starting ? kStartWatchPause : pause, [this] { Watch(); });
 }
 
 void StoreSession::ApplyAll(StoreReading reading, bool whole, TimeMs now) {
--- a/unittests/platform/settings_test.cc
+++ b/unittests/platform/settings_test.cc
@@ -17,6 +17,8 @@
     "port-range=7380,7395\n"
     "bootstrap=true\n"
     "bounds.grace-s=8\n"
+    "bounds.drain-ms=2000\n"
+    "bounds.config-apply-ms=3000\n"
     "bounds.retry-budget=0.2\n"
     "bounds.budget-window-s=10\n"
     "bounds.budget-slack=58\n"
@@ -44,6 +46,7 @@
   CHECK(s.metrics == fleet::SocketAddress{"10.1.0.38", 7381});
   CHECK(s.store == fleet::SocketAddress{"10.200.1.7", 8142});
   CHECK(s.first_start);
+  CHECK(s.change_time == DurationMs(2'000));
   CHECK(s.shutdown_grace == DurationMs(8'000));
   CHECK(s.retry_share == Approx(0.2));
   CHECK(s.retry_slack == 58);
