Hold every prompt back until 250 ms before its objective

Cause: prompts of the most urgent routes were sent after half of their objective into engines that were prefilling already.

--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -29,8 +29,6 @@
 constexpr std::size_t kMaxPendingToClient = 262'144;
 constexpr DurationMs kNoEndpointRetryAfter{300};
 constexpr DurationMs kOverloadRetryAfter{200};
-// A prompt waits for others until this part of its objective has passed.
-constexpr std::int64_t kHoldBackPart = 2;
 // Holders tell several times a second that they give orders.
 constexpr DurationMs kNobodyLoadsTime{500};
 constexpr DurationMs kNobodyRetryAfter{1'500};
@@ -131,9 +129,7 @@
 // to, so that it does not make the streams there late.
 bool Exchange::HoldsBack(const EndpointId& endpoint, TimeMs now) const {
   if (!m_meta.adapter || m_stream_started) return false;
-  const DurationMs longest = m_route.priority == 0
-                                 ? m_route.objective / kHoldBackPart
-                                 : m_route.objective - kFirstEventTime;
+  const DurationMs longest = m_route.objective - kFirstEventTime;
   if (Held(now) >= longest) return false;
   return !m_context.dispatcher.AllowsPrompt(endpoint, m_meta.prompt_tokens);
 }
