Tests of the clients' side against scripted endpoints

Sixteen cases on loopback: at most once, cut, unframed, foreign and extra answers, streams that break off or go on, clients that leave, timeouts, ambiguous and too long requests. Ruled out: fixed ports, which tests that run at once would share. Before: no such test.

--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -28,6 +28,8 @@
   bool quiet() const { return m_exchanges.empty(); }
   std::size_t connections() const { return m_connections.size(); }
   std::size_t in_flight() const { return m_exchanges.size(); }
+  /// The port that clients reach.
+  std::uint16_t port() const { return m_listener->port(); }
 
   void OnRequest(std::shared_ptr<FrontConnection> connection,
                  FrontRequest request) override;
--- a/include/yuccamoor/transport/fleet/listener.h
+++ b/include/yuccamoor/transport/fleet/listener.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -19,11 +20,15 @@
  public:
   using Accepted = std::function<void(boost::asio::ip::tcp::socket)>;
 
-  /// Binds and listens; the finding of a failure names the address.
+  /// Binds and listens; port 0 takes a free one. The finding of a failure names
+  /// the address.
   static Result<std::unique_ptr<Listener>> Create(boost::asio::io_context& io,
                                                   const SocketAddress& address,
                                                   Accepted accepted);
 
+  /// The port that it listens on.
+  std::uint16_t port() const;
+
   void Close();
 
  private:
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -43,8 +43,8 @@
 
 void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
   OnPeerPrompt({engine, tokens});
-  const bool tell = m_context.view.nodes().size() <= kSmallFleet ||
-                    tokens >= kLargePrompt;
+  const bool tell =
+      m_context.view.nodes().size() <= kSmallFleet || tokens >= kLargePrompt;
   if (tell) m_broadcast(TellPrompt{engine, tokens});
 }
 
--- a/lib/transport/fleet/listener.cc
+++ b/lib/transport/fleet/listener.cc
@@ -52,6 +52,10 @@
       });
 }
 
+std::uint16_t Listener::port() const {
+  return m_acceptor.local_endpoint().port();
+}
+
 void Listener::Close() {
   boost::system::error_code ignored;
   m_acceptor.close(ignored);
--- /dev/null
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -0,0 +1,223 @@
+/// \file
+/// \brief Tests of what clients and endpoints see of a request.
+
+#include <catch2/catch.hpp>
+
+#include "transport/fleet/front_world.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nResponse-Stamp: s1\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Chunk(const std::string& data) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string size;
+  for (std::size_t n = data.size(); n > 0; n /= 16) {
+    size.insert(size.begin(), kDigits[n % 16]);
+  }
+  return size + "\r\n" + data + "\r\n";
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+ScriptedAnswer Send(std::string text) {
+  return {EndpointAct::kSend, std::move(text)};
+}
+ScriptedAnswer SendAndClose(std::string text) {
+  return {EndpointAct::kSendAndClose, std::move(text)};
+}
+ScriptedAnswer SendAndReset(std::string text) {
+  return {EndpointAct::kSendAndReset, std::move(text)};
+}
+
+const ScriptedAnswer kOk = {EndpointAct::kSend, AnswerText(200, "body")};
+
+}  // namespace
+
+TEST_CASE("An answer is passed on whole", "[fleet][front]") {
+  FrontWorld world({kOk}, {kOk});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "body");
+  CHECK(Contains(got, "HTTP/1.1 200 "));
+  CHECK(Contains(got, "Response-Stamp: s1\r\n"));
+  CHECK(Contains(got, "\r\n\r\nbody"));
+  REQUIRE(world.first().requests().size() == 1);
+  CHECK(Contains(world.first().requests()[0], "Expect-Instance: e1\r\n"));
+}
+
+TEST_CASE("A request that may have run is not sent again", "[fleet][front]") {
+  FrontWorld world({SendAndReset("")}, {SendAndReset("")});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "\r\n\r\n");
+  CHECK(Contains(got, "HTTP/1.1 502 "));
+  CHECK(world.requests_run() == 1);
+}
+
+TEST_CASE("A safe request is sent to another endpoint", "[fleet][front]") {
+  FrontWorld world({SendAndReset("")}, {kOk});
+  const std::string got = world.Exchange(RequestText("/safe/x"), "body");
+  CHECK(Contains(got, "HTTP/1.1 200 "));
+  CHECK(world.requests_run() == 2);
+}
+
+TEST_CASE("A request that an endpoint did not run goes to another one",
+          "[fleet][front]") {
+  FrontWorld world({Send(AnswerText(503, "", "Not-Run: 1\r\n"))}, {kOk});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "body");
+  CHECK(Contains(got, "HTTP/1.1 200 "));
+}
+
+TEST_CASE("A failure of an endpoint keeps its status and signature",
+          "[fleet][front]") {
+  FrontWorld world({Send(AnswerText(503, "sorry"))},
+                   {Send(AnswerText(503, "sorry"))});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "sorry");
+  CHECK(Contains(got, "HTTP/1.1 503 "));
+  CHECK(Contains(got, "Response-Stamp: s1\r\n"));
+  CHECK(world.requests_run() == 1);
+}
+
+TEST_CASE("An answer that is cut off is no answer", "[fleet][front]") {
+  std::string cut = AnswerText(200, "whole body");
+  cut.resize(cut.size() - 4);
+  FrontWorld world({SendAndClose(cut)}, {SendAndClose(cut)});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "\r\n\r\n");
+  CHECK(Contains(got, "HTTP/1.1 502 "));
+  CHECK_FALSE(Contains(got, "s1"));
+}
+
+TEST_CASE("An answer without a length is whole at an orderly end only",
+          "[fleet][front]") {
+  const std::string text =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n\r\nunframed";
+  SECTION("orderly") {
+    FrontWorld world({SendAndClose(text)}, {SendAndClose(text)});
+    CHECK(Contains(world.Exchange(RequestText("/unsafe/x"), "unframed"),
+                   "Content-Length: 8\r\n"));
+  }
+  SECTION("reset") {
+    FrontWorld world({SendAndReset(text)}, {SendAndReset(text)});
+    CHECK_FALSE(Contains(world.Exchange(RequestText("/unsafe/x"), "\r\n\r\n"),
+                         "HTTP/1.1 200"));
+  }
+}
+
+TEST_CASE("Another request's answer is passed over", "[fleet][front]") {
+  const std::string foreign =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nwrong";
+  FrontWorld world({Send(foreign + AnswerText(200, "right"))}, {kOk});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "right");
+  CHECK(Contains(got, "right"));
+  CHECK_FALSE(Contains(got, "wrong"));
+}
+
+TEST_CASE("Bytes after an answer end the connection to the endpoint",
+          "[fleet][front]") {
+  FrontWorld world({Send(AnswerText(200, "body") + "extra")}, {kOk});
+  const std::string one = RequestText("/unsafe/x");
+  CHECK(Contains(world.Exchange(one, "body"), "HTTP/1.1 200 "));
+  const std::string again = world.Exchange(one, "body");
+  CHECK(Contains(again, "HTTP/1.1 200 "));
+  CHECK_FALSE(Contains(again, "extra"));
+}
+
+TEST_CASE("A stream is passed on event by event to its end", "[fleet][front]") {
+  FrontWorld world({Send(kStreamHead + Chunk(Event(1) + Event(2)) +
+                         Chunk(Event(3)) + "0\r\n\r\n")},
+                   {kOk});
+  const std::string got = world.Exchange(RequestText("/stream/x"), "0\r\n\r\n");
+  CHECK(Contains(got, Event(1)));
+  CHECK(Contains(got, Event(3)));
+  CHECK(got.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("A stream that breaks off does not look complete", "[fleet][front]") {
+  const ScriptedAnswer broken =
+      SendAndReset(kStreamHead + Chunk(Event(1)) + Chunk("id: 2\nda"));
+  FrontWorld world({broken}, {broken});
+  const std::string got = world.Exchange(RequestText("/stream/x"), "0\r\n\r\n");
+  CHECK_FALSE(Contains(got, "0\r\n\r\n"));
+  CHECK_FALSE(Contains(got, "id: 2"));
+  CHECK(world.requests_run() == 1);
+}
+
+TEST_CASE("A resumable stream goes on at another endpoint without a gap",
+          "[fleet][front]") {
+  FrontWorld world(
+      {SendAndClose(kStreamHead + Chunk(Event(1)) + Chunk("id: 2\nda"))},
+      {Send(kStreamHead + Chunk(Event(2) + Event(3)) + "0\r\n\r\n")});
+  const std::string got =
+      world.Exchange(RequestText("/resumable/x"), "0\r\n\r\n");
+  CHECK(Contains(got, Event(1)));
+  CHECK(Contains(got, Event(2)));
+  CHECK(got.ends_with("0\r\n\r\n"));
+  REQUIRE(world.second().requests().size() == 1);
+  CHECK(Contains(world.second().requests()[0], "Last-Event-Id: 1\r\n"));
+}
+
+TEST_CASE("A client that leaves ends the work at the endpoint",
+          "[fleet][front]") {
+  FrontWorld world({Send(kStreamHead + Chunk(Event(1)))}, {kOk});
+  world.SendAndLeave(RequestText("/stream/x"), DurationMs(200));
+  world.Run(DurationMs(200));
+  CHECK(world.first().abandoned() == 1);
+}
+
+TEST_CASE("A request gets its final answer at its route's timeout",
+          "[fleet][front]") {
+  FrontWorld world({Send("")}, {Send("")});
+  const std::string got =
+      world.Exchange(RequestText("/unsafe/x"), "\r\n\r\n", DurationMs(3'000));
+  CHECK(Contains(got, "HTTP/1.1 504 "));
+  CHECK(world.requests_run() == 1);
+}
+
+TEST_CASE("Requests that two parsers could read in two ways are refused",
+          "[fleet][front]") {
+  FrontWorld world({kOk}, {kOk});
+  const std::string line = "POST /unsafe/x HTTP/1.1\r\n";
+  const std::string host = "Host: h.example\r\n";
+  const std::vector<std::string> requests = {
+      line + host + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+      line + host + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}",
+      line + host + "Transfer-Encoding: xchunked\r\n\r\n",
+      line + host + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+      line + host + host + "\r\n",
+      line + "Content-Length: 0\r\n\r\n",
+      "POST unsafe HTTP/1.1\r\n" + host + "\r\n",
+      "CONNECT /unsafe/x HTTP/1.1\r\n" + host + "\r\n",
+      "POST /unsafe/x HTTP/1.1\n" + host + "\r\n",
+      line + host + "Content-Length : 2\r\n\r\n{}",
+      line + host + "Content-Length: +2\r\n\r\n{}"};
+  for (const std::string& request : requests) {
+    CAPTURE(request);
+    CHECK(Contains(world.Exchange(request, "", DurationMs(500)),
+                   "HTTP/1.1 400 "));
+  }
+  CHECK(world.requests_run() == 0);
+}
+
+TEST_CASE("What is too long is refused by its own status", "[fleet][front]") {
+  FrontWorld world({kOk}, {kOk});
+  const std::string start = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n";
+  CHECK(Contains(
+      world.Exchange(start + "X: " + std::string(5'000, 'x') + "\r\n\r\n", "",
+                     DurationMs(500)),
+      "HTTP/1.1 431 "));
+  CHECK(Contains(world.Exchange(start + "Content-Length: 2000\r\n\r\n", "",
+                                DurationMs(500)),
+                 "HTTP/1.1 413 "));
+  CHECK(
+      Contains(world.Exchange("GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
+                              "\r\n\r\n"),
+               "HTTP/1.1 404 "));
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/unittests/transport/fleet/front_world.cc
@@ -0,0 +1,198 @@
+#include "transport/fleet/front_world.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "platform/request_dialect.h"
+#include "yuccamoor/state/fleet/boot_clock.h"
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+constexpr char kIp[] = "127.0.0.1";
+constexpr std::size_t kReadLimit = 1'048'576;
+constexpr std::chrono::milliseconds kStep{5};
+
+RouteSpec Route(const std::string& prefix, RequestKind kind, bool resumable) {
+  RouteSpec route;
+  route.name = prefix;
+  route.host = "h.example";
+  route.prefix = prefix;
+  route.kind = kind;
+  route.resumable = resumable;
+  route.timeout = DurationMs(1'500);
+  route.objective = DurationMs(400);
+  route.patience = DurationMs(1'600);
+  route.max_attempts = 2;
+  route.shares = {{ServiceId("s"), 1}};
+  return route;
+}
+
+FleetConfig Config() {
+  FleetConfig config;
+  config.version = Revision(1);
+  config.routes = {Route("/safe/", RequestKind::kSafe, false),
+                   Route("/unsafe/", RequestKind::kUnsafe, false),
+                   Route("/stream/", RequestKind::kStream, false),
+                   Route("/resumable/", RequestKind::kStream, true)};
+  config.services[ServiceId("s")] = {ServiceId("s"), std::nullopt};
+  config.limits.max_header_bytes = 4'096;
+  config.limits.max_body_bytes = 1'000;
+  return config;
+}
+
+EndpointEntry Entry(const std::string& id, std::uint16_t port) {
+  EndpointEntry entry;
+  entry.id = EndpointId(id);
+  entry.service = ServiceId("s");
+  entry.address = ToString(SocketAddress{kIp, port});
+  entry.domain = FailureDomainId(id == "e1" ? "a" : "b");
+  entry.slots = 4;
+  return entry;
+}
+
+NodeSettings Settings() {
+  NodeSettings settings;
+  settings.node = NodeId("n1");
+  settings.domain = FailureDomainId("a");
+  settings.front = {kIp, 0};
+  settings.retry_slack = 40;
+  return settings;
+}
+
+}  // namespace
+
+ScriptedEndpoint::ScriptedEndpoint(boost::asio::io_context& io,
+                                   std::vector<ScriptedAnswer> script)
+    : m_script(std::move(script)) {
+  m_listener = std::move(Listener::Create(io, {kIp, 0}, [this](auto socket) {
+                 m_connections.push_back(
+                     {std::make_unique<Socket>(std::move(socket)), ""});
+                 Await(m_connections.back());
+               })).value();
+}
+
+void ScriptedEndpoint::Await(Connection& connection) {
+  connection.socket->AwaitReadable(
+      [this, &connection] { OnReadable(connection); });
+}
+
+void ScriptedEndpoint::OnReadable(Connection& connection) {
+  const IoResult result = connection.socket->Read(connection.in, kReadLimit);
+  if (result.status == IoStatus::kEnd || result.status == IoStatus::kReset) {
+    ++m_abandoned;
+    connection.socket->Close();
+    return;
+  }
+  if (connection.in.find("\r\n\r\n") != std::string::npos) {
+    Answer(connection);
+  }
+  if (connection.socket->is_open()) Await(connection);
+}
+
+void ScriptedEndpoint::Answer(Connection& connection) {
+  const std::size_t turn = std::min(m_requests.size(), m_script.size() - 1);
+  m_requests.push_back(std::move(connection.in));
+  connection.in.clear();
+  const ScriptedAnswer& answer = m_script[turn];
+  connection.socket->Write(answer.text);
+  if (answer.act == EndpointAct::kSend) return;
+  connection.socket->Close(answer.act == EndpointAct::kSendAndReset);
+}
+
+struct FrontWorld::Parts {
+  explicit Parts(boost::asio::io_context& io)
+      : settings(Settings()),
+        log(clock, STDERR_FILENO),
+        registry(clock),
+        metrics(registry),
+        dialect(platform::CreateRequestDialect()),
+        context{io, clock, settings, *dialect, view, log, metrics},
+        dispatcher(
+            context, [](const NodeId&, const PeerMessage&) {},
+            [](const PeerMessage&) {}) {
+    view.Apply(ConfigWritten{Config()}, clock.Now());
+    front = std::move(FrontServer::Create(context, dispatcher)).value();
+  }
+
+  BootClock clock;
+  NodeSettings settings;
+  LineLog log;
+  MetricsRegistry registry;
+  NodeMetrics metrics;
+  std::unique_ptr<RequestDialect> dialect;
+  FleetView view;
+  NodeContext context;
+  Dispatcher dispatcher;
+  std::unique_ptr<FrontServer> front;
+};
+
+FrontWorld::FrontWorld(std::vector<ScriptedAnswer> first,
+                       std::vector<ScriptedAnswer> second)
+    : m_parts(std::make_unique<Parts>(m_io)) {
+  m_first = std::make_unique<ScriptedEndpoint>(m_io, std::move(first));
+  m_second = std::make_unique<ScriptedEndpoint>(m_io, std::move(second));
+  const TimeMs now = m_parts->clock.Now();
+  m_parts->view.Apply(EndpointWritten{Entry("e1", m_first->port())}, now);
+  m_parts->view.Apply(EndpointWritten{Entry("e2", m_second->port())}, now);
+}
+
+FrontWorld::~FrontWorld() = default;
+
+void FrontWorld::Run(DurationMs time) {
+  const TimeMs end = m_parts->clock.Now() + time;
+  while (m_parts->clock.Now() < end) {
+    m_io.restart();
+    m_io.run_for(kStep);
+    m_parts->front->OnTick(m_parts->clock.Now());
+  }
+}
+
+std::string FrontWorld::Exchange(const std::string& text,
+                                 const std::string& until, DurationMs time) {
+  Socket client(m_io);
+  bool connected = false;
+  client.Connect({kIp, m_parts->front->port()},
+                 [&](bool ok) { connected = ok; });
+  std::string in;
+  bool sent = false;
+  const TimeMs end = m_parts->clock.Now() + time;
+  while (m_parts->clock.Now() < end) {
+    Run(DurationMs(5));
+    if (!connected) continue;
+    if (!sent) client.Write(text);
+    sent = true;
+    const IoResult result = client.Read(in, kReadLimit);
+    if (result.status == IoStatus::kEnd) return in + "<end>";
+    if (result.status == IoStatus::kReset) return in + "<reset>";
+    if (!until.empty() && in.find(until) != std::string::npos) return in;
+  }
+  return in + "<time over>";
+}
+
+void FrontWorld::SendAndLeave(const std::string& text, DurationMs stay) {
+  Socket client(m_io);
+  client.Connect({kIp, m_parts->front->port()},
+                 [&](bool) { client.Write(text); });
+  Run(stay);
+  client.Close();
+}
+
+std::string RequestText(const std::string& path) {
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
+         "Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n{}";
+}
+
+std::string AnswerText(int status, const std::string& body,
+                       const std::string& fields) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nAttempt-Id: 9c41\r\nResponse-Stamp: s1\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace yuccamoor::fleet
--- /dev/null
+++ b/unittests/transport/fleet/front_world.h
@@ -0,0 +1,105 @@
+/// \file
+/// \brief A node's clients' side on loopback with scripted endpoints, for tests
+/// of what clients and endpoints see on their sockets.
+
+#ifndef YUCCAMOOR_UNITTESTS_TRANSPORT_FLEET_FRONT_WORLD_H_
+#define YUCCAMOOR_UNITTESTS_TRANSPORT_FLEET_FRONT_WORLD_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "yuccamoor/transport/fleet/front_server.h"
+
+namespace yuccamoor::fleet {
+
+/// What a scripted endpoint does with a request that it has read.
+enum class EndpointAct : std::uint8_t {
+  /// Sends the text and keeps the connection.
+  kSend,
+  /// Sends the text and closes.
+  kSendAndClose,
+  /// Sends the text and resets.
+  kSendAndReset,
+};
+
+/// One answer of a script; the last one serves all further requests.
+struct ScriptedAnswer {
+  EndpointAct act = EndpointAct::kSend;
+  std::string text;
+};
+
+/// An endpoint that reads requests and answers by its script.
+class ScriptedEndpoint {
+ public:
+  ScriptedEndpoint(boost::asio::io_context& io,
+                   std::vector<ScriptedAnswer> script);
+
+  std::uint16_t port() const { return m_listener->port(); }
+
+  /// The heads of the requests that were read.
+  const std::vector<std::string>& requests() const { return m_requests; }
+  /// Connections that the peer has closed while nothing was answered.
+  std::uint32_t abandoned() const { return m_abandoned; }
+
+ private:
+  struct Connection {
+    std::unique_ptr<Socket> socket;
+    std::string in;
+  };
+
+  void Await(Connection& connection);
+  void OnReadable(Connection& connection);
+  void Answer(Connection& connection);
+
+  std::vector<ScriptedAnswer> m_script;
+  std::vector<std::string> m_requests;
+  std::uint32_t m_abandoned = 0;
+  std::list<Connection> m_connections;
+  std::unique_ptr<Listener> m_listener;
+};
+
+/// A front server with two endpoints and three routes: /safe/, /unsafe/ and
+/// /stream/ go to the service "s", /resumable/ too.
+class FrontWorld {
+ public:
+  FrontWorld(std::vector<ScriptedAnswer> first,
+             std::vector<ScriptedAnswer> second);
+  ~FrontWorld();
+
+  /// Sends the text on a new connection, and runs until it is closed, \p until
+  /// has come or the time is over. Returns what came.
+  std::string Exchange(const std::string& text, const std::string& until,
+                       DurationMs time = DurationMs(2'000));
+  /// Sends the text, and leaves after a while.
+  void SendAndLeave(const std::string& text, DurationMs stay);
+  /// Runs the event loop for a while.
+  void Run(DurationMs time);
+
+  ScriptedEndpoint& first() { return *m_first; }
+  ScriptedEndpoint& second() { return *m_second; }
+  std::size_t requests_run() const {
+    return m_first->requests().size() + m_second->requests().size();
+  }
+
+ private:
+  struct Parts;
+
+  boost::asio::io_context m_io;
+  std::unique_ptr<Parts> m_parts;
+  std::unique_ptr<ScriptedEndpoint> m_first;
+  std::unique_ptr<ScriptedEndpoint> m_second;
+};
+
+/// Returns a request with the path, the id 9c41 and a body.
+std::string RequestText(const std::string& path);
+/// Returns a whole answer to it.
+std::string AnswerText(int status, const std::string& body,
+                       const std::string& fields = "");
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_UNITTESTS_TRANSPORT_FLEET_FRONT_WORLD_H_
