--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -106,6 +106,7 @@
     return a.score > b.score;
   });
   std::vector<EndpointId> ids;
+  ids.reserve(places.size());
   for (const Place& place : places) ids.push_back(place.endpoint->entry.id);
   return ids;
 }
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -287,6 +287,7 @@
       ranked.begin(), ranked.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<const Waiting*> order;
+  order.reserve(ranked.size());
   for (const auto& [rank, waiting] : ranked) order.push_back(waiting);
   return order;
 }
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -223,8 +223,8 @@
   const NodeSettings& settings = m_context.settings;
   auto it = m_retries.find(service);
   if (it == m_retries.end()) {
-    const double nodes =
-        std::max<std::size_t>(m_context.view.nodes().size(), 1);
+    const auto nodes = static_cast<double>(
+        std::max<std::size_t>(m_context.view.nodes().size(), 1));
     RetryBudgetOptions options;
     options.share = settings.retry_share * kBudgetPart;
     // A window may see the whole burst and what refills in it.
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -153,6 +153,11 @@
       std::min(m_deadline, m_request.received + m_route.patience) -
       kFirstEventTime;
   if (*expected <= latest) return;
+  m_context.node.log.Event("adapter_too_late")
+      .Text("request", m_meta.attempt.str())
+      .Text("adapter", ToString(*m_meta.adapter))
+      .Ms("expected_in_ms", *expected - now)
+      .Ms("latest_in_ms", latest - now);
   const DurationMs longest = (m_deadline - now) / kRetryAfterPart;
   Refuse("adapter comes too late", std::min(*expected - now, longest));
 }
@@ -578,6 +583,7 @@
   m_context.node.log.Event("request_end")
       .Text("request", m_meta.attempt.str())
       .Text("route", m_route.name)
+      .Text("adapter", m_meta.adapter ? ToString(*m_meta.adapter) : "none")
       .Text("outcome", word)
       .Text("reason", reason)
       .Text("endpoint", m_endpoint.str())
