--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -66,6 +66,7 @@
   void OnBroken();
   void OnSilent(TimeMs now);
   bool MayRepeat() const;
+  bool TakesRetry(const char* reason);
   bool Retry(const char* reason);
   void EndCall(bool healthy, bool counts);
   void AbandonCall();
@@ -91,6 +92,9 @@
   bool IsIdempotent() const;
   bool ResumesStream() const;
 
+  // Less time than this is no offer to an endpoint.
+  static constexpr DurationMs kShortestOffer{15};
+
   ExchangeContext& m_context;
   std::shared_ptr<FrontConnection> m_client;
   FrontRequest m_request;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -1,7 +1,6 @@
 #include "yuccamoor/transport/fleet/exchange.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "yuccamoor/state/stable_hash.h"
@@ -17,18 +16,8 @@
 // Streams are read this often: several events a wake-up, within the delay of
 // 120 ms that an event may have.
 constexpr DurationMs kStreamPoll{60};
-// After an engine said that an adapter is missing.
-constexpr DurationMs kMissingPause{30};
-constexpr DurationMs kBusyPause{25};
-// A safe request is sent elsewhere after this many objectives without answer.
-constexpr std::int64_t kSilentObjectives = 2;
-constexpr DurationMs kShortestSilence{250};
-// Less time than this is no offer to an endpoint.
-constexpr DurationMs kShortestOffer{15};
-constexpr std::uint32_t kMaxSends = 8;
 constexpr std::size_t kMaxPendingToClient = 262'144;
 constexpr DurationMs kNoEndpointRetryAfter{300};
-constexpr DurationMs kOverloadRetryAfter{200};
 // Holders tell several times a second that they give orders.
 constexpr DurationMs kNobodyLoadsTime{500};
 constexpr DurationMs kNobodyRetryAfter{1'500};
@@ -41,17 +30,6 @@
 constexpr int kPriorityBase = 3;
 constexpr int kLowestPriority = 9;
 
-std::string ChunkOf(std::string_view data) {
-  char size[20];
-  const auto written =
-      std::to_chars(size, size + sizeof(size), data.size(), 16);
-  std::string chunk(size, written.ptr);
-  chunk.append("\r\n").append(data).append("\r\n");
-  return chunk;
-}
-
-constexpr std::string_view kLastChunk = "0\r\n\r\n";
-
 }  // namespace
 
 Exchange::Exchange(ExchangeContext& context,
@@ -125,8 +103,6 @@
   Wait(now);
 }
 
-// Whether the prompt should wait for others at its engine: while there is time
-// to, so that it does not make the streams there late.
 bool Exchange::HoldsBack(const EndpointId& endpoint, TimeMs now) const {
   if (!m_meta.adapter || m_stream_started) return false;
   const DurationMs longest = m_route.objective - kFirstEventTime;
@@ -134,8 +110,6 @@
   return !m_context.dispatcher.AllowsPrompt(endpoint, m_meta.prompt_tokens);
 }
 
-// Waits for an adapter while the answer can still come before the client
-// leaves; otherwise the client comes back when the adapter is in place.
 void Exchange::Wait(TimeMs now) {
   if (!m_waiting_since) {
     m_waiting_since = now;
@@ -216,285 +190,6 @@
                 m_request.head.method == "HEAD", now, [this] { OnProgress(); });
 }
 
-void Exchange::OnProgress() {
-  if (m_ended || !m_call) return;
-  switch (m_call->state()) {
-    case CallState::kConnecting:
-    case CallState::kSent:
-      return;
-    case CallState::kAnswering:
-      OnAnswering();
-      return;
-    case CallState::kComplete:
-      OnComplete();
-      return;
-    case CallState::kNotSent:
-      OnNotSent();
-      return;
-    case CallState::kBroken:
-      OnBroken();
-      return;
-  }
-}
-
-void Exchange::OnAnswering() {
-  const bool success = m_call->head().status / 100 == 2;
-  if (m_route.kind != RequestKind::kStream || !success) return;
-  PassEvents();
-}
-
-void Exchange::OnComplete() {
-  const ResponseMeta& meta = m_call->meta();
-  if (meta.not_run) {
-    OnNotRun();
-    return;
-  }
-  ++m_runs;
-  const int status = m_call->head().status;
-  const bool success = status / 100 == 2;
-  if (m_route.kind == RequestKind::kStream && success) {
-    FinishStream();
-    return;
-  }
-  const bool server_error = status >= 500;
-  if (m_stream_started) {
-    OnBroken();
-    return;
-  }
-  if (server_error && IsIdempotent() && MayRepeat()) {
-    EndCall(false, true);
-    m_excluded.push_back(m_endpoint);
-    if (Retry("endpoint error")) return;
-    GiveUp("endpoint error and no retry is left", std::nullopt);
-    return;
-  }
-  PassWhole();
-}
-
-void Exchange::OnNotRun() {
-  const ResponseMeta meta = m_call->meta();
-  const int status = m_call->head().status;
-  m_context.node.log.Event("request_not_run_by_endpoint")
-      .Text("request", m_meta.attempt.str())
-      .Text("endpoint", m_endpoint.str())
-      .Number("status", status)
-      .Text("instance", meta.endpoint.str())
-      .Ms("held_ms", Held(m_context.node.clock.Now()));
-  const TimeMs now = m_context.node.clock.Now();
-  const bool other_instance =
-      !meta.endpoint.empty() && meta.endpoint != m_endpoint;
-  EndCall(true, false);
-  if (other_instance) {
-    m_context.node.view.endpoints().MarkLeaving(m_endpoint);
-    m_excluded.push_back(m_endpoint);
-  } else if (m_meta.adapter && !m_meta.adapter->name.empty() &&
-             (status == 421 || status == 503)) {
-    m_context.dispatcher.OnMissing(m_endpoint, *m_meta.adapter);
-    m_next_choice = now + kMissingPause;
-  } else {
-    m_excluded.push_back(m_endpoint);
-    m_next_choice = now + kBusyPause;
-  }
-  if (meta.closing && status == 503 && !other_instance) {
-    m_excluded.push_back(m_endpoint);
-  }
-  if (Retry("not run by endpoint")) return;
-  GiveUp("endpoint refused and no retry is left", kOverloadRetryAfter);
-}
-
-void Exchange::OnNotSent() {
-  const TimeMs now = m_context.node.clock.Now();
-  m_context.node.view.endpoints().OnConnectFailed(m_endpoint, now);
-  m_context.node.log.Event("connect_failed")
-      .Text("request", m_meta.attempt.str())
-      .Text("endpoint", m_endpoint.str())
-      .Ms("after_ms", now - m_sent);
-  EndCall(false, true);
-  m_excluded.push_back(m_endpoint);
-  if (m_sends >= kMaxSends) {
-    GiveUp("no endpoint reachable", kOverloadRetryAfter);
-    return;
-  }
-  // No byte was sent: this repeats nothing.
-  Dispatch(now);
-}
-
-void Exchange::OnBroken() {
-  ++m_runs;
-  const TimeMs now = m_context.node.clock.Now();
-  m_context.node.log.Event("call_broken")
-      .Text("request", m_meta.attempt.str())
-      .Text("endpoint", m_endpoint.str())
-      .Number("reused", m_call->reused() ? 1 : 0)
-      .Number("events", m_cutter.events())
-      .Ms("after_ms", now - m_sent);
-  if (m_stream_started) PassEvents();
-  if (m_ended) return;
-  m_cutter.DropPartial();
-  EndCall(false, true);
-  m_excluded.push_back(m_endpoint);
-  if (IsIdempotent() && MayRepeat() && Retry("broken call")) {
-    if (m_stream_started) m_context.node.metrics.streams_resumed.Add();
-    return;
-  }
-  GiveUp("call broken", std::nullopt);
-}
-
-bool Exchange::MayRepeat() const {
-  return m_runs < m_route.max_attempts && m_sends < kMaxSends;
-}
-
-bool Exchange::Retry(const char* reason) {
-  const TimeMs now = m_context.node.clock.Now();
-  const bool time_left = m_deadline - now > kShortestOffer;
-  if (!time_left || m_sends >= kMaxSends) return false;
-  if (!m_context.dispatcher.TakeRetry(m_service)) return false;
-  m_context.node.log.Event("request_retry")
-      .Text("request", m_meta.attempt.str())
-      .Text("reason", reason)
-      .Number("runs", m_runs)
-      .Number("sends", m_sends);
-  Dispatch(now);
-  return true;
-}
-
-void Exchange::EndCall(bool healthy, bool counts) {
-  if (!m_call) return;
-  const TimeMs now = m_context.node.clock.Now();
-  Endpoint* endpoint = m_context.node.view.endpoints().Find(m_endpoint);
-  if (endpoint && counts) {
-    endpoint->breaker.OnEnd(healthy, now);
-  } else if (endpoint) {
-    endpoint->breaker.OnCancel();
-  }
-  if (endpoint && m_call->state() != CallState::kNotSent &&
-      m_call->state() != CallState::kConnecting) {
-    m_context.node.view.endpoints().OnConnected(m_endpoint);
-  }
-  m_context.dispatcher.OnEnd(m_endpoint, m_meta.adapter);
-  if (m_call->state() == CallState::kComplete) {
-    m_call->Recycle(now);
-  } else {
-    m_call->Abort();
-  }
-  m_call.reset();
-}
-
-std::string Exchange::CloseField() const {
-  return Closes() ? "Connection: close\r\n" : "";
-}
-
-bool Exchange::Closes() const {
-  const auto connection = m_request.head.Find("connection");
-  return m_context.closing || SameHeaderName(connection, "close");
-}
-
-void Exchange::NoteFirstAnswer() {
-  if (m_answered_first) return;
-  m_answered_first = true;
-  m_first_answer = Held(m_context.node.clock.Now());
-  constexpr double kMsPerSecond = 1'000;
-  m_context.node.metrics.first_answer_seconds.Observe(
-      static_cast<double>(m_first_answer.ms()) / kMsPerSecond);
-}
-
-void Exchange::PassWhole() {
-  NoteFirstAnswer();
-  const bool healthy = m_call->head().status < 500;
-  const std::string body = std::move(m_call->body());
-  std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
-  out += CloseField();
-  AppendField(out, "Content-Length", std::to_string(body.size()));
-  out.append("\r\n").append(body);
-  EndCall(healthy, true);
-  if (!m_client_gone) m_client->Send(out);
-  End(Outcome::kAnswered, healthy ? "ok" : "endpoint error passed on");
-}
-
-void Exchange::StartStream() {
-  NoteFirstAnswer();
-  m_stream_started = true;
-  std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
-  out += CloseField();
-  out += "Transfer-Encoding: chunked\r\n\r\n";
-  m_client->Send(out);
-  if (m_ended) return;
-  m_call->Detach();
-  m_last_poll = m_context.node.clock.Now();
-}
-
-void Exchange::PassEvents() {
-  m_cutter.Feed(m_call->body());
-  m_call->body().clear();
-  const std::uint64_t before = m_cutter.events();
-  const std::string events = m_cutter.TakeWhole();
-  if (events.empty()) return;
-  m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
-  if (!m_stream_started) StartStream();
-  if (m_ended) return;
-  NotePause();
-  m_client->Send(ChunkOf(events));
-}
-
-void Exchange::NotePause() {
-  const TimeMs now = m_context.node.clock.Now();
-  if (m_last_events)
-    m_longest_pause = std::max(m_longest_pause, now - *m_last_events);
-  m_last_events = now;
-}
-
-void Exchange::FinishStream() {
-  PassEvents();
-  if (m_ended) return;
-  if (!m_cutter.AtBoundary()) {
-    OnBroken();
-    return;
-  }
-  if (!m_stream_started) StartStream();
-  if (m_ended) return;
-  m_client->Send(kLastChunk);
-  if (m_ended) return;
-  EndCall(true, true);
-  End(Outcome::kAnswered, "stream complete");
-}
-
-void Exchange::Refuse(const char* reason,
-                      std::optional<DurationMs> retry_after) {
-  OwnReply reply;
-  reply.status = 503;
-  reply.attempt = m_meta.attempt;
-  reply.retry_after = retry_after;
-  reply.close = Closes();
-  if (!m_client_gone) {
-    m_client->Send(m_context.node.dialect.EncodeOwnReply(reply));
-  }
-  End(Outcome::kRefused, reason);
-}
-
-void Exchange::Fail(int status, const char* reason) {
-  OwnReply reply;
-  reply.status = status;
-  reply.attempt = m_meta.attempt;
-  reply.close = Closes();
-  if (!m_client_gone) {
-    m_client->Send(m_context.node.dialect.EncodeOwnReply(reply));
-  }
-  End(Outcome::kFailed, reason);
-}
-
-void Exchange::GiveUp(const char* reason,
-                      std::optional<DurationMs> retry_after) {
-  if (m_stream_started) {
-    CutStream(reason);
-  } else if (m_runs > 0) {
-    Fail(502, reason);
-  } else {
-    Refuse(reason, retry_after);
-  }
-}
-
-void Exchange::CutStream(const char* reason) { End(Outcome::kFailed, reason); }
-
 void Exchange::OnDeadline() {
   const bool may_have_run =
       m_runs > 0 || (m_call && m_call->state() != CallState::kConnecting);
@@ -537,15 +232,6 @@
   OnProgress();
 }
 
-void Exchange::OnSilent(TimeMs now) {
-  if (m_route.kind != RequestKind::kSafe) return;
-  const DurationMs patience =
-      std::max(kShortestSilence, m_route.objective * kSilentObjectives);
-  if (now - m_sent < patience) return;
-  if (m_runs + 1 >= m_route.max_attempts) return;
-  OnBroken();
-}
-
 void Exchange::OnClientGone() {
   if (m_ended) return;
   m_client_gone = true;
@@ -556,51 +242,4 @@
   End(Outcome::kGone, "client left");
 }
 
-void Exchange::End(Outcome outcome, const char* reason) {
-  if (m_ended) return;
-  m_ended = true;
-  StopWaiting(m_context.node.clock.Now());
-  NodeMetrics& metrics = m_context.node.metrics;
-  const char* word = "answered";
-  switch (outcome) {
-    case Outcome::kAnswered:
-      metrics.answered.Add();
-      break;
-    case Outcome::kRefused:
-      metrics.refused.Add();
-      word = "refused";
-      break;
-    case Outcome::kFailed:
-      metrics.failed.Add();
-      word = "failed";
-      break;
-    case Outcome::kGone:
-      metrics.client_gone.Add();
-      word = "client_gone";
-      break;
-  }
-  const TimeMs now = m_context.node.clock.Now();
-  m_context.node.log.Event("request_end")
-      .Text("request", m_meta.attempt.str())
-      .Text("route", m_route.name)
-      .Text("adapter", m_meta.adapter ? ToString(*m_meta.adapter) : "none")
-      .Text("outcome", word)
-      .Text("reason", reason)
-      .Text("endpoint", m_endpoint.str())
-      .Number("runs", m_runs)
-      .Number("sends", m_sends)
-      .Number("events", m_cutter.events())
-      .Ms("waited_ms", m_waited)
-      .Ms("first_ms", m_first_answer)
-      .Ms("longest_pause_ms", m_longest_pause)
-      .Ms("held_ms", Held(now));
-  if (m_client_gone) return;
-  const bool cut = outcome == Outcome::kFailed && m_stream_started;
-  if (cut) {
-    m_client->Abort();
-  } else {
-    m_client->Finish(Closes());
-  }
-}
-
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -84,6 +84,16 @@
   CHECK(world.requests_run() == 1);
 }
 
+TEST_CASE("A safe request that fails everywhere keeps an endpoint's failure",
+          "[fleet][front]") {
+  FrontWorld world({Send(AnswerText(500, "sorry"))},
+                   {Send(AnswerText(500, "sorry"))});
+  const std::string got = world.Exchange(RequestText("/safe/x"), "sorry");
+  CHECK(Contains(got, "HTTP/1.1 500 "));
+  CHECK(Contains(got, "Response-Stamp: s1\r\n"));
+  CHECK(world.requests_run() == 2);
+}
+
 TEST_CASE("An answer that is cut off is no answer", "[fleet][front]") {
   std::string cut = AnswerText(200, "whole body");
   cut.resize(cut.size() - 4);
