Use the product's base64 in platform/

Cause: platform/ had a second copy, which read past the end of values whose length is no multiple of three. Before: two copies. Conclusion: found by the search for duplicates.

--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -3,9 +3,9 @@
 
 #include <catch2/catch.hpp>
 
-#include "platform/base64.h"
 #include "platform/config_codec.h"
 #include "yuccamoor/protocol/json.h"
+#include "yuccamoor/protocol/request/base64.h"
 
 namespace yuccamoor::platform {
 namespace {
