Count the log lines that were left out; drop accessors that nobody calls

Cause: a last reading of the change. yuccamoor_log_lines_dropped_total was made and documented but never set, so that it always read zero; six accessors and a field of requests had no user. Ruled out: a change of behaviour towards clients. Before: the counter stood at zero. After: it follows the log; fleet_tests pass (59 assertions), layers and format hold.

--- a/include/yuccamoor/protocol/fleet/event_cutter.h
+++ b/include/yuccamoor/protocol/fleet/event_cutter.h
@@ -21,7 +21,6 @@
 
   /// Whether the bytes so far end between two events.
   bool AtBoundary() const { return m_pending.empty(); }
-  std::size_t pending() const { return m_pending.size(); }
   /// Forgets an event that was cut off.
   void DropPartial() { m_pending.clear(); }
   /// The id of the last event handed out; empty without one.
--- a/include/yuccamoor/transport/fleet/front_connection.h
+++ b/include/yuccamoor/transport/fleet/front_connection.h
@@ -19,7 +19,6 @@
 struct FrontRequest {
   HttpHead head;
   std::string body;
-  TimeMs first_byte;
   TimeMs received;
 };
 
@@ -62,10 +61,6 @@
 
   /// Bytes that the client has not taken yet.
   std::size_t pending_bytes() const { return m_out.size() - m_out_begin; }
-  bool busy() const { return m_busy; }
-  /// Whether some of a request has come.
-  bool receiving() const { return !m_busy && m_receiving; }
-  bool open() const { return m_open; }
 
  private:
   void AwaitReadable();
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -49,6 +50,7 @@
   void BeginShutdown();
   void CheckShutdown(TimeMs now);
   void Tick();
+  void FlushLog(TimeMs now);
   void TellPeers(TimeMs now);
   void OnPeerMessage(const PeerMessage& message);
   void NoteUsed(const NodeStatus& status);
@@ -68,6 +70,7 @@
   boost::asio::steady_timer m_timer;
   TimeMs m_told;
   TimeMs m_flushed;
+  std::uint64_t m_counted_drops = 0;
   std::optional<TimeMs> m_stopping_since;
 };
 
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -27,14 +27,10 @@
   /// Whether the lease of this VM's earlier process was taken over.
   bool adopted() const { return m_adopted; }
 
-  /// Whether everything was read once.
-  bool has_view() const { return m_has_view; }
   /// The lease, while its records surely stand if nobody takes them away.
   std::optional<StoreLease> lease() const { return m_lease; }
   /// When the last renewal that succeeded was sent.
   TimeMs renewed() const { return m_renewed; }
-  /// When the store last answered a call about the view.
-  TimeMs last_answer() const { return m_last_answer; }
 
   /// Claims the right to give orders to an engine, under the lease.
   void Claim(const EndpointId& engine,
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -105,7 +105,6 @@
   FrontRequest request;
   request.head = std::move(m_parser->head());
   request.body = std::move(m_parser->body());
-  request.first_byte = m_first_byte;
   request.received = m_clock.Now();
   m_closing = !m_parser->keep_alive();
   m_parser->Restart(false);
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -169,13 +169,7 @@
   m_holder.OnTick(now);
   m_front->OnTick(now);
   TellPeers(now);
-  if (now - m_flushed >= kLogFlush) {
-    m_flushed = now;
-    m_context.log.Flush();
-    m_context.metrics.engines_held.Set(static_cast<double>(m_holder.held()));
-    m_context.metrics.requests_in_flight.Set(
-        static_cast<double>(m_front->in_flight()));
-  }
+  FlushLog(now);
   CheckShutdown(now);
   m_timer.expires_after(kTick);
   m_timer.async_wait([this](boost::system::error_code error) {
@@ -183,6 +177,17 @@
   });
 }
 
+void Node::FlushLog(TimeMs now) {
+  if (now - m_flushed < kLogFlush) return;
+  m_flushed = now;
+  m_context.log.Flush();
+  NodeMetrics& metrics = m_context.metrics;
+  metrics.log_lines_dropped.Add(m_context.log.dropped() - m_counted_drops);
+  m_counted_drops = m_context.log.dropped();
+  metrics.engines_held.Set(static_cast<double>(m_holder.held()));
+  metrics.requests_in_flight.Set(static_cast<double>(m_front->in_flight()));
+}
+
 void Node::TellPeers(TimeMs now) {
   const auto nodes = static_cast<std::int64_t>(m_context.view.nodes().size());
   const DurationMs interval =
