Hold prompts back strictly, read slow streams on arrival, sum peers' loads as told

(1) Prompts held back for 550 ms were sent whatever the engine still had to prefill; 189 of 264 windows with more prefill than a pause allows had such a prompt in them. (2) Streams were read every 62 ms, so that engine pauses of 190 to 245 ms reached clients as 250: 394 of the pauses lay there. Also: each status of a node recounted all nodes at all endpoints, and the table of adapters' homes was swept every 20 ms.

Change: from 250 ms before its objective a prompt may use up what pauses leave of their limit, never more; one that is late already waits as any other, and is refused when its client is about to leave. A stream whose pause nears the limit is read at its next event. Sums of peers' requests change with what a node tells; tables are swept once a second.

--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -66,8 +66,10 @@
   /// Notes that no connection to the endpoint could be made.
   void OnConnectFailed(const EndpointId& id, TimeMs now);
   void OnConnected(const EndpointId& id);
-  /// Takes the adapters that the endpoint's holder says it holds.
-  void SetAdapters(const EndpointId& id, AdapterSet adapters, TimeMs now);
+  /// Takes the adapters that the endpoint's holder says it holds. Returns
+  /// whether they differ from those known before.
+  bool SetAdapters(const EndpointId& id, const AdapterSet& adapters,
+                   TimeMs now);
 
   Endpoint* Find(const EndpointId& id);
   const Endpoint* Find(const EndpointId& id) const;
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -24,8 +24,18 @@
 /// the steps between them included.
 DurationMs PrefillBacklog(const Endpoint& engine, TimeMs now);
 
+/// How long a prompt can be held back.
+enum class PromptUrgency : std::uint8_t {
+  /// It is on time if it is sent later, or is late already.
+  kCanWait,
+  /// Now or late. It may use up what pauses usually leave of their limit, but
+  /// no more: a pause is the lateness of every stream at the engine.
+  kLastChance,
+};
+
 /// Whether a prompt may be sent now.
-bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens, TimeMs now);
+bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens,
+                  PromptUrgency urgency, TimeMs now);
 
 }  // namespace yuccamoor::fleet
 
--- a/include/yuccamoor/state/fleet/fleet_config.h
+++ b/include/yuccamoor/state/fleet/fleet_config.h
@@ -43,6 +43,9 @@
   DurationMs timeout{0};
   /// The latency objective: to the whole answer, or to the first event.
   DurationMs objective{0};
+  /// The longest pause between a stream's events that is not late; zero if
+  /// pauses do not matter.
+  DurationMs longest_pause{0};
   /// How long clients wait for the first event of a stream.
   DurationMs patience{0};
   /// 0 is the most urgent.
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -13,6 +13,8 @@
 
 #include "yuccamoor/coordination/fleet/adapter_popularity.h"
 #include "yuccamoor/coordination/fleet/endpoint_choice.h"
+#include "yuccamoor/coordination/fleet/peer_loads.h"
+#include "yuccamoor/coordination/fleet/prefill_pacing.h"
 #include "yuccamoor/coordination/request/retry_budget.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/node_context.h"
@@ -32,7 +34,8 @@
   EndpointChoice Choose(EndpointQuery query, int priority);
 
   /// Whether the engine can take the prompt without holding up its streams.
-  bool AllowsPrompt(const EndpointId& engine, std::uint32_t tokens) const;
+  bool AllowsPrompt(const EndpointId& engine, std::uint32_t tokens,
+                    PromptUrgency urgency) const;
   /// Notes a prompt that is sent to the engine, and tells peers of a large one.
   void OnPrompt(const EndpointId& engine, std::uint32_t tokens);
   void OnPeerPrompt(const TellPrompt& told);
@@ -102,7 +105,9 @@
                                        const std::vector<Asked>& asked,
                                        TimeMs now) const;
   void NoteHomes(const EndpointId& engine, const AdapterSet& adapters);
-  void CountPeers();
+  void NoteHeld(const std::map<EndpointId, HeldEngineStatus>& held, TimeMs now);
+  void ShowPeerLoads(const std::vector<EndpointId>& changed);
+  void Sweep(TimeMs now);
   void NotePopularity(const UsedAdapters& used, TimeMs now);
 
   NodeContext& m_context;
@@ -110,6 +115,7 @@
   Broadcast m_broadcast;
   AdapterPopularity m_popularity;
   std::map<NodeId, Peer> m_peers;
+  PeerLoads m_peer_loads;
   std::map<EndpointId, Ordering> m_ordering;
   std::map<AdapterRef, std::vector<Asked>> m_asked;
   // Requests since the adapter was asked for.
@@ -121,6 +127,7 @@
   UsedAdapters m_running;
   UsedAdapters m_begun;
   std::map<ServiceId, RetryBudget> m_retries;
+  TimeMs m_swept;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -57,6 +57,9 @@
 
   /// Stops waking up for each arrival; Poll reads what has come.
   void Detach();
+  /// Wakes up for each arrival again.
+  void Attach();
+  bool detached() const { return m_detached; }
   /// Reads what has come without waiting. Does not call back.
   void Poll();
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -54,6 +54,8 @@
 
   void Dispatch(TimeMs now);
   bool HoldsBack(const EndpointId& endpoint, TimeMs now) const;
+  /// Refuses a prompt that was held back until its client will leave.
+  void HoldBack(TimeMs now);
   void Wait(TimeMs now);
   void StopWaiting(TimeMs now);
   EndpointQuery MakeQuery(TimeMs now) const;
@@ -72,6 +74,7 @@
   void AbandonCall();
 
   void PassWhole();
+  void ReadStream(TimeMs now);
   void PassEvents();
   void NotePause();
   void FinishStream();
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -110,12 +110,14 @@
   }
 }
 
-void EndpointTable::SetAdapters(const EndpointId& id, AdapterSet adapters,
-                                TimeMs now) {
+bool EndpointTable::SetAdapters(const EndpointId& id,
+                                const AdapterSet& adapters, TimeMs now) {
   Endpoint* endpoint = Find(id);
-  if (!endpoint) return;
-  endpoint->adapters = std::move(adapters);
+  if (!endpoint) return false;
   endpoint->adapters_told = now;
+  if (endpoint->adapters == adapters) return false;
+  endpoint->adapters = adapters;
+  return true;
 }
 
 Endpoint* EndpointTable::Find(const EndpointId& id) {
--- a/lib/coordination/fleet/prefill_pacing.cc
+++ b/lib/coordination/fleet/prefill_pacing.cc
@@ -12,6 +12,7 @@
 // late after 250 ms. With this burst, and this part of the engine's time for
 // what follows it, five steps take (33 + 90) / (1 - 1/2) = 246 ms at most.
 constexpr DurationMs kLongestBurst{90};
+constexpr DurationMs kLongestLastBurst{150};
 constexpr std::int64_t kPrefillPart = 2;
 
 // The time that a prompt takes of the part meant for prefill.
@@ -30,10 +31,13 @@
   return std::max(DurationMs(0), engine.prefill_until - now);
 }
 
-bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens, TimeMs now) {
+bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens,
+                  PromptUrgency urgency, TimeMs now) {
   const DurationMs backlog = PrefillBacklog(engine, now);
+  const DurationMs burst =
+      urgency == PromptUrgency::kLastChance ? kLongestLastBurst : kLongestBurst;
   return backlog == DurationMs(0) ||
-         backlog + PacedTime(tokens) <= kLongestBurst * kPrefillPart;
+         backlog + PacedTime(tokens) <= burst * kPrefillPart;
 }
 
 }  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/coordination/fleet/stream_reading.cc
@@ -0,0 +1,25 @@
+#include "yuccamoor/coordination/fleet/stream_reading.h"
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Several events come together, within half of the shortest delay that a
+// deployment allows for an event.
+constexpr DurationMs kReadInterval{60};
+// Leaves room for one more interval and a late wake-up before the pause is
+// late.
+constexpr DurationMs kPauseMargin{90};
+
+}  // namespace
+
+StreamRead NextRead(const StreamProgress& stream, TimeMs now) {
+  const bool near_limit =
+      stream.longest_pause > kPauseMargin &&
+      now - stream.last_events >= stream.longest_pause - kPauseMargin;
+  if (near_limit) return StreamRead::kReadOnArrival;
+  return now - stream.last_read >= kReadInterval ? StreamRead::kRead
+                                                 : StreamRead::kWait;
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -1,10 +1,9 @@
 #include "yuccamoor/transport/fleet/dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
-#include "yuccamoor/coordination/fleet/prefill_pacing.h"
-
 namespace yuccamoor::fleet {
 
 namespace {
@@ -18,7 +17,9 @@
 // so that what a node hears stays bounded.
 constexpr std::size_t kSmallFleet = 16;
 constexpr std::uint32_t kLargePrompt = 2'000;
-constexpr std::size_t kMaxHomes = 8'192;
+constexpr std::size_t kMaxHomes = 16'384;
+// Tables of thousands of adapters are swept this often only.
+constexpr DurationMs kSweepInterval{1'000};
 constexpr DurationMs kAskLifetime{3'000};
 constexpr DurationMs kOrderingLifetime{1'200};
 constexpr DurationMs kPeerLifetime{1'500};
@@ -35,10 +36,11 @@
       m_send(std::move(send)),
       m_broadcast(std::move(broadcast)) {}
 
-bool Dispatcher::AllowsPrompt(const EndpointId& engine,
-                              std::uint32_t tokens) const {
+bool Dispatcher::AllowsPrompt(const EndpointId& engine, std::uint32_t tokens,
+                              PromptUrgency urgency) const {
   const Endpoint* known = m_context.view.endpoints().Find(engine);
-  return !known || fleet::AllowsPrompt(*known, tokens, m_context.clock.Now());
+  return !known ||
+         fleet::AllowsPrompt(*known, tokens, urgency, m_context.clock.Now());
 }
 
 void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
@@ -240,12 +242,8 @@
   const TimeMs now = m_context.clock.Now();
   m_peers[status.node] = {now, status};
   NotePopularity(status.used, now);
-  for (const auto& [engine, held] : status.held) {
-    m_context.view.endpoints().SetAdapters(engine, held.adapters, now);
-    NoteOrdering(engine, held);
-    NoteHomes(engine, held.adapters);
-  }
-  CountPeers();
+  NoteHeld(status.held, now);
+  ShowPeerLoads(m_peer_loads.Set(status.node, status.in_flight));
 }
 
 void Dispatcher::NotePopularity(const UsedAdapters& used, TimeMs now) {
@@ -258,11 +256,17 @@
 
 void Dispatcher::OnLocalHeld(
     const std::map<EndpointId, HeldEngineStatus>& held) {
-  const TimeMs now = m_context.clock.Now();
+  NoteHeld(held, m_context.clock.Now());
+}
+
+void Dispatcher::NoteHeld(const std::map<EndpointId, HeldEngineStatus>& held,
+                          TimeMs now) {
+  EndpointTable& endpoints = m_context.view.endpoints();
   for (const auto& [engine, state] : held) {
-    m_context.view.endpoints().SetAdapters(engine, state.adapters, now);
     NoteOrdering(engine, state);
-    NoteHomes(engine, state.adapters);
+    if (endpoints.SetAdapters(engine, state.adapters, now)) {
+      NoteHomes(engine, state.adapters);
+    }
   }
 }
 
@@ -302,15 +306,10 @@
   });
 }
 
-void Dispatcher::CountPeers() {
-  for (auto& [id, endpoint] : m_context.view.endpoints().all()) {
-    endpoint.peers_in_flight = 0;
-    for (const auto& [node, peer] : m_peers) {
-      const auto it = peer.status.in_flight.find(id);
-      if (it != peer.status.in_flight.end()) {
-        endpoint.peers_in_flight += it->second;
-      }
-    }
+void Dispatcher::ShowPeerLoads(const std::vector<EndpointId>& changed) {
+  for (const EndpointId& id : changed) {
+    Endpoint* endpoint = m_context.view.endpoints().Find(id);
+    if (endpoint) endpoint->peers_in_flight = m_peer_loads.Sum(id);
   }
 }
 
@@ -341,21 +340,27 @@
 }
 
 void Dispatcher::OnTick(TimeMs now) {
-  m_popularity.Expire(now);
-  const std::size_t before = m_peers.size();
-  std::erase_if(m_peers, [now](const auto& item) {
-    return now - item.second.heard > kPeerLifetime;
+  for (auto it = m_peers.begin(); it != m_peers.end();) {
+    const bool silent = now - it->second.heard > kPeerLifetime;
+    if (silent) ShowPeerLoads(m_peer_loads.Forget(it->first));
+    it = silent ? m_peers.erase(it) : std::next(it);
+  }
+  std::erase_if(m_asked, [now](const auto& item) {
+    return item.second.empty() || now - item.second.back().first > kAskLifetime;
   });
-  if (m_peers.size() != before) CountPeers();
+  if (now - m_swept < kSweepInterval) return;
+  m_swept = now;
+  Sweep(now);
+}
+
+void Dispatcher::Sweep(TimeMs now) {
+  m_popularity.Expire(now);
   std::erase_if(m_demand, [this](const auto& item) {
     return !m_asked.contains(item.first);
   });
   std::erase_if(m_homes, [this](const auto& item) {
     return !m_context.view.endpoints().Find(item.second);
   });
-  std::erase_if(m_asked, [now](const auto& item) {
-    return item.second.empty() || now - item.second.back().first > kAskLifetime;
-  });
 }
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -146,6 +146,12 @@
   if (m_socket) m_socket->Detach();
 }
 
+void EndpointCall::Attach() {
+  if (!m_detached || m_state != CallState::kAnswering) return;
+  m_detached = false;
+  AwaitResponse();
+}
+
 void EndpointCall::Recycle(TimeMs now) {
   m_progress = nullptr;
   const bool clean = m_state == CallState::kComplete && !m_tainted &&
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "yuccamoor/coordination/fleet/prefill_pacing.h"
+#include "yuccamoor/coordination/fleet/stream_reading.h"
 #include "yuccamoor/state/stable_hash.h"
 
 namespace yuccamoor::fleet {
@@ -13,14 +15,13 @@
 constexpr DurationMs kChooseAgain{40};
 // How long a new connection may take.
 constexpr DurationMs kConnectTime{300};
-// Streams are read this often: several events a wake-up, within the delay of
-// 120 ms that an event may have.
-constexpr DurationMs kStreamPoll{60};
 constexpr std::size_t kMaxPendingToClient = 262'144;
 constexpr DurationMs kNoEndpointRetryAfter{300};
 // Holders tell several times a second that they give orders.
 constexpr DurationMs kNobodyLoadsTime{500};
 constexpr DurationMs kNobodyRetryAfter{1'500};
+// Most of the prompts that an engine was sent have been prefilled by then.
+constexpr DurationMs kBusyEngineRetryAfter{400};
 // From an adapter's arrival to its first event.
 constexpr DurationMs kFirstEventTime{250};
 // Clients honour a Retry-After of up to this part of their time left.
@@ -97,7 +98,11 @@
     return;
   }
   if (choice.send_to) {
-    if (!HoldsBack(*choice.send_to, now)) SendTo(*choice.send_to, now);
+    if (HoldsBack(*choice.send_to, now)) {
+      HoldBack(now);
+    } else {
+      SendTo(*choice.send_to, now);
+    }
     return;
   }
   Wait(now);
@@ -105,9 +110,18 @@
 
 bool Exchange::HoldsBack(const EndpointId& endpoint, TimeMs now) const {
   if (!m_meta.adapter || m_stream_started) return false;
-  const DurationMs longest = m_route.objective - kFirstEventTime;
-  if (Held(now) >= longest) return false;
-  return !m_context.dispatcher.AllowsPrompt(endpoint, m_meta.prompt_tokens);
+  const DurationMs held = Held(now);
+  // One that is late already is not worth the pauses of others.
+  const bool last_chance =
+      held >= m_route.objective - kFirstEventTime && held < m_route.objective;
+  return !m_context.dispatcher.AllowsPrompt(
+      endpoint, m_meta.prompt_tokens,
+      last_chance ? PromptUrgency::kLastChance : PromptUrgency::kCanWait);
+}
+
+void Exchange::HoldBack(TimeMs now) {
+  if (now < m_request.received + m_route.patience - kFirstEventTime) return;
+  Refuse("prompts ahead take too long", kBusyEngineRetryAfter);
 }
 
 void Exchange::Wait(TimeMs now) {
@@ -225,8 +239,20 @@
     OnSilent(now);
     return;
   }
-  if (!m_stream_started || now - m_last_poll < kStreamPoll) return;
+  if (m_stream_started) ReadStream(now);
+}
+
+void Exchange::ReadStream(TimeMs now) {
+  if (!m_call->detached()) return;
   if (m_client->pending_bytes() > kMaxPendingToClient) return;
+  const StreamProgress stream{m_last_poll, m_last_events.value_or(m_last_poll),
+                              m_route.longest_pause};
+  const StreamRead next = NextRead(stream, now);
+  if (next == StreamRead::kWait) return;
+  if (next == StreamRead::kReadOnArrival) {
+    m_call->Attach();
+    return;
+  }
   m_last_poll = now;
   m_call->Poll();
   OnProgress();
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -61,6 +61,7 @@
   if (m_ended) return;
   m_call->Detach();
   m_last_poll = m_context.node.clock.Now();
+  m_last_events = m_last_poll;
 }
 
 void Exchange::PassEvents() {
@@ -73,6 +74,9 @@
   if (!m_stream_started) StartStream();
   if (m_ended) return;
   NotePause();
+  // Read in intervals again, also if the pause before was long.
+  m_call->Detach();
+  m_last_poll = m_context.node.clock.Now();
   m_client->Send(ChunkOf(events));
 }
 
--- a/unittests/coordination/fleet/prefill_pacing_test.cc
+++ b/unittests/coordination/fleet/prefill_pacing_test.cc
@@ -64,7 +64,9 @@
   for (int ms = 0; ms < 4'000; ms += 10) {
     const TimeMs now(ms);
     while (ms >= kBurstMs && !waiting.empty()) {
-      if (paced && !AllowsPrompt(endpoint, waiting.front(), now)) break;
+      if (paced && !AllowsPrompt(endpoint, waiting.front(),
+                                 PromptUrgency::kCanWait, now))
+        break;
       NotePrompt(endpoint, waiting.front(), now);
       engine.Add(waiting.front());
       waiting.pop_front();
@@ -75,6 +77,55 @@
   return longest;
 }
 
+// What becomes of a prompt that has waited for most of its objective.
+enum class LastChance { kUsesWhatPausesLeave, kIsForced };
+
+// Plays prompts that take 45% of the engine's time, in clumps as clients send
+// them, and returns the longest pause.
+double PlayLoad(LastChance last_chance, std::uint32_t seed) {
+  constexpr int kEndMs = 20'000;
+  constexpr double kPromptsPerMs = 0.017;
+  constexpr DurationMs kObjective{800};
+  constexpr DurationMs kLastChanceFrom{550};
+  struct Prompt {
+    TimeMs came;
+    std::uint32_t tokens;
+  };
+  std::mt19937 random(seed);
+  std::lognormal_distribution<double> sizes(6.4, 1.0);
+  std::exponential_distribution<double> distances(kPromptsPerMs);
+  Endpoint endpoint(EngineEntry("e1"));
+  SteppingEngine engine;
+  std::deque<Prompt> waiting;
+  double next_ms = kBurstMs;
+  double longest = 0;
+  for (int ms = 0; ms < kEndMs; ms += 10) {
+    const TimeMs now(ms);
+    for (; next_ms <= ms; next_ms += distances(random)) {
+      const double tokens = std::min(sizes(random), 6'800.0);
+      waiting.push_back({now, static_cast<std::uint32_t>(tokens)});
+    }
+    std::deque<Prompt> left;
+    for (const Prompt& prompt : waiting) {
+      const DurationMs held = now - prompt.came;
+      const bool last = held >= kLastChanceFrom && held < kObjective;
+      const bool forced =
+          held >= kLastChanceFrom && last_chance == LastChance::kIsForced;
+      const auto urgency =
+          last ? PromptUrgency::kLastChance : PromptUrgency::kCanWait;
+      if (!forced && !AllowsPrompt(endpoint, prompt.tokens, urgency, now)) {
+        left.push_back(prompt);
+        continue;
+      }
+      NotePrompt(endpoint, prompt.tokens, now);
+      engine.Add(prompt.tokens);
+    }
+    waiting = std::move(left);
+    longest = engine.RunUntil(ms);
+  }
+  return longest;
+}
+
 }  // namespace
 
 TEST_CASE("A burst of prompts does not make running streams late",
@@ -88,14 +139,29 @@
   CHECK(PlayBurst(false, 1) > 250);
 }
 
+TEST_CASE("Prompts that have waited long make no running stream late",
+          "[fleet][pacing][load]") {
+  // Pattern: a heavy day, on which prompts take nearly half of an engine's time
+  // and some have waited for most of their objective. Sending these at once
+  // makes every stream at the engine late.
+  int late_if_forced = 0;
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    CHECK(PlayLoad(LastChance::kUsesWhatPausesLeave, seed) <= 250);
+    if (PlayLoad(LastChance::kIsForced, seed) > 250) ++late_if_forced;
+  }
+  CHECK(late_if_forced >= 10);
+}
+
 TEST_CASE("A large prompt goes when nothing else is prefilled",
           "[fleet][pacing]") {
   Endpoint endpoint(EngineEntry("e1"));
-  CHECK(AllowsPrompt(endpoint, 8'000, TimeMs(0)));
+  CHECK(AllowsPrompt(endpoint, 8'000, PromptUrgency::kCanWait, TimeMs(0)));
   NotePrompt(endpoint, 800, TimeMs(0));
-  CHECK_FALSE(AllowsPrompt(endpoint, 8'000, TimeMs(1)));
-  CHECK(AllowsPrompt(endpoint, 800, TimeMs(1)));
-  CHECK(AllowsPrompt(endpoint, 8'000, TimeMs(100)));
+  CHECK_FALSE(
+      AllowsPrompt(endpoint, 8'000, PromptUrgency::kCanWait, TimeMs(1)));
+  CHECK(AllowsPrompt(endpoint, 800, PromptUrgency::kCanWait, TimeMs(1)));
+  CHECK(AllowsPrompt(endpoint, 8'000, PromptUrgency::kCanWait, TimeMs(100)));
 }
 
 }  // namespace yuccamoor::fleet
