Retire adapters before they are unloaded; replace a version only without runs

Cause: an engine carries out one unload or replacement at a time, and both wait for runs. A repeated order for what is pending is accepted without being counted.

Change: a holder tells the other nodes of a small fleet that an adapter is retired and unloads it 60 ms later unless one of them answers that it uses it; one place is kept free. An older version in use is not replaced; its holder does not answer, so that the node asks for another engine. While both versions may answer, requests go to either. A full batch takes no prompt.

--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -67,11 +67,24 @@
   DurationMs model_load{2'000};
 };
 
+/// What an engine's holder knows of the fleet.
+struct FleetPace {
+  /// Adapters on their way to other engines.
+  std::uint32_t loads_elsewhere = 0;
+  /// How often nodes tell each other what they use.
+  DurationMs status_interval{250};
+  /// From telling that an adapter is retired until every node that uses it has
+  /// said so. Zero in large fleets, where this is not told.
+  DurationMs retire_time{0};
+};
+
 /// What a poll asks its caller to do.
 struct EngineHostActions {
   std::optional<EngineOrder> order;
   bool fetch_report = false;
   std::vector<LoadNotice> notices;
+  /// Adapters that every node should stop using.
+  std::vector<AdapterRef> retired;
 };
 
 /// The orders of one engine. Gives one order at a time and counts every place
@@ -98,10 +111,13 @@
   /// Takes the end of the order that a poll returned.
   void OnOrderEnd(OrderEnd end, TimeMs now);
 
-  /// Decides what to do now. \p loads_elsewhere counts adapters on their way
-  /// to other engines. Call it after each event and when its time may have
-  /// come.
-  EngineHostActions Poll(TimeMs now, std::uint32_t loads_elsewhere);
+  /// Decides what to do now. Call it after each event and when its time may
+  /// have come.
+  EngineHostActions Poll(TimeMs now, const FleetPace& pace);
+  /// Whether the adapter can be loaded without waiting for the runs of an
+  /// older version.
+  bool CanTake(const AdapterRef& adapter, AdapterRevision version,
+               TimeMs now) const;
 
   /// The adapters in place.
   AdapterSet Resident() const;
@@ -112,12 +128,24 @@
   std::size_t waiting() const { return m_waiting.size(); }
 
  private:
-  enum class PlaceState : std::uint8_t { kLoading, kResident, kUnloading };
+  enum class PlaceState : std::uint8_t {
+    kLoading,
+    kResident,
+    /// Told to be leaving, so that no node sends more requests for it; unloaded
+    /// if no node answers that it uses it.
+    kRetiring,
+    /// The engine unloads it when its runs have ended.
+    kUnloading,
+    /// An older version is there until its runs have ended; then the newer one
+    /// is loaded.
+    kReplacing,
+  };
   struct Place {
     PlaceState state = PlaceState::kLoading;
     AdapterRevision version;
     TimeMs ready_at;
     TimeMs loaded_at;
+    TimeMs retired_at;
     TimeMs last_used;
     // Requests, each counting half after a half-life.
     double uses = 0;
@@ -145,8 +173,18 @@
   DurationMs EstimateWait(const Waiting& waiting, TimeMs now) const;
   bool IsCold(const AdapterRef& adapter) const;
   bool MayStartLoad(bool cold) const;
-  void TakeUnloaded(const EngineReport& report, TimeMs now);
-  std::optional<EngineOrder> UnloadVictim(TimeMs now);
+  void TakeFinished(const EngineReport& report, TimeMs now);
+  void TakeReplaced(const EngineReport& report, TimeMs now);
+  void KeepPending(const EngineReport& report,
+                   std::map<AdapterRef, Place>& places) const;
+  void RetireSpares(TimeMs now, std::vector<AdapterRef>& retired);
+  std::size_t PlacesToFree() const;
+  std::map<AdapterRef, Place>::iterator FindVictim(TimeMs now);
+  bool IsWanted(const AdapterRef& adapter) const;
+  bool IsInUse(const Place& place, TimeMs now) const;
+  bool WaitsForRuns() const;
+  std::optional<EngineOrder> UnloadRetired(TimeMs now) const;
+  EngineOrder MakeOrder(bool load, const AdapterRef& adapter) const;
   void Resync(TimeMs at);
   void ApplyLoad(OrderEnd end, TimeMs now);
   void ApplyUnload(OrderEnd end, TimeMs now);
@@ -154,6 +192,11 @@
   void RememberHeld(const AdapterRef& adapter);
   double DecayedUses(const Place& place, TimeMs now) const;
 
+  // A report shows the state of some hundred milliseconds ago.
+  static constexpr DurationMs kReportLag{350};
+  // While an order waits for runs to end, reports are read this often.
+  static constexpr DurationMs kPendingCheck{300};
+
   EngineHostOptions m_options;
   Epoch m_fence;
   TimeMs m_order_from;
@@ -164,7 +207,7 @@
   bool m_has_model = false;
   std::uint64_t m_accepted = 0;
   std::optional<TimeMs> m_last_accepted;
-  std::uint32_t m_loads_elsewhere = 0;
+  FleetPace m_pace;
   std::map<AdapterRef, Place> m_places;
   std::list<Waiting> m_waiting;
   std::optional<EngineOrder> m_order;
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -33,7 +33,8 @@
   kLastChance,
 };
 
-/// Whether a prompt may be sent now.
+/// Whether a prompt may be sent now. An engine whose batch is full takes none:
+/// held back, it can still go to an engine that gets the adapter meanwhile.
 bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens,
                   PromptUrgency urgency, TimeMs now);
 
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -83,14 +83,29 @@
   AdapterRef adapter;
 };
 
+/// Tells all nodes that an engine will unload an adapter unless one of them
+/// has requests for it there.
+struct TellRetired {
+  NodeId holder;
+  EndpointId engine;
+  AdapterRef adapter;
+};
+
+/// Answers TellRetired of a node with such requests.
+struct TellInUse {
+  EndpointId engine;
+  AdapterRef adapter;
+};
+
 /// Tells that an engine has a large prompt to prefill.
 struct TellPrompt {
   EndpointId engine;
   std::uint32_t tokens = 0;
 };
 
-using PeerMessage = std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded,
-                                 TellMissing, TellPrompt>;
+using PeerMessage =
+    std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
+                 TellPrompt, TellRetired, TellInUse>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -21,6 +21,10 @@
 
 namespace yuccamoor::fleet {
 
+/// In fleets up to this size, nodes tell each other single events; in larger
+/// ones what a node hears has to stay bounded.
+inline constexpr std::size_t kSmallFleet = 16;
+
 /// Shared by all requests of a node.
 class Dispatcher {
  public:
@@ -57,6 +61,9 @@
   /// Notes that an engine does not hold an adapter that it was thought to.
   void OnMissing(const EndpointId& engine, const AdapterRef& adapter);
 
+  /// Stops using the adapter there, unless requests of this node run on it.
+  std::optional<TellInUse> OnRetired(const TellRetired& told);
+
   /// Takes one retry to the service out of the budget; false if none is left.
   bool TakeRetry(const ServiceId& service);
   /// Notes a client's request to the service, which earns a share of a retry.
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -25,9 +25,11 @@
  public:
   /// Called with an adapter that has come into place for a node.
   using Notify = std::function<void(const NodeId&, const TellLoaded&)>;
+  /// Called with an adapter that every node should stop using.
+  using Announce = std::function<void(const TellRetired&)>;
 
   EngineHolder(NodeContext& context, StoreSession& session,
-               EngineControl& control, Notify notify);
+               EngineControl& control, Notify notify, Announce announce);
 
   /// Takes up and gives up engines by the view of the store.
   void OnViewChanged();
@@ -42,10 +44,10 @@
   /// node does not hold the engine.
   std::optional<TellQueued> OnAskLoad(const AskLoad& ask);
   void OnTellMissing(const TellMissing& told);
+  void OnTellInUse(const TellInUse& told);
   void OnUsed(const EndpointId& engine, const AdapterRef& adapter,
               std::uint32_t requests);
-  /// Adapters on their way to engines that other nodes hold.
-  void SetLoadsElsewhere(std::uint32_t loads) { m_loads_elsewhere = loads; }
+  void SetPace(const FleetPace& pace) { m_pace = pace; }
 
   std::map<EndpointId, HeldEngineStatus> Status() const;
   std::size_t held() const { return m_held.size(); }
@@ -79,6 +81,7 @@
   StoreSession& m_session;
   EngineControl& m_control;
   Notify m_notify;
+  Announce m_announce;
   HolderClaims m_claims;
   std::map<EndpointId, Held> m_held;
   TimeMs m_started;
@@ -86,7 +89,7 @@
   // When this node last had the right to order engines that it held.
   std::map<EndpointId, TimeMs> m_last_valid;
   bool m_claiming = false;
-  std::uint32_t m_loads_elsewhere = 0;
+  FleetPace m_pace;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -51,6 +51,8 @@
   void CheckShutdown(TimeMs now);
   void Tick();
   void FlushLog(TimeMs now);
+  /// How often this node tells the others its state.
+  DurationMs TellInterval() const;
   void TellPeers(TimeMs now);
   void OnPeerMessage(const PeerMessage& message);
   void NoteUsed(const NodeStatus& status);
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -120,6 +120,21 @@
   return holders;
 }
 
+// Engines that may answer with any version: those that hold the wanted one, and
+// those that hold an older one and begin at once. A request that queues could
+// begin when the older version is no longer accepted.
+Candidates HoldersOfAny(const Candidates& candidates,
+                        const EndpointQuery& query) {
+  Candidates holders;
+  for (const Endpoint* endpoint : candidates) {
+    const bool begins_at_once = endpoint->load() < endpoint->entry.slots;
+    const AdapterRevision oldest =
+        begins_at_once ? AdapterRevision() : query.version;
+    if (Holds(*endpoint, *query.adapter, oldest)) holders.push_back(endpoint);
+  }
+  return holders;
+}
+
 // Engines without the adapter, in the order in which all nodes choose them.
 std::vector<EndpointId> PlacesForCopy(const Candidates& candidates,
                                       const Candidates& holders,
@@ -154,12 +169,12 @@
   choice.any_usable = true;
   const AdapterRef& adapter = *query.adapter;
   const double average = AverageLoad(candidates);
-  Candidates holders = HoldersOf(candidates, adapter, query.version);
+  const Candidates holders = HoldersOf(candidates, adapter, query.version);
   const bool in_place = !holders.empty();
-  if (!in_place && query.accept_older) {
-    holders = HoldersOf(candidates, adapter, AdapterRevision());
-  }
-  const Endpoint* target = Freest(holders, now);
+  // While both versions may answer, the few engines with the newer one do not
+  // take all requests of a busy adapter.
+  const Endpoint* target = Freest(
+      query.accept_older ? HoldersOfAny(candidates, query) : holders, now);
   if (target) choice.send_to = target->entry.id;
   if (!in_place) {
     choice.load_at = PlacesFor(candidates, adapter, average);
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 namespace yuccamoor::fleet {
@@ -16,20 +15,13 @@
 constexpr std::uint32_t kFullSpeedLoads = 8;
 // Adapters that may be on their way to one engine at once.
 constexpr std::uint32_t kMaxTransit = 4;
-// Unloads that wait for runs to end at once.
-constexpr std::uint32_t kMaxUnloading = 3;
 // An engine says that an adapter is missing: its load took longer than
 // expected.
 constexpr DurationMs kMissingExtension{60};
 constexpr DurationMs kRecentLoad{2'000};
 constexpr std::uint32_t kMissesBeforeReport = 6;
-// A report shows the state of some hundred milliseconds ago.
-constexpr DurationMs kReportLag{350};
-constexpr DurationMs kReportRetry{400};
-constexpr DurationMs kUnloadCheck{700};
-// An adapter that was used this recently may still have runs.
-constexpr DurationMs kInUseTime{650};
-constexpr double kUseHalfLifeMs = 8'000;
+// Streams of the older version last about this long.
+constexpr DurationMs kReplaceTime{2'000};
 constexpr DurationMs kRequestLifetime{4'000};
 constexpr std::size_t kHeldAdapters = 150;
 // What a step of priority is worth in waiting time.
@@ -68,6 +60,10 @@
   it->version = std::max(it->version, request.version);
   it->priority = std::min(it->priority, request.priority);
   it->requesters[request.requester] = {request.demand, now};
+  const auto place = m_places.find(request.adapter);
+  if (place != m_places.end() && place->second.state == PlaceState::kRetiring) {
+    place->second.state = PlaceState::kResident;
+  }
   return EstimateWait(*it, now);
 }
 
@@ -78,6 +74,7 @@
   Place& place = it->second;
   place.uses = DecayedUses(place, now) + requests;
   place.last_used = now;
+  if (place.state == PlaceState::kRetiring) place.state = PlaceState::kResident;
 }
 
 void EngineHost::OnMissing(const AdapterRef& adapter, TimeMs now) {
@@ -104,68 +101,6 @@
   Resync(std::max(now, m_order_from));
 }
 
-void EngineHost::OnReport(const std::optional<EngineReport>& report,
-                          TimeMs now) {
-  m_report_pending = false;
-  if (!report) {
-    m_report_at = now + kReportRetry;
-    return;
-  }
-  if (m_synced) {
-    TakeUnloaded(*report, now);
-    return;
-  }
-  std::map<AdapterRef, Place> places;
-  const auto adopt = [&](const AdapterSet& adapters, PlaceState state) {
-    for (const auto& [adapter, version] : adapters) {
-      const auto known = m_places.find(adapter);
-      Place place = known == m_places.end() ? Place() : known->second;
-      place.state = state;
-      place.version = version;
-      place.misses = 0;
-      place.ready_at = now + kColdLoad;
-      if (known == m_places.end()) place.loaded_at = now;
-      places[adapter] = place;
-      RememberHeld(adapter);
-    }
-  };
-  adopt(report->adapters, PlaceState::kResident);
-  adopt(report->loading, PlaceState::kLoading);
-  for (auto& [adapter, place] : places) {
-    const auto known = m_places.find(adapter);
-    if (known == m_places.end()) continue;
-    if (known->second.state == PlaceState::kUnloading) {
-      place.state = PlaceState::kUnloading;
-    }
-  }
-  m_places = std::move(places);
-  m_has_model = std::find(report->models.begin(), report->models.end(),
-                          m_options.model) != report->models.end();
-  if (!m_has_model && report->order_in_progress) {
-    // The model's weights are on their way.
-    m_report_at = now + kReportLag;
-    return;
-  }
-  m_accepted = report->orders_accepted;
-  m_synced = true;
-  m_loadable = m_has_model;
-  m_report_at = TimeMs::Never();
-  TakeUnloaded(*report, now);
-}
-
-// Frees the places of adapters that have been unloaded after their last run.
-void EngineHost::TakeUnloaded(const EngineReport& report, TimeMs now) {
-  std::erase_if(m_places, [&](const auto& item) {
-    return item.second.state == PlaceState::kUnloading &&
-           !report.adapters.contains(item.first);
-  });
-  const bool unloading =
-      std::any_of(m_places.begin(), m_places.end(), [](const auto& item) {
-        return item.second.state == PlaceState::kUnloading;
-      });
-  m_report_at = unloading ? now + kUnloadCheck : TimeMs::Never();
-}
-
 void EngineHost::OnOrderEnd(OrderEnd end, TimeMs now) {
   assert(m_order && "an order was given");
   if (end == OrderEnd::kConflict || end == OrderEnd::kRejected) {
@@ -194,6 +129,7 @@
 
 void EngineHost::ApplyLoad(OrderEnd end, TimeMs now) {
   Place& place = m_places[m_order->adapter];
+  const bool replaces = place.state == PlaceState::kResident;
   place.version = m_order->version;
   place.last_used = now;
   place.misses = 0;
@@ -203,6 +139,11 @@
     return;
   }
   ++m_accepted;
+  if (replaces) {
+    place.state = PlaceState::kReplacing;
+    m_report_at = std::min(m_report_at, now + kPendingCheck);
+    return;
+  }
   place.state = PlaceState::kLoading;
   place.ready_at = now + EstimateLoad(m_order->adapter);
 }
@@ -215,11 +156,11 @@
   }
   // It still has runs; reports show when they have ended.
   m_places[m_order->adapter].state = PlaceState::kUnloading;
-  m_report_at = now + kUnloadCheck;
+  m_report_at = now + kPendingCheck;
 }
 
-EngineHostActions EngineHost::Poll(TimeMs now, std::uint32_t loads_elsewhere) {
-  m_loads_elsewhere = loads_elsewhere;
+EngineHostActions EngineHost::Poll(TimeMs now, const FleetPace& pace) {
+  m_pace = pace;
   EngineHostActions actions;
   for (Waiting& waiting : m_waiting) {
     std::erase_if(waiting.requesters, [now](const auto& item) {
@@ -237,6 +178,7 @@
   if (!m_synced) return actions;
   FinishLoads(now);
   CollectNotices(actions.notices);
+  RetireSpares(now, actions.retired);
   if (!m_order && !m_report_pending) {
     m_order = NextOrder(now);
     actions.order = m_order;
@@ -297,6 +239,10 @@
   if (place != m_places.end() && place->second.state == PlaceState::kLoading) {
     return std::max(DurationMs(0), place->second.ready_at - now);
   }
+  if (place != m_places.end() &&
+      place->second.state == PlaceState::kReplacing) {
+    return kReplaceTime;
+  }
   DurationMs wait = std::max(DurationMs(0), m_order_from - now);
   std::int64_t cold_ahead = 0;
   for (const Waiting* other : RankedWaiting()) {
@@ -313,18 +259,21 @@
   return wait + load;
 }
 
+EngineOrder EngineHost::MakeOrder(bool load, const AdapterRef& adapter) const {
+  EngineOrder order;
+  order.load = load;
+  order.adapter = adapter;
+  order.expected_accepted = m_accepted;
+  order.fence = m_fence;
+  return order;
+}
+
 std::optional<EngineOrder> EngineHost::NextOrder(TimeMs now) {
-  if (!m_has_model) {
-    EngineOrder order;
-    order.adapter = {m_options.model, ""};
-    order.expected_accepted = m_accepted;
-    order.fence = m_fence;
-    return order;
-  }
+  if (!m_has_model) return MakeOrder(true, {m_options.model, ""});
   for (const Waiting* waiting : RankedWaiting()) {
     if (auto order = OrderFor(*waiting, now)) return order;
   }
-  return std::nullopt;
+  return UnloadRetired(now);
 }
 
 bool EngineHost::MayStartLoad(bool cold) const {
@@ -332,7 +281,7 @@
   if (own >= kMaxTransit) return false;
   // One at a time is each engine's own; more only while the weight store
   // serves them at full speed.
-  return !cold || own == 0 || m_loads_elsewhere + own < kFullSpeedLoads;
+  return !cold || own == 0 || m_pace.loads_elsewhere + own < kFullSpeedLoads;
 }
 
 std::optional<EngineOrder> EngineHost::OrderFor(const Waiting& waiting,
@@ -340,56 +289,14 @@
   const auto it = m_places.find(waiting.adapter);
   const bool known = it != m_places.end();
   if (known && it->second.state != PlaceState::kResident) return std::nullopt;
+  if (known && IsInUse(it->second, now)) return std::nullopt;
+  if (!known && m_places.size() >= m_options.adapter_slots) return std::nullopt;
   if (!MayStartLoad(IsCold(waiting.adapter))) return std::nullopt;
-  if (!known && m_places.size() >= m_options.adapter_slots) {
-    return UnloadVictim(now);
-  }
-  EngineOrder order;
-  order.adapter = waiting.adapter;
+  EngineOrder order = MakeOrder(true, waiting.adapter);
   order.version = waiting.version;
-  order.expected_accepted = m_accepted;
-  order.fence = m_fence;
-  return order;
-}
-
-std::optional<EngineOrder> EngineHost::UnloadVictim(TimeMs now) {
-  const AdapterRef* victim = nullptr;
-  double least = 0;
-  std::uint32_t unloading = 0;
-  for (const auto& [adapter, place] : m_places) {
-    if (place.state == PlaceState::kUnloading) ++unloading;
-    if (place.state != PlaceState::kResident) continue;
-    if (now - place.last_used < kInUseTime) continue;
-    const bool wanted = std::any_of(m_waiting.begin(), m_waiting.end(),
-                                    [&adapter = adapter](const Waiting& w) {
-                                      return w.adapter == adapter;
-                                    });
-    if (wanted) continue;
-    const double uses = DecayedUses(place, now);
-    if (victim && uses >= least) continue;
-    victim = &adapter;
-    least = uses;
-  }
-  if (unloading >= kMaxUnloading) return std::nullopt;
-  if (!victim) return std::nullopt;
-  EngineOrder order;
-  order.load = false;
-  order.adapter = *victim;
-  order.expected_accepted = m_accepted;
-  order.fence = m_fence;
   return order;
 }
 
-AdapterSet EngineHost::Resident() const {
-  AdapterSet adapters;
-  for (const auto& [adapter, place] : m_places) {
-    if (place.state == PlaceState::kResident) {
-      adapters[adapter] = place.version;
-    }
-  }
-  return adapters;
-}
-
 std::uint32_t EngineHost::loading() const {
   std::uint32_t count = 0;
   for (const auto& [adapter, place] : m_places) {
@@ -404,7 +311,7 @@
 
 DurationMs EngineHost::EstimateLoad(const AdapterRef& adapter) const {
   if (!IsCold(adapter)) return kWarmLoad;
-  const std::uint32_t loads = m_loads_elsewhere + loading() + 1;
+  const std::uint32_t loads = m_pace.loads_elsewhere + loading() + 1;
   if (loads <= kFullSpeedLoads) return kColdLoad;
   return kColdLoad * loads / kFullSpeedLoads;
 }
@@ -415,9 +322,4 @@
   if (m_held.size() > kHeldAdapters) m_held.pop_back();
 }
 
-double EngineHost::DecayedUses(const Place& place, TimeMs now) const {
-  const auto age = static_cast<double>((now - place.last_used).ms());
-  return place.uses * std::exp2(-age / kUseHalfLifeMs);
-}
-
 }  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -13,8 +13,8 @@
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kHolderPrefix = "holder/";
 // Requests may begin on an older version for five seconds after the newer one
-// was named; half of that leaves room for the watch's delay.
-constexpr DurationMs kOlderAccepted{2'500};
+// was named; this leaves room for the watch's delay and the engine's.
+constexpr DurationMs kOlderAccepted{2'000};
 
 }  // namespace
 
--- a/lib/coordination/fleet/prefill_pacing.cc
+++ b/lib/coordination/fleet/prefill_pacing.cc
@@ -33,6 +33,7 @@
 
 bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens,
                   PromptUrgency urgency, TimeMs now) {
+  if (engine.load() >= engine.entry.slots) return false;
   const DurationMs backlog = PrefillBacklog(engine, now);
   const DurationMs burst =
       urgency == PromptUrgency::kLastChance ? kLongestLastBurst : kLongestBurst;
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -95,6 +95,23 @@
   return json;
 }
 
+Json Encode(const TellRetired& told) {
+  Json json;
+  json["type"] = "retired";
+  json["node"] = told.holder.str();
+  json["engine"] = told.engine.str();
+  json["adapter"] = ToString(told.adapter);
+  return json;
+}
+
+Json Encode(const TellInUse& told) {
+  Json json;
+  json["type"] = "in_use";
+  json["engine"] = told.engine.str();
+  json["adapter"] = ToString(told.adapter);
+  return json;
+}
+
 Json Encode(const TellPrompt& told) {
   Json json;
   json["type"] = "prompt";
@@ -164,6 +181,11 @@
     return TellPrompt{EngineOf(json), GetUnsigned32(json.at("tokens"))};
   }
   if (type == "missing") return TellMissing{EngineOf(json), AdapterOf(json)};
+  if (type == "retired") {
+    return TellRetired{NodeId(json.at("node").get<std::string>()),
+                       EngineOf(json), AdapterOf(json)};
+  }
+  if (type == "in_use") return TellInUse{EngineOf(json), AdapterOf(json)};
   return std::nullopt;
 }
 
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -15,7 +15,6 @@
 // Prompts are told to the other nodes, as a few of them at once hold up an
 // engine's streams. In a large fleet only those that are large by themselves,
 // so that what a node hears stays bounded.
-constexpr std::size_t kSmallFleet = 16;
 constexpr std::uint32_t kLargePrompt = 2'000;
 constexpr std::size_t kMaxHomes = 16'384;
 // Tables of thousands of adapters are swept this often only.
@@ -135,7 +134,11 @@
         std::any_of(asked.begin(), asked.end(),
                     [&](const Asked& item) { return item.engine == engine; });
     if (known || !IsOrdering(engine, now)) continue;
-    if (home != m_homes.end() && home->second == engine) return engine;
+    // Its runs would delay the replacement of an older version.
+    const Endpoint* endpoint = m_context.view.endpoints().Find(engine);
+    const bool holds_older = endpoint && endpoint->adapters.contains(adapter);
+    const bool is_home = home != m_homes.end() && home->second == engine;
+    if (is_home && !holds_older) return engine;
     open.push_back(engine);
   }
   if (open.empty()) return std::nullopt;
@@ -213,6 +216,16 @@
   m_send(holder->second.node, TellMissing{engine, adapter});
 }
 
+std::optional<TellInUse> Dispatcher::OnRetired(const TellRetired& told) {
+  const auto running = m_running.find(told.engine);
+  if (running != m_running.end() && running->second.contains(told.adapter)) {
+    return TellInUse{told.engine, told.adapter};
+  }
+  Endpoint* engine = m_context.view.endpoints().Find(told.engine);
+  if (engine) engine->adapters.erase(told.adapter);
+  return std::nullopt;
+}
+
 bool Dispatcher::TakeRetry(const ServiceId& service) {
   const auto it = m_retries.find(service);
   if (it == m_retries.end()) return false;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -35,11 +35,13 @@
 }  // namespace
 
 EngineHolder::EngineHolder(NodeContext& context, StoreSession& session,
-                           EngineControl& control, Notify notify)
+                           EngineControl& control, Notify notify,
+                           Announce announce)
     : m_context(context),
       m_session(session),
       m_control(control),
       m_notify(std::move(notify)),
+      m_announce(std::move(announce)),
       m_claims(context.settings.node),
       m_started(context.clock.Now()) {}
 
@@ -199,7 +201,7 @@
   const auto it = m_held.find(engine);
   if (it == m_held.end() || !MayOrder(now)) return;
   Held& held = it->second;
-  EngineHostActions actions = held.host.Poll(now, m_loads_elsewhere);
+  EngineHostActions actions = held.host.Poll(now, m_pace);
   const AdapterSet resident = held.host.Resident();
   for (const LoadNotice& notice : actions.notices) {
     const auto place = resident.find(notice.adapter);
@@ -207,6 +209,11 @@
     m_notify(notice.requester,
              TellLoaded{engine, notice.adapter, place->second});
   }
+  if (m_pace.retire_time > DurationMs(0)) {
+    for (const AdapterRef& adapter : actions.retired) {
+      m_announce({m_context.settings.node, engine, adapter});
+    }
+  }
   if (actions.fetch_report) FetchReport(engine, held);
   if (actions.order) Order(engine, held, *actions.order);
 }
@@ -260,6 +267,10 @@
   const auto it = m_held.find(ask.engine);
   if (it == m_held.end()) return std::nullopt;
   const TimeMs now = m_context.clock.Now();
+  // Without an answer, the node asks for another engine.
+  if (!it->second.host.CanTake(ask.adapter, ask.version, now)) {
+    return std::nullopt;
+  }
   LoadRequest request;
   request.adapter = ask.adapter;
   request.version = ask.version;
@@ -277,6 +288,10 @@
   it->second.host.OnMissing(told.adapter, m_context.clock.Now());
 }
 
+void EngineHolder::OnTellInUse(const TellInUse& told) {
+  OnUsed(told.engine, told.adapter, 0);
+}
+
 void EngineHolder::OnUsed(const EndpointId& engine, const AdapterRef& adapter,
                           std::uint32_t requests) {
   const auto it = m_held.find(engine);
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -16,6 +16,8 @@
 // a node hears stays bounded.
 constexpr DurationMs kTellInterval{250};
 constexpr DurationMs kTellIntervalPerNode{8};
+// A datagram there and one back, each with a late wake-up.
+constexpr DurationMs kRetireTime{60};
 // After SIGTERM, the balancer takes the node out within two questions a second
 // apart.
 constexpr DurationMs kOutOfRotation{2'500};
@@ -50,10 +52,16 @@
             m_peers->Send(node, message);
           },
           [this](const PeerMessage& message) { m_peers->Broadcast(message); }),
-      m_holder(context, m_session, m_platform.engines,
-               [this](const NodeId& node, const TellLoaded& told) {
-                 m_peers->Send(node, told);
-               }),
+      m_holder(
+          context, m_session, m_platform.engines,
+          [this](const NodeId& node, const TellLoaded& told) {
+            m_peers->Send(node, told);
+          },
+          [this](const TellRetired& told) {
+            m_peers->Broadcast(told);
+            const auto used = m_dispatcher.OnRetired(told);
+            if (used) m_holder.OnTellInUse(*used);
+          }),
       m_signals(context.io),
       m_timer(context.io) {}
 
@@ -165,7 +173,9 @@
   m_context.view.endpoints().Expire(now);
   m_dispatcher.OnTick(now);
   m_dispatcher.OnLocalHeld(m_holder.Status());
-  m_holder.SetLoadsElsewhere(m_dispatcher.LoadsElsewhere());
+  const bool small = m_context.view.nodes().size() <= kSmallFleet;
+  m_holder.SetPace({m_dispatcher.LoadsElsewhere(), TellInterval(),
+                    small ? kRetireTime : DurationMs(0)});
   m_holder.OnTick(now);
   m_front->OnTick(now);
   TellPeers(now);
@@ -188,16 +198,19 @@
   metrics.requests_in_flight.Set(static_cast<double>(m_front->in_flight()));
 }
 
-void Node::TellPeers(TimeMs now) {
+DurationMs Node::TellInterval() const {
   const auto nodes = static_cast<std::int64_t>(m_context.view.nodes().size());
-  const DurationMs interval =
-      std::max(kTellInterval, kTellIntervalPerNode * nodes);
-  if (now - m_told < interval) return;
+  return std::max(kTellInterval, kTellIntervalPerNode * nodes);
+}
+
+void Node::TellPeers(TimeMs now) {
+  if (now - m_told < TellInterval()) return;
   m_told = now;
   NodeStatus status = m_dispatcher.TakeStatus();
   status.held = m_holder.Status();
   status.store.fresh = m_session.IsFresh(now);
-  status.store.nodes = static_cast<std::uint32_t>(nodes);
+  status.store.nodes =
+      static_cast<std::uint32_t>(m_context.view.nodes().size());
   if (status.store.fresh && m_dispatcher.SomeNodeWithoutStore()) {
     for (const auto& [engine, holder] : m_context.view.holders()) {
       status.store.holders[engine] = holder.fence;
@@ -231,6 +244,11 @@
     m_dispatcher.OnPeerPrompt(*prompt);
   } else if (const auto* missing = std::get_if<TellMissing>(&message)) {
     m_holder.OnTellMissing(*missing);
+  } else if (const auto* retired = std::get_if<TellRetired>(&message)) {
+    const auto used = m_dispatcher.OnRetired(*retired);
+    if (used) m_peers->Send(retired->holder, *used);
+  } else if (const auto* in_use = std::get_if<TellInUse>(&message)) {
+    m_holder.OnTellInUse(*in_use);
   }
 }
 
--- a/unittests/coordination/fleet/engine_host_test.cc
+++ b/unittests/coordination/fleet/engine_host_test.cc
@@ -19,7 +19,15 @@
 
   OrderEnd Take(const EngineOrder& order) {
     if (order.expected_accepted != m_accepted) return OrderEnd::kConflict;
+    // What is pending already is accepted, and not counted again.
+    if (order.load && m_replacing.contains(order.adapter)) {
+      return OrderEnd::kAccepted;
+    }
     ++m_accepted;
+    if (order.load && m_busy.contains(order.adapter)) {
+      m_replacing[order.adapter] = order.version;
+      return OrderEnd::kAccepted;
+    }
     if (order.load) {
       m_adapters[order.adapter] = order.version;
       m_most = std::max(m_most, m_adapters.size());
@@ -34,6 +42,10 @@
   void EndRuns(const AdapterRef& adapter) {
     m_busy.erase(adapter);
     m_adapters.erase(adapter);
+    const auto newer = m_replacing.find(adapter);
+    if (newer == m_replacing.end()) return;
+    m_adapters.insert(*newer);
+    m_replacing.erase(newer);
   }
 
   EngineReport Report() const {
@@ -53,6 +65,8 @@
   std::uint64_t m_accepted = 0;
   AdapterSet m_adapters;
   AdapterSet m_busy;
+  // Versions that wait for the runs of older ones.
+  AdapterSet m_replacing;
   std::size_t m_most = 0;
 };
 
@@ -66,6 +80,10 @@
   return EngineHost(options, Epoch(7), TimeMs(0));
 }
 
+FleetPace Pace(std::uint32_t loads_elsewhere) {
+  return {loads_elsewhere, DurationMs(250), DurationMs(60)};
+}
+
 LoadRequest Wish(const std::string& name, std::uint32_t demand = 1) {
   LoadRequest request;
   request.adapter = Adapter(name);
@@ -79,7 +97,7 @@
          std::vector<LoadNotice>* notices = nullptr) {
   const TimeMs end = now + time;
   for (; now < end; now = now + DurationMs(10)) {
-    EngineHostActions actions = host.Poll(now, 0);
+    EngineHostActions actions = host.Poll(now, Pace(0));
     if (notices) {
       notices->insert(notices->end(), actions.notices.begin(),
                       actions.notices.end());
@@ -115,7 +133,7 @@
   EngineHost host(options, Epoch(7), TimeMs(4'650));
   host.Request(Wish("a1"), TimeMs(0));
   for (TimeMs now(0); now < TimeMs(4'650); now = now + DurationMs(50)) {
-    const EngineHostActions actions = host.Poll(now, 0);
+    const EngineHostActions actions = host.Poll(now, Pace(0));
     CHECK_FALSE(actions.order);
     CHECK_FALSE(actions.fetch_report);
   }
@@ -141,6 +159,73 @@
   CHECK_FALSE(engine.OverFull());
 }
 
+TEST_CASE("A load into a full engine does not wait for an unload",
+          "[fleet][engine][load]") {
+  // Pattern: thousands of adapters pass through an engine's few places, and
+  // each load is a client's wait.
+  constexpr std::uint32_t kManySlots = 16;
+  EngineHostOptions options;
+  options.adapter_slots = kManySlots;
+  options.model = kModel;
+  EngineHost host(options, Epoch(7), TimeMs(0));
+  FakeEngine engine(kManySlots);
+  TimeMs now(0);
+  for (int i = 0; i < 40; ++i) {
+    const std::string name = "a" + std::to_string(i);
+    host.Request(Wish(name), now);
+    Run(host, engine, now, DurationMs(320));
+    CAPTURE(name);
+    CHECK(Holds(host, name));
+    Run(host, engine, now, DurationMs(300));
+  }
+  CHECK_FALSE(engine.OverFull());
+}
+
+TEST_CASE("A request that was on its way keeps a retired adapter",
+          "[fleet][engine]") {
+  // An unload would wait for its run, and the engine carries out no other
+  // unload meanwhile.
+  EngineHost host = Host();
+  FakeEngine engine(kSlots);
+  TimeMs now(0);
+  for (const char* name : {"a1", "a2", "a3"}) {
+    host.Request(Wish(name), now);
+    Run(host, engine, now, DurationMs(400));
+  }
+  Run(host, engine, now, DurationMs(1'000));
+  host.Request(Wish("a4"), now);
+  Run(host, engine, now, DurationMs(30));
+  std::string retired;
+  for (const char* name : {"a1", "a2", "a3"}) {
+    if (!Holds(host, name)) retired = name;
+  }
+  REQUIRE_FALSE(retired.empty());
+  // Sent by a node that had not heard yet.
+  host.OnUsed(Adapter(retired), 0, now);
+  Run(host, engine, now, DurationMs(300));
+  CHECK(Holds(host, retired));
+}
+
+TEST_CASE("An older version in use is not replaced", "[fleet][engine]") {
+  EngineHost host = Host();
+  FakeEngine engine(kSlots);
+  TimeMs now(0);
+  LoadRequest wish = Wish("a1");
+  wish.version = AdapterRevision(1);
+  host.Request(wish, now);
+  Run(host, engine, now, DurationMs(400));
+  wish.version = AdapterRevision(2);
+  CHECK_FALSE(host.CanTake(wish.adapter, wish.version, now));
+  host.Request(wish, now);
+  for (int i = 0; i < 10; ++i) {
+    host.OnUsed(Adapter("a1"), 0, now);
+    Run(host, engine, now, DurationMs(200));
+  }
+  CHECK(host.Resident()[Adapter("a1")] == AdapterRevision(1));
+  Run(host, engine, now, DurationMs(1'500));
+  CHECK(host.Resident()[Adapter("a1")] == AdapterRevision(2));
+}
+
 TEST_CASE("An adapter in use is not unloaded", "[fleet][engine]") {
   EngineHost host = Host();
   FakeEngine engine(kSlots);
@@ -184,6 +269,37 @@
   CHECK_FALSE(engine.OverFull());
 }
 
+TEST_CASE("A replacement that waits for runs holds up no other load",
+          "[fleet][engine][load]") {
+  // Pattern: a newer version of a busy adapter is named, and an engine whose
+  // streams still run on the older one is told to replace it.
+  EngineHost host = Host();
+  FakeEngine engine(kSlots);
+  TimeMs now(0);
+  LoadRequest busy = Wish("busy");
+  busy.version = AdapterRevision(1);
+  host.Request(busy, now);
+  Run(host, engine, now, DurationMs(800));
+  engine.SetBusy(Adapter("busy"));
+
+  busy.version = AdapterRevision(2);
+  host.Request(busy, now);
+  std::vector<LoadNotice> notices;
+  for (int i = 0; i < 20; ++i) {
+    host.Request(busy, now);
+    if (i == 8) host.Request(Wish("other"), now);
+    Run(host, engine, now, DurationMs(100), &notices);
+  }
+  REQUIRE(notices.size() == 1);
+  CHECK(notices.front().adapter == Adapter("other"));
+  CHECK_FALSE(host.Resident().contains(Adapter("busy")));
+
+  engine.EndRuns(Adapter("busy"));
+  Run(host, engine, now, DurationMs(800), &notices);
+  CHECK(host.Resident()[Adapter("busy")] == AdapterRevision(2));
+  CHECK(notices.back().adapter == Adapter("busy"));
+}
+
 TEST_CASE("The adapter that most requests wait for is loaded first",
           "[fleet][engine][load]") {
   // Pattern: right after all engines were lost, every request needs a load,
@@ -195,7 +311,7 @@
   host.Request(Wish("rare1"), now);
   host.Request(Wish("rare2"), now);
   host.Request(Wish("busy", 9), now);
-  const EngineHostActions actions = host.Poll(now, 8);
+  const EngineHostActions actions = host.Poll(now, Pace(8));
   REQUIRE(actions.order);
   CHECK(actions.order->adapter == Adapter("busy"));
 }
@@ -208,11 +324,11 @@
   Run(host, engine, now, DurationMs(50));
   host.Request(Wish("a1"), now);
   host.Request(Wish("a2"), now);
-  EngineHostActions first = host.Poll(now, 8);
+  EngineHostActions first = host.Poll(now, Pace(8));
   REQUIRE(first.order);
   host.OnOrderEnd(engine.Take(*first.order), now);
-  CHECK_FALSE(host.Poll(now, 8).order);
-  CHECK(host.Poll(now, 2).order);
+  CHECK_FALSE(host.Poll(now, Pace(8)).order);
+  CHECK(host.Poll(now, Pace(2)).order);
 }
 
 TEST_CASE("The estimate grows with the loads ahead", "[fleet][engine][load]") {
@@ -240,7 +356,7 @@
   for (TimeMs now(0); now < TimeMs(60'000); now = now + DurationMs(10)) {
     const auto wish = static_cast<int>(now.ms() / 170) % 11;
     host.Request(Wish("a" + std::to_string(wish)), now);
-    EngineHostActions actions = host.Poll(now, 0);
+    EngineHostActions actions = host.Poll(now, Pace(0));
     if (actions.fetch_report) host.OnReport(engine.Report(), now);
     if (!actions.order) continue;
     ++sent;
@@ -271,18 +387,18 @@
   host.OnEngineRestart(now);
   CHECK(host.Resident().empty());
   host.Request(Wish("a2"), now);
-  const EngineHostActions actions = host.Poll(now, 0);
+  const EngineHostActions actions = host.Poll(now, Pace(0));
   CHECK_FALSE(actions.order);
 }
 
 TEST_CASE("An engine without the model gets it first", "[fleet][engine]") {
   EngineHost host = Host();
   host.Request(Wish("a1"), TimeMs(0));
-  REQUIRE(host.Poll(TimeMs(0), 0).fetch_report);
+  REQUIRE(host.Poll(TimeMs(0), Pace(0)).fetch_report);
   EngineReport empty;
   host.OnReport(empty, TimeMs(5));
   CHECK_FALSE(host.can_load());
-  const EngineHostActions actions = host.Poll(TimeMs(10), 0);
+  const EngineHostActions actions = host.Poll(TimeMs(10), Pace(0));
   REQUIRE(actions.order);
   CHECK(actions.order->adapter == AdapterRef{kModel, ""});
 }
@@ -296,15 +412,15 @@
   host.Request(Wish("a1"), now);
   Run(host, engine, now, DurationMs(400));
   host.Request(Wish("a2"), now);
-  EngineHostActions actions = host.Poll(now, 0);
+  EngineHostActions actions = host.Poll(now, Pace(0));
   REQUIRE(actions.order);
   host.OnOrderEnd(engine.Take(*actions.order), now);
   // Often missing: the state is read again, but not at once.
   for (int i = 0; i < 20; ++i) {
     host.OnMissing(Adapter("a1"), now);
-    host.Poll(now + DurationMs(100), 0);
+    host.Poll(now + DurationMs(100), Pace(0));
   }
-  CHECK_FALSE(host.Poll(now + DurationMs(200), 0).fetch_report);
+  CHECK_FALSE(host.Poll(now + DurationMs(200), Pace(0)).fetch_report);
 }
 
 }  // namespace yuccamoor::fleet
