Rank loads by what they are worth to waiting clients

Change: a load that still brings a request on time goes before those of requests that are late already, more requests before fewer, copies last; nodes tell new requests for an adapter within 40 ms.

--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/load_ranking.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 
@@ -25,6 +26,9 @@
   NodeId requester;
   /// Requests for it at that node since it was asked for.
   std::uint32_t demand = 1;
+  /// The adapter has to be in place by then for the newest of them to be on
+  /// time.
+  TimeMs on_time_until;
 };
 
 /// One order to an engine.
@@ -153,6 +157,7 @@
   };
   struct Requester {
     std::uint32_t demand = 0;
+    TimeMs on_time_until;
     TimeMs refreshed;
   };
   // All nodes' wishes for one adapter.
@@ -169,7 +174,8 @@
   bool IsInPlace(const Waiting& waiting) const;
   std::optional<EngineOrder> NextOrder(TimeMs now);
   std::optional<EngineOrder> OrderFor(const Waiting& waiting, TimeMs now);
-  std::vector<const Waiting*> RankedWaiting() const;
+  std::vector<const Waiting*> RankedWaiting(TimeMs now) const;
+  static LoadDemand DemandOf(const Waiting& waiting);
   DurationMs EstimateWait(const Waiting& waiting, TimeMs now) const;
   bool IsCold(const AdapterRef& adapter) const;
   bool MayStartLoad(bool cold) const;
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -61,6 +61,9 @@
   int priority = 0;
   /// Requests for it since it was asked for.
   std::uint32_t demand = 1;
+  /// How soon it has to be in place for the newest of them to be on time; not
+  /// positive if that one is late already.
+  DurationMs on_time{0};
 };
 
 /// Answers AskLoad: the adapter will be in place about then.
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -46,7 +46,8 @@
 
   /// Notes a request for an adapter that is not in place. It counts until the
   /// adapter is, also if it is refused meanwhile: its client comes back.
-  void AddDemand(const AdapterRef& adapter) { ++m_demand[adapter]; }
+  /// It is on time if the adapter is in place by \p on_time_until.
+  void AddDemand(const AdapterRef& adapter, TimeMs on_time_until);
   /// Returns when the adapter will probably be in place, if a holder has said.
   std::optional<TimeMs> ExpectedAt(const AdapterRef& adapter) const;
 
@@ -94,16 +95,23 @@
     TimeMs told;
     std::uint32_t waiting = 0;
   };
+  // The requests for an adapter that is not in place.
+  struct Demand {
+    std::uint32_t requests = 0;
+    TimeMs on_time_until;
+  };
   struct Asked {
     EndpointId engine;
     TimeMs at;
     TimeMs first;
+    // What its holder was told.
+    std::uint32_t demand = 0;
     std::optional<TimeMs> expected;
   };
 
   void AskForLoad(const EndpointQuery& query, int priority,
                   const std::vector<EndpointId>& places, bool urgent);
-  void Ask(const EndpointQuery& query, int priority, const EndpointId& engine);
+  void Ask(const EndpointQuery& query, int priority, Asked& asked);
   void NoteOrdering(const EndpointId& engine, const HeldEngineStatus& held);
   std::uint32_t CountEngines(const ServiceId& service, TimeMs now) const;
   bool IsOrdering(const EndpointId& engine, TimeMs now) const;
@@ -111,6 +119,7 @@
                                        const std::vector<EndpointId>& places,
                                        const std::vector<Asked>& asked,
                                        TimeMs now) const;
+  Demand DemandFor(const AdapterRef& adapter) const;
   void NoteHomes(const EndpointId& engine, const AdapterSet& adapters);
   void NoteHeld(const std::map<EndpointId, HeldEngineStatus>& held, TimeMs now);
   void ShowPeerLoads(const std::vector<EndpointId>& changed);
@@ -126,7 +135,7 @@
   std::map<EndpointId, Ordering> m_ordering;
   std::map<AdapterRef, std::vector<Asked>> m_asked;
   // Requests since the adapter was asked for.
-  std::map<AdapterRef, std::uint32_t> m_demand;
+  std::map<AdapterRef, Demand> m_demand;
   // The engine that held an adapter last: its host memory probably still has
   // it.
   std::map<AdapterRef, EndpointId> m_homes;
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -24,10 +24,6 @@
 constexpr DurationMs kReplaceTime{2'000};
 constexpr DurationMs kRequestLifetime{4'000};
 constexpr std::size_t kHeldAdapters = 150;
-// What a step of priority is worth in waiting time.
-constexpr DurationMs kPriorityStep{100};
-// What a waiting request is worth in waiting time of others.
-constexpr DurationMs kRequestStep{400};
 
 }  // namespace
 
@@ -59,7 +55,8 @@
   }
   it->version = std::max(it->version, request.version);
   it->priority = std::min(it->priority, request.priority);
-  it->requesters[request.requester] = {request.demand, now};
+  it->requesters[request.requester] = {request.demand, request.on_time_until,
+                                       now};
   const auto place = m_places.find(request.adapter);
   if (place != m_places.end() && place->second.state == PlaceState::kRetiring) {
     place->second.state = PlaceState::kResident;
@@ -212,25 +209,33 @@
   });
 }
 
-// Adapters that most requests wait for come first, so that the weight store's
-// rate serves as many as it can; waiting longer moves the others up.
-std::vector<const EngineHost::Waiting*> EngineHost::RankedWaiting() const {
-  std::vector<std::pair<TimeMs, const Waiting*>> ranked;
+LoadDemand EngineHost::DemandOf(const Waiting& waiting) {
+  LoadDemand demand;
+  demand.priority = waiting.priority;
+  demand.asked = waiting.asked;
+  for (const auto& [node, requester] : waiting.requesters) {
+    demand.requests += requester.demand;
+    demand.on_time_until =
+        std::max(demand.on_time_until, requester.on_time_until);
+  }
+  return demand;
+}
+
+std::vector<const EngineHost::Waiting*> EngineHost::RankedWaiting(
+    TimeMs now) const {
+  const TimeMs ready = now + kColdLoad;
+  std::vector<std::pair<LoadDemand, const Waiting*>> ranked;
+  ranked.reserve(m_waiting.size());
   for (const Waiting& waiting : m_waiting) {
-    std::uint32_t demand = 0;
-    for (const auto& [node, requester] : waiting.requesters) {
-      demand += requester.demand;
-    }
-    const TimeMs rank = waiting.asked + kPriorityStep * waiting.priority -
-                        kRequestStep * demand;
-    ranked.emplace_back(rank, &waiting);
+    ranked.emplace_back(DemandOf(waiting), &waiting);
   }
-  std::stable_sort(
-      ranked.begin(), ranked.end(),
-      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::stable_sort(ranked.begin(), ranked.end(),
+                   [ready](const auto& a, const auto& b) {
+                     return LoadsBefore(a.first, b.first, ready);
+                   });
   std::vector<const Waiting*> order;
   order.reserve(ranked.size());
-  for (const auto& [rank, waiting] : ranked) order.push_back(waiting);
+  for (const auto& [demand, waiting] : ranked) order.push_back(waiting);
   return order;
 }
 
@@ -245,7 +250,7 @@
   }
   DurationMs wait = std::max(DurationMs(0), m_order_from - now);
   std::int64_t cold_ahead = 0;
-  for (const Waiting* other : RankedWaiting()) {
+  for (const Waiting* other : RankedWaiting(now)) {
     if (other == &waiting) break;
     if (!m_places.contains(other->adapter) && IsCold(other->adapter)) {
       ++cold_ahead;
@@ -270,7 +275,7 @@
 
 std::optional<EngineOrder> EngineHost::NextOrder(TimeMs now) {
   if (!m_has_model) return MakeOrder(true, {m_options.model, ""});
-  for (const Waiting* waiting : RankedWaiting()) {
+  for (const Waiting* waiting : RankedWaiting(now)) {
     if (auto order = OrderFor(*waiting, now)) return order;
   }
   return UnloadRetired(now);
--- /dev/null
+++ b/lib/coordination/fleet/load_ranking.cc
@@ -0,0 +1,30 @@
+#include "yuccamoor/coordination/fleet/load_ranking.h"
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// What a request on time is worth more than a late one.
+constexpr double kOnTimeBonus = 2.4;
+// A copy of an adapter that is in place elsewhere, for which nobody waits.
+constexpr double kCopyValue = 0.5;
+// The worth of a step of priority: a request of priority 2 counts half.
+constexpr double kPriorityStep = 0.5;
+
+}  // namespace
+
+double LoadValue(const LoadDemand& demand, TimeMs ready) {
+  if (demand.requests == 0) return kCopyValue;
+  const double bonus = ready <= demand.on_time_until ? kOnTimeBonus : 0;
+  return (demand.requests + bonus) / (1 + kPriorityStep * demand.priority);
+}
+
+bool LoadsBefore(const LoadDemand& first, const LoadDemand& second,
+                 TimeMs ready) {
+  const double first_value = LoadValue(first, ready);
+  const double second_value = LoadValue(second, ready);
+  if (first_value != second_value) return first_value > second_value;
+  return first.asked < second.asked;
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -66,6 +66,7 @@
   json["version"] = ask.version.value();
   json["priority"] = ask.priority;
   json["demand"] = ask.demand;
+  json["on_time_ms"] = ask.on_time.ms();
   return json;
 }
 
@@ -168,7 +169,8 @@
                    AdapterOf(json),
                    VersionOf(json),
                    json.at("priority").get<int>(),
-                   GetUnsigned32(json.at("demand"))};
+                   GetUnsigned32(json.at("demand")),
+                   DurationMs(json.at("on_time_ms").get<std::int64_t>())};
   }
   if (type == "queued") {
     return TellQueued{EngineOf(json), AdapterOf(json),
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -10,6 +10,8 @@
 
 // A question that may have been lost is asked again.
 constexpr DurationMs kAskAgain{250};
+// New requests for it are told sooner.
+constexpr DurationMs kTellDemand{40};
 // Another engine is asked when the first one's holder does not answer.
 constexpr DurationMs kAskAnother{400};
 // Prompts are told to the other nodes, as a few of them at once hold up an
@@ -101,10 +103,10 @@
   std::erase_if(asked, [&](const Asked& item) {
     return now - item.first > kAskLifetime || !IsOrdering(item.engine, now);
   });
+  const std::uint32_t demand = DemandFor(*query.adapter).requests;
   for (Asked& item : asked) {
-    if (now - item.at < kAskAgain) continue;
-    item.at = now;
-    Ask(query, priority, item.engine);
+    const DurationMs pause = demand > item.demand ? kTellDemand : kAskAgain;
+    if (now - item.at >= pause) Ask(query, priority, item);
   }
   // A holder that has answered is loading it: a second load elsewhere would
   // only take from the weight store's rate.
@@ -115,10 +117,21 @@
   if (!asked.empty() && now - asked.back().first < kAskAnother) return;
   const auto engine = PlaceToAsk(*query.adapter, places, asked, now);
   if (!engine) return;
-  asked.push_back({*engine, now, now, std::nullopt});
+  asked.push_back({*engine, now, now, 0, std::nullopt});
   // Until the holder tells its state again.
   ++m_ordering[*engine].waiting;
-  Ask(query, priority, *engine);
+  Ask(query, priority, asked.back());
+}
+
+void Dispatcher::AddDemand(const AdapterRef& adapter, TimeMs on_time_until) {
+  Demand& demand = m_demand[adapter];
+  ++demand.requests;
+  demand.on_time_until = std::max(demand.on_time_until, on_time_until);
+}
+
+Dispatcher::Demand Dispatcher::DemandFor(const AdapterRef& adapter) const {
+  const auto it = m_demand.find(adapter);
+  return it == m_demand.end() ? Demand() : it->second;
 }
 
 // Returns the engine that held the adapter last, else the one of the first two
@@ -162,8 +175,8 @@
   m_ordering[engine] = {m_context.clock.Now(), held.waiting + held.loading};
 }
 
-void Dispatcher::Ask(const EndpointQuery& query, int priority,
-                     const EndpointId& engine) {
+void Dispatcher::Ask(const EndpointQuery& query, int priority, Asked& asked) {
+  const EndpointId& engine = asked.engine;
   const auto& holders = m_context.view.holders();
   const auto holder = holders.find(engine);
   if (holder == holders.end()) return;
@@ -173,11 +186,17 @@
   ask.adapter = *query.adapter;
   ask.version = query.version;
   ask.priority = priority;
-  const auto demand = m_demand.find(*query.adapter);
-  ask.demand = demand == m_demand.end() ? 0 : demand->second;
+  const TimeMs now = m_context.clock.Now();
+  const Demand demand = DemandFor(ask.adapter);
+  ask.demand = demand.requests;
+  ask.on_time = demand.on_time_until - now;
+  asked.at = now;
+  asked.demand = demand.requests;
   m_context.log.Event("load_asked")
       .Text("engine", engine.str())
       .Text("adapter", ToString(ask.adapter))
+      .Number("demand", ask.demand)
+      .Ms("on_time_ms", ask.on_time)
       .Text("holder", holder->second.node.str());
   m_send(holder->second.node, ask);
 }
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -22,7 +22,9 @@
 constexpr DurationMs kNobodyRetryAfter{1'500};
 // Most of the prompts that an engine was sent have been prefilled by then.
 constexpr DurationMs kBusyEngineRetryAfter{400};
-// From an adapter's arrival to its first event.
+// From an adapter's arrival to the first event, if no other prompt is ahead.
+constexpr DurationMs kPrefillTime{120};
+// The same with others ahead.
 constexpr DurationMs kFirstEventTime{250};
 // Clients honour a Retry-After of up to this part of their time left.
 constexpr std::int64_t kRetryAfterPart = 3;
@@ -127,7 +129,8 @@
 void Exchange::Wait(TimeMs now) {
   if (!m_waiting_since) {
     m_waiting_since = now;
-    m_context.dispatcher.AddDemand(*m_meta.adapter);
+    m_context.dispatcher.AddDemand(
+        *m_meta.adapter, m_request.received + m_route.objective - kPrefillTime);
   }
   if (m_stream_started || m_runs > 0) return;
   const auto expected = m_context.dispatcher.ExpectedAt(*m_meta.adapter);
