Shorter bursts at engines with many streams, streams read every 80 ms

Bursts were sized for few streams, and nodes that held prompts back for one engine sent them at the same moment.

Change: the burst follows from the streams at the engine; each request's own part of it, 0.7 to 1, spreads nodes; streams are read every 80 ms (an event may take 120 ms), which makes up for that much of an engine's pause.

--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -26,17 +26,29 @@
 
 /// How long a prompt can be held back.
 enum class PromptUrgency : std::uint8_t {
-  /// It is on time if it is sent later, or is late already.
+  /// It is on time if it is sent later.
   kCanWait,
   /// Now or late. It may use up what pauses usually leave of their limit, but
   /// no more: a pause is the lateness of every stream at the engine.
   kLastChance,
+  /// Late already: it is not worth the pauses of others.
+  kLate,
+};
+
+/// A prompt that may be sent.
+struct PromptOffer {
+  std::uint32_t tokens = 0;
+  PromptUrgency urgency = PromptUrgency::kCanWait;
+  /// From 0 to 1, spread evenly over requests. Nodes that hold prompts back for
+  /// the same engine would else all send at the moment at which its backlog
+  /// allows one.
+  double spread = 1;
 };
 
 /// Whether a prompt may be sent now. An engine whose batch is full takes none:
 /// held back, it can still go to an engine that gets the adapter meanwhile.
-bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens,
-                  PromptUrgency urgency, TimeMs now);
+bool AllowsPrompt(const Endpoint& engine, const PromptOffer& prompt,
+                  TimeMs now);
 
 }  // namespace yuccamoor::fleet
 
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -38,8 +38,7 @@
   EndpointChoice Choose(EndpointQuery query, int priority);
 
   /// Whether the engine can take the prompt without holding up its streams.
-  bool AllowsPrompt(const EndpointId& engine, std::uint32_t tokens,
-                    PromptUrgency urgency) const;
+  bool AllowsPrompt(const EndpointId& engine, const PromptOffer& prompt) const;
   /// Notes a prompt that is sent to the engine, and tells peers of a large one.
   void OnPrompt(const EndpointId& engine, std::uint32_t tokens);
   void OnPeerPrompt(const TellPrompt& told);
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -122,6 +122,8 @@
   DurationMs m_first_answer{0};
   std::optional<TimeMs> m_last_events;
   DurationMs m_longest_pause{0};
+  // How long the request had been held when that pause ended.
+  DurationMs m_longest_pause_end{0};
   EventCutter m_cutter;
   bool m_stream_started = false;
   bool m_answered_first = false;
--- a/lib/coordination/fleet/prefill_pacing.cc
+++ b/lib/coordination/fleet/prefill_pacing.cc
@@ -8,18 +8,35 @@
 
 // Prompt tokens that an engine prefills in a millisecond.
 constexpr std::int64_t kPrefillTokensPerMs = 38;
-// An event of a stream takes some five steps, 33 ms without prefill, and is
-// late after 250 ms. With this burst, and this part of the engine's time for
-// what follows it, five steps take (33 + 90) / (1 - 1/2) = 246 ms at most.
-constexpr DurationMs kLongestBurst{90};
-constexpr DurationMs kLongestLastBurst{150};
+// A stream's event takes five steps and is late after 250 ms. With this part of
+// the engine's time for prefill, a burst of prompts and what follows it in
+// these steps take (5 steps + burst) / (1 - 1/2).
 constexpr std::int64_t kPrefillPart = 2;
+constexpr double kLongestEventMs = 250;
+constexpr double kStepsPerEvent = 5;
+// A step of an engine with one stream, and what each further one adds.
+constexpr double kStepMs = 5.5;
+constexpr double kStepMsPerStream = 0.04;
+// Prompts that other nodes send before they hear of this one.
+constexpr double kUnheardMs = 5;
+// What pauses usually leave of their limit.
+constexpr double kLastChanceMs = 60;
+// The smallest part of a burst that a held prompt may wait for.
+constexpr double kSmallestSpread = 0.7;
 
 // The time that a prompt takes of the part meant for prefill.
 DurationMs PacedTime(std::uint32_t tokens) {
   return DurationMs(tokens / kPrefillTokensPerMs) * kPrefillPart;
 }
 
+double LongestBurstMs(const Endpoint& engine, PromptUrgency urgency) {
+  const double step_ms = kStepMs + kStepMsPerStream * engine.load();
+  const double burst_ms =
+      kLongestEventMs / kPrefillPart - kStepsPerEvent * step_ms - kUnheardMs;
+  return urgency == PromptUrgency::kLastChance ? burst_ms + kLastChanceMs
+                                               : burst_ms;
+}
+
 }  // namespace
 
 void NotePrompt(Endpoint& engine, std::uint32_t tokens, TimeMs now) {
@@ -31,14 +48,16 @@
   return std::max(DurationMs(0), engine.prefill_until - now);
 }
 
-bool AllowsPrompt(const Endpoint& engine, std::uint32_t tokens,
-                  PromptUrgency urgency, TimeMs now) {
+bool AllowsPrompt(const Endpoint& engine, const PromptOffer& prompt,
+                  TimeMs now) {
   if (engine.load() >= engine.entry.slots) return false;
   const DurationMs backlog = PrefillBacklog(engine, now);
-  const DurationMs burst =
-      urgency == PromptUrgency::kLastChance ? kLongestLastBurst : kLongestBurst;
-  return backlog == DurationMs(0) ||
-         backlog + PacedTime(tokens) <= burst * kPrefillPart;
+  const DurationMs after = backlog + PacedTime(prompt.tokens);
+  const double spread = kSmallestSpread + (1 - kSmallestSpread) * prompt.spread;
+  const double limit = LongestBurstMs(engine, prompt.urgency) * spread;
+  if (static_cast<double>(after.ms()) <= limit * kPrefillPart) return true;
+  // Too large for what pauses leave: it goes alone.
+  return backlog == DurationMs(0);
 }
 
 }  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/stream_reading.cc
+++ b/lib/coordination/fleet/stream_reading.cc
@@ -4,9 +4,10 @@
 
 namespace {
 
-// Several events come together, within half of the shortest delay that a
-// deployment allows for an event.
-constexpr DurationMs kReadInterval{60};
+// Several events come together, within two thirds of the shortest delay that a
+// deployment allows for an event. That they come a little late makes up for
+// pauses of the engine.
+constexpr DurationMs kReadInterval{80};
 // Leaves room for one more interval and a late wake-up before the pause is
 // late.
 constexpr DurationMs kPauseMargin{90};
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -37,11 +37,10 @@
       m_send(std::move(send)),
       m_broadcast(std::move(broadcast)) {}
 
-bool Dispatcher::AllowsPrompt(const EndpointId& engine, std::uint32_t tokens,
-                              PromptUrgency urgency) const {
+bool Dispatcher::AllowsPrompt(const EndpointId& engine,
+                              const PromptOffer& prompt) const {
   const Endpoint* known = m_context.view.endpoints().Find(engine);
-  return !known ||
-         fleet::AllowsPrompt(*known, tokens, urgency, m_context.clock.Now());
+  return !known || fleet::AllowsPrompt(*known, prompt, m_context.clock.Now());
 }
 
 void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -113,12 +113,18 @@
 bool Exchange::HoldsBack(const EndpointId& endpoint, TimeMs now) const {
   if (!m_meta.adapter || m_stream_started) return false;
   const DurationMs held = Held(now);
-  // One that is late already is not worth the pauses of others.
-  const bool last_chance =
-      held >= m_route.objective - kFirstEventTime && held < m_route.objective;
-  return !m_context.dispatcher.AllowsPrompt(
-      endpoint, m_meta.prompt_tokens,
-      last_chance ? PromptUrgency::kLastChance : PromptUrgency::kCanWait);
+  PromptOffer prompt;
+  prompt.tokens = m_meta.prompt_tokens;
+  if (held >= m_route.objective) {
+    prompt.urgency = PromptUrgency::kLate;
+  } else if (held >= m_route.objective - kFirstEventTime) {
+    prompt.urgency = PromptUrgency::kLastChance;
+  }
+  constexpr std::uint64_t kSpreadSteps = 256;
+  prompt.spread = static_cast<double>(StableBucketHash(m_meta.attempt.str()) %
+                                      kSpreadSteps) /
+                  (kSpreadSteps - 1);
+  return !m_context.dispatcher.AllowsPrompt(endpoint, prompt);
 }
 
 void Exchange::HoldBack(TimeMs now) {
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -82,8 +82,10 @@
 
 void Exchange::NotePause() {
   const TimeMs now = m_context.node.clock.Now();
-  if (m_last_events)
-    m_longest_pause = std::max(m_longest_pause, now - *m_last_events);
+  if (m_last_events && now - *m_last_events > m_longest_pause) {
+    m_longest_pause = now - *m_last_events;
+    m_longest_pause_end = Held(now);
+  }
   m_last_events = now;
 }
 
@@ -176,6 +178,7 @@
       .Ms("waited_ms", m_waited)
       .Ms("first_ms", m_first_answer)
       .Ms("longest_pause_ms", m_longest_pause)
+      .Ms("longest_pause_end_ms", m_longest_pause_end)
       .Ms("held_ms", Held(now));
   if (m_client_gone) return;
   const bool cut = outcome == Outcome::kFailed && m_stream_started;
