Pass no request on whose client has left already

Cause: a request and its client's close that are read together were passed on to an endpoint: the close was noticed only afterwards.

Change: after each read of a client's connection its end is looked for.

--- a/include/yuccamoor/transport/fleet/socket.h
+++ b/include/yuccamoor/transport/fleet/socket.h
@@ -53,6 +53,8 @@
   IoResult Write(std::string_view data);
   /// Whether an idle connection is still good: open, with nothing to read.
   bool IsQuiet();
+  /// Whether all that the peer sent has been read and it has closed.
+  bool PeerHasClosed();
 
   /// Stops the event loop from waking up for this socket, until a callback is
   /// asked for again. Read and Write go on working.
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -62,7 +62,12 @@
 void FrontConnection::OnReadable() {
   if (!m_open) return;
   const IoResult result = m_socket.Read(m_in, kReadLimit);
-  if (result.status == IoStatus::kEnd || result.status == IoStatus::kReset) {
+  // Requests of a client that has left are not passed on, also if they were
+  // read late and together with its close.
+  const bool gone = result.status == IoStatus::kEnd ||
+                    result.status == IoStatus::kReset ||
+                    m_socket.PeerHasClosed();
+  if (gone) {
     const bool was_busy = m_busy;
     Close();
     if (was_busy) m_handler.OnClientGone(*this);
--- a/lib/transport/fleet/socket.cc
+++ b/lib/transport/fleet/socket.cc
@@ -133,6 +133,11 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Socket::PeerHasClosed() {
+  char byte = 0;
+  return ::recv(Handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void Socket::Detach() {
   if (m_detached >= 0 || !m_socket.is_open()) return;
   boost::system::error_code error;
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -180,6 +180,14 @@
   CHECK(world.first().abandoned() == 1);
 }
 
+TEST_CASE("A request whose client has left already is not passed on",
+          "[fleet][front]") {
+  // A node that was suspended or short of processor time reads requests late.
+  FrontWorld world({kOk}, {kOk});
+  world.SendAndLeaveAtOnce(RequestText("/safe/x"));
+  CHECK(world.requests_run() == 0);
+}
+
 TEST_CASE("A request gets its final answer at its route's timeout",
           "[fleet][front]") {
   FrontWorld world({Send("")}, {Send("")});
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -187,6 +187,15 @@
   client.Close();
 }
 
+void FrontWorld::SendAndLeaveAtOnce(const std::string& text) {
+  Socket client(m_io);
+  client.Connect({kIp, m_parts->front->port()}, [&](bool) {
+    client.Write(text);
+    client.Close();
+  });
+  Run(DurationMs(200));
+}
+
 std::string RequestText(const std::string& path) {
   return "POST " + path +
          " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -76,6 +76,8 @@
                        DurationMs time = DurationMs(2'000));
   /// Sends the text, and leaves after a while.
   void SendAndLeave(const std::string& text, DurationMs stay);
+  /// Sends the text and leaves before it can have been read.
+  void SendAndLeaveAtOnce(const std::string& text);
   /// Begins the shutdown: streams are taken no more, other requests are.
   void BeginShutdown();
   /// Runs the event loop for a while.
