Decide the right to order in a module of its own, and distrust old words

Cause, found by reading: after a suspension a holder that cannot reach the store took datagrams that had waited in its socket for the present word of the others, and statuses that a relay passes on can be held up in the relay.

What was said before or right after a suspension confirms nothing, nor does what another node passed on, so that in large fleets a holder stops 1.5 s after its last renewal.

--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <variant>
 
+#include "yuccamoor/coordination/fleet/order_right.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 
 namespace yuccamoor::fleet {
@@ -26,17 +27,6 @@
   AdapterSet adapters;
 };
 
-/// What a node sees in the store.
-struct StoreSight {
-  /// Whether the store has answered lately.
-  bool fresh = false;
-  /// Nodes registered.
-  std::uint32_t nodes = 0;
-  /// Fencing numbers of the engines' holders. Told only while some node cannot
-  /// reach the store.
-  std::map<EndpointId, Epoch> holders;
-};
-
 /// Requests by engine and adapter.
 using UsedAdapters = std::map<EndpointId, std::map<AdapterRef, std::uint32_t>>;
 
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -15,6 +15,7 @@
 #include "yuccamoor/coordination/fleet/engine_control.h"
 #include "yuccamoor/coordination/fleet/engine_host.h"
 #include "yuccamoor/coordination/fleet/holder_claims.h"
+#include "yuccamoor/coordination/fleet/order_right.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/store_session.h"
 
@@ -59,15 +60,7 @@
     Epoch fence;
   };
 
-  struct PeerSight {
-    TimeMs heard;
-    StoreSight store;
-    std::set<EndpointId> held;
-  };
-
   bool MayOrder(TimeMs now) const;
-  bool PeersConfirm(TimeMs now) const;
-  bool Agrees(const PeerSight& peer) const;
   std::set<EndpointId> LatelyHeld(TimeMs now) const;
   void ClaimNext(TimeMs now);
   void TakeUp(const EndpointId& engine, Epoch fence);
@@ -85,7 +78,7 @@
   HolderClaims m_claims;
   std::map<EndpointId, Held> m_held;
   TimeMs m_started;
-  std::map<NodeId, PeerSight> m_sights;
+  OrderRight m_right;
   // When this node last had the right to order engines that it held.
   std::map<EndpointId, TimeMs> m_last_valid;
   bool m_claiming = false;
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -54,7 +54,7 @@
   /// How often this node tells the others its state.
   DurationMs TellInterval() const;
   void TellPeers(TimeMs now);
-  void OnPeerMessage(const PeerMessage& message);
+  void OnPeerMessage(const PeerMessage& message, bool direct);
   void NoteUsed(const NodeStatus& status);
   bool IsReady() const;
 
--- a/include/yuccamoor/transport/fleet/peer_link.h
+++ b/include/yuccamoor/transport/fleet/peer_link.h
@@ -20,7 +20,9 @@
 /// it may live and be cut off from the store only.
 class PeerLink {
  public:
-  using Handler = std::function<void(PeerMessage)>;
+  /// Called with a message, and whether it came from its sender directly. One
+  /// that was passed on may have been held up on its way.
+  using Handler = std::function<void(const PeerMessage&, bool direct)>;
 
   /// Binds the node's own address; the finding of a failure names it.
   static Result<std::unique_ptr<PeerLink>> Create(NodeContext& context,
--- /dev/null
+++ b/lib/coordination/fleet/order_right.cc
@@ -0,0 +1,64 @@
+#include "yuccamoor/coordination/fleet/order_right.h"
+
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Nodes tell their state several times a second.
+constexpr DurationMs kPeerSilence{600};
+// Ticks are far closer together than this while the VM runs.
+constexpr DurationMs kSuspension{400};
+// By then all that arrived during a suspension has been read.
+constexpr DurationMs kDistrustTime{200};
+
+}  // namespace
+
+void OrderRight::OnPeer(const NodeId& node, PeerSight sight, TimeMs now) {
+  if (now < m_distrust_until) return;
+  m_heard[node] = {now, std::move(sight)};
+}
+
+void OrderRight::OnTick(TimeMs now) {
+  if (m_ticked && now - *m_ticked > kSuspension) {
+    m_heard.clear();
+    m_distrust_until = now + kDistrustTime;
+  }
+  m_ticked = now;
+}
+
+bool OrderRight::MayOrder(std::optional<TimeMs> renewed,
+                          const std::map<EndpointId, Epoch>& held,
+                          const std::set<NodeId>& nodes, TimeMs now) const {
+  if (!renewed) return false;
+  return now - *renewed < kValidity || PeersConfirm(held, nodes, now);
+}
+
+bool OrderRight::PeersConfirm(const std::map<EndpointId, Epoch>& held,
+                              const std::set<NodeId>& nodes, TimeMs now) const {
+  if (!m_ticked || now - *m_ticked > kSuspension) return false;
+  for (const NodeId& node : nodes) {
+    if (node == m_self) continue;
+    const auto it = m_heard.find(node);
+    if (it == m_heard.end()) return false;
+    if (now - it->second.at > kPeerSilence) return false;
+    if (!Agrees(it->second.sight, held, nodes.size())) return false;
+  }
+  return !nodes.empty();
+}
+
+bool OrderRight::Agrees(const PeerSight& peer,
+                        const std::map<EndpointId, Epoch>& held,
+                        std::size_t nodes) {
+  for (const auto& [engine, fence] : held) {
+    if (peer.held.contains(engine)) return false;
+    if (!peer.store.fresh) continue;
+    const auto seen = peer.store.holders.find(engine);
+    if (seen == peer.store.holders.end()) return false;
+    if (seen->second != fence) return false;
+  }
+  return !peer.store.fresh || peer.store.nodes == nodes;
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -6,15 +6,11 @@
 
 namespace {
 
-// A holder that has not renewed its lease for this long gives no orders: its
-// records may have been taken away without a word.
-constexpr DurationMs kOrderValidity{1'500};
 constexpr DurationMs kHolderMargin{150};
 // Nodes of a starting fleet register before the first claims.
 constexpr DurationMs kClaimDelay{900};
 // A node that is cut off from the store hears of a new one by then.
 constexpr DurationMs kLateClaimDelay{2'200};
-constexpr DurationMs kPeerSilence{600};
 
 const char* ToText(OrderEnd end) {
   switch (end) {
@@ -43,46 +39,22 @@
       m_notify(std::move(notify)),
       m_announce(std::move(announce)),
       m_claims(context.settings.node),
-      m_started(context.clock.Now()) {}
+      m_started(context.clock.Now()),
+      m_right(context.settings.node) {}
 
 bool EngineHolder::MayOrder(TimeMs now) const {
-  if (!m_session.lease()) return false;
-  return now - m_session.renewed() < kOrderValidity || PeersConfirm(now);
-}
-
-// Without the store, another node can only have taken an engine over if some
-// node reaches the store. All others must just have said that they hold none
-// of this node's engines, and those that reach the store that its records
-// stand.
-bool EngineHolder::PeersConfirm(TimeMs now) const {
-  const auto& nodes = m_context.view.nodes();
-  for (const auto& [node, record] : nodes) {
-    if (node == m_context.settings.node) continue;
-    const auto it = m_sights.find(node);
-    if (it == m_sights.end()) return false;
-    if (now - it->second.heard > kPeerSilence) return false;
-    if (!Agrees(it->second)) return false;
-  }
-  return !nodes.empty();
-}
-
-bool EngineHolder::Agrees(const PeerSight& peer) const {
-  for (const auto& [engine, held] : m_held) {
-    if (peer.held.contains(engine)) return false;
-    if (!peer.store.fresh) continue;
-    const auto seen = peer.store.holders.find(engine);
-    if (seen == peer.store.holders.end()) return false;
-    if (seen->second != held.fence) return false;
-  }
-  return !peer.store.fresh || peer.store.nodes == m_context.view.nodes().size();
+  std::optional<TimeMs> renewed;
+  if (m_session.lease()) renewed = m_session.renewed();
+  std::map<EndpointId, Epoch> held;
+  for (const auto& [engine, item] : m_held) held[engine] = item.fence;
+  return m_right.MayOrder(renewed, held, m_context.view.NodeIds(), now);
 }
 
 void EngineHolder::OnPeerStatus(const NodeStatus& status, TimeMs now) {
-  PeerSight& sight = m_sights[status.node];
-  sight.heard = now;
+  PeerSight sight;
   sight.store = status.store;
-  sight.held.clear();
   for (const auto& [engine, held] : status.held) sight.held.insert(engine);
+  m_right.OnPeer(status.node, std::move(sight), now);
 }
 
 // Engines that no other node can have ordered since this one did: another one
@@ -143,7 +115,7 @@
   const bool no_other = m_context.view.NeverHeld(engine) ||
                         LatelyHeld(now).contains(engine) || m_session.adopted();
   const DurationMs wait = no_other ? DurationMs(0)
-                                   : kOrderValidity +
+                                   : OrderRight::kValidity +
                                          m_context.settings.holder_separation +
                                          kHolderMargin;
   const TimeMs order_from = now + wait;
@@ -156,6 +128,7 @@
 }
 
 void EngineHolder::OnTick(TimeMs now) {
+  m_right.OnTick(now);
   if (!MayOrder(now)) return;
   for (const auto& [engine, held] : m_held) m_last_valid[engine] = now;
   ClaimNext(now);
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -75,9 +75,10 @@
       findings.Append(result.error());
     }
   };
-  take(PeerLink::Create(
-           m_context,
-           [this](const PeerMessage& message) { OnPeerMessage(message); }),
+  take(PeerLink::Create(m_context,
+                        [this](const PeerMessage& message, bool direct) {
+                          OnPeerMessage(message, direct);
+                        }),
        m_peers);
   take(FrontServer::Create(m_context, m_dispatcher), m_front);
   take(StatusServer::Create(m_context.io, m_context.clock, settings.ready,
@@ -228,10 +229,10 @@
   }
 }
 
-void Node::OnPeerMessage(const PeerMessage& message) {
+void Node::OnPeerMessage(const PeerMessage& message, bool direct) {
   if (const auto* status = std::get_if<NodeStatus>(&message)) {
     m_dispatcher.OnPeerStatus(*status);
-    m_holder.OnPeerStatus(*status, m_context.clock.Now());
+    if (direct) m_holder.OnPeerStatus(*status, m_context.clock.Now());
     NoteUsed(*status);
   } else if (const auto* ask = std::get_if<AskLoad>(&message)) {
     const auto queued = m_holder.OnAskLoad(*ask);
--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -18,6 +18,8 @@
 // Begins a datagram that the receiver passes on in its domain. No message
 // begins so.
 constexpr char kPassOn = '>';
+// Begins a datagram that was passed on.
+constexpr char kPassedOn = '<';
 }  // namespace
 
 Result<std::unique_ptr<PeerLink>> PeerLink::Create(NodeContext& context,
@@ -66,17 +68,17 @@
 }
 
 void PeerLink::OnDatagram(std::string_view datagram) {
-  if (datagram.starts_with(kPassOn)) {
-    datagram.remove_prefix(1);
-    PassOn(std::string(datagram));
-  }
+  const bool passed_on = datagram.starts_with(kPassedOn);
+  const bool pass_on = datagram.starts_with(kPassOn);
+  if (passed_on || pass_on) datagram.remove_prefix(1);
+  if (pass_on) PassOn(kPassedOn + std::string(datagram));
   auto message = DecodePeerMessage(datagram);
-  if (message) m_handler(std::move(*message));
+  if (message) m_handler(std::move(*message), !passed_on);
 }
 
 void PeerLink::Send(const NodeId& node, const PeerMessage& message) {
   if (node == m_context.settings.node) {
-    m_handler(message);
+    m_handler(message, true);
     return;
   }
   UpdateKnown();
