--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -72,8 +72,8 @@
   const bool pass_on = datagram.starts_with(kPassOn);
   if (passed_on || pass_on) datagram.remove_prefix(1);
   if (pass_on) PassOn(kPassedOn + std::string(datagram));
-  auto message = DecodePeerMessage(datagram);
-  if (message) m_handler(std::move(*message), !passed_on);
+  const auto message = DecodePeerMessage(datagram);
+  if (message) m_handler(*message, !passed_on);
 }
 
 void PeerLink::Send(const NodeId& node, const PeerMessage& message) {
