--- a/unittests/coordination/fleet/engine_host_test.cc
+++ b/unittests/coordination/fleet/engine_host_test.cc
@@ -107,6 +107,14 @@
   }
 }
 
+// Loads the adapters a1, a2 and a3 into the engine's places.
+void FillPlaces(EngineHost& host, FakeEngine& engine, TimeMs& now) {
+  for (const char* name : {"a1", "a2", "a3"}) {
+    host.Request(Wish(name), now);
+    Run(host, engine, now, DurationMs(400));
+  }
+}
+
 bool Holds(const EngineHost& host, const std::string& name) {
   return host.Resident().contains(Adapter(name));
 }
@@ -144,10 +152,7 @@
   EngineHost host = Host();
   FakeEngine engine(kSlots);
   TimeMs now(0);
-  for (const char* name : {"a1", "a2", "a3"}) {
-    host.Request(Wish(name), now);
-    Run(host, engine, now, DurationMs(400));
-  }
+  FillPlaces(host, engine, now);
   host.OnUsed(Adapter("a1"), 5, now);
   host.OnUsed(Adapter("a3"), 4, now);
   Run(host, engine, now, DurationMs(1'000));
@@ -188,10 +193,7 @@
   EngineHost host = Host();
   FakeEngine engine(kSlots);
   TimeMs now(0);
-  for (const char* name : {"a1", "a2", "a3"}) {
-    host.Request(Wish(name), now);
-    Run(host, engine, now, DurationMs(400));
-  }
+  FillPlaces(host, engine, now);
   Run(host, engine, now, DurationMs(1'000));
   host.Request(Wish("a4"), now);
   Run(host, engine, now, DurationMs(30));
@@ -230,10 +232,7 @@
   EngineHost host = Host();
   FakeEngine engine(kSlots);
   TimeMs now(0);
-  for (const char* name : {"a1", "a2", "a3"}) {
-    host.Request(Wish(name), now);
-    Run(host, engine, now, DurationMs(400));
-  }
+  FillPlaces(host, engine, now);
   host.Request(Wish("a4"), now);
   const TimeMs end = now + DurationMs(2'000);
   while (now < end) {
@@ -250,10 +249,7 @@
   EngineHost host = Host();
   FakeEngine engine(kSlots);
   TimeMs now(0);
-  for (const char* name : {"a1", "a2", "a3"}) {
-    host.Request(Wish(name), now);
-    Run(host, engine, now, DurationMs(400));
-  }
+  FillPlaces(host, engine, now);
   for (const char* name : {"a1", "a2", "a3"}) engine.SetBusy(Adapter(name));
   Run(host, engine, now, DurationMs(1'000));
   host.Request(Wish("a4"), now);
