Drop an urgency without effect; look at the peers only without a lease

PromptUrgency::kLate had become the same as kCanWait when the trial it was made for was reverted. The right to order was asked several times a tick, and copied the list of nodes each time though only an outage needs it. Behaviour is as before; the tests keep their assertions.

--- a/include/yuccamoor/coordination/fleet/order_right.h
+++ b/include/yuccamoor/coordination/fleet/order_right.h
@@ -52,6 +52,10 @@
   /// suspended, and that what is read next may be old.
   void OnTick(TimeMs now);
 
+  /// Whether the lease alone gives the right; \p renewed as for MayOrder.
+  static bool IsRenewed(std::optional<TimeMs> renewed, TimeMs now) {
+    return renewed && now - *renewed < kValidity;
+  }
   /// \p renewed is when the node's last renewal was sent; nothing without a
   /// lease. \p held maps the node's engines to their fencing numbers, \p nodes
   /// are all nodes registered.
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -26,13 +26,12 @@
 
 /// How long a prompt can be held back.
 enum class PromptUrgency : std::uint8_t {
-  /// It is on time if it is sent later.
+  /// It is on time if it is sent later, or late already: then it is not worth
+  /// the pauses of others.
   kCanWait,
   /// Now or late. It may use up what pauses usually leave of their limit, but
   /// no more: a pause is the lateness of every stream at the engine.
   kLastChance,
-  /// Late already: it is not worth the pauses of others.
-  kLate,
 };
 
 /// A prompt that may be sent.
--- a/lib/coordination/fleet/order_right.cc
+++ b/lib/coordination/fleet/order_right.cc
@@ -32,7 +32,7 @@
                           const std::map<EndpointId, Epoch>& held,
                           const std::set<NodeId>& nodes, TimeMs now) const {
   if (!renewed) return false;
-  return now - *renewed < kValidity || PeersConfirm(held, nodes, now);
+  return IsRenewed(renewed, now) || PeersConfirm(held, nodes, now);
 }
 
 bool OrderRight::PeersConfirm(const std::map<EndpointId, Epoch>& held,
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -45,6 +45,8 @@
 bool EngineHolder::MayOrder(TimeMs now) const {
   std::optional<TimeMs> renewed;
   if (m_session.lease()) renewed = m_session.renewed();
+  // Asked several times a tick: the others matter in an outage only.
+  if (OrderRight::IsRenewed(renewed, now)) return true;
   std::map<EndpointId, Epoch> held;
   for (const auto& [engine, item] : m_held) held[engine] = item.fence;
   return m_right.MayOrder(renewed, held, m_context.view.NodeIds(), now);
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -115,9 +115,8 @@
   const DurationMs held = Held(now);
   PromptOffer prompt;
   prompt.tokens = m_meta.prompt_tokens;
-  if (held >= m_route.objective) {
-    prompt.urgency = PromptUrgency::kLate;
-  } else if (held >= m_route.objective - kFirstEventTime) {
+  const bool late = held >= m_route.objective;
+  if (!late && held >= m_route.objective - kFirstEventTime) {
     prompt.urgency = PromptUrgency::kLastChance;
   }
   constexpr std::uint64_t kSpreadSteps = 256;
--- a/unittests/coordination/fleet/prefill_pacing_test.cc
+++ b/unittests/coordination/fleet/prefill_pacing_test.cc
@@ -106,13 +106,11 @@
     std::deque<Prompt> left;
     for (const Prompt& prompt : waiting) {
       const DurationMs held = now - prompt.came;
-      const bool late = held >= kObjective;
-      const bool last = held >= kLastChanceFrom && !late;
+      const bool last = held >= kLastChanceFrom && held < kObjective;
       const bool forced =
           held >= kLastChanceFrom && last_chance == LastChance::kIsForced;
-      const auto urgency = late   ? PromptUrgency::kLate
-                           : last ? PromptUrgency::kLastChance
-                                  : PromptUrgency::kCanWait;
+      const auto urgency =
+          last ? PromptUrgency::kLastChance : PromptUrgency::kCanWait;
       if (!forced && !AllowsPrompt(endpoint, {prompt.tokens, urgency}, now)) {
         left.push_back(prompt);
         continue;
