Tell changes that matter from repeated entries, and remember held engines

An engine that registered again after it was held counted as never held: a new holder would have given orders at once, while the last one's could still be under way. The test fails without the change. IsNews tells which changes of the store another node has to learn of.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -61,6 +61,10 @@
  public:
   /// Applies one change and returns its effect.
   ViewUpdate Apply(StoreChange change, TimeMs now);
+  /// Whether another node with the same view has to learn of the change, which
+  /// is about to be applied. Endpoints write their entries again all the time;
+  /// what they hold is reported by their holders.
+  bool IsNews(const StoreChange& change) const;
   /// Replaces nodes, holders and endpoints by the result of a full read: those
   /// that it does not contain are removed.
   void Reset(const std::vector<StoreChange>& changes, TimeMs now);
@@ -83,7 +87,7 @@
   std::set<NodeId> NodeIds() const;
   std::map<EndpointId, NodeId> HolderIds() const;
   /// Engines to which no node can have given orders: this view saw each
-  /// register and has seen no holder of it since.
+  /// register and has never seen a holder of it.
   const std::set<EndpointId>& NeverHeldEngines() const {
     return m_never_held_engines;
   }
@@ -120,6 +124,8 @@
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
   std::set<EndpointId> m_never_held_engines;
+  // Engines of which a holder was seen, also if they or it have gone since.
+  std::set<EndpointId> m_once_held_engines;
 };
 
 }  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -16,6 +16,14 @@
 // published. The remainder covers the delays of the watch and of the engine.
 constexpr DurationMs kOlderRevisionGrace{2'000};
 
+// Whether the entries differ in more than what engines' holders report.
+bool Differ(const EndpointEntry& a, const EndpointEntry& b) {
+  return a.service != b.service || a.address != b.address ||
+         a.domain != b.domain || a.slots != b.slots ||
+         a.draining != b.draining || a.start_unix_ms != b.start_unix_ms ||
+         a.models != b.models;
+}
+
 }  // namespace
 
 std::string EncodeNodeRecord(const NodeRecord& record) {
@@ -55,6 +63,17 @@
       std::move(change));
 }
 
+bool FleetView::IsNews(const StoreChange& change) const {
+  if (const auto* removed = std::get_if<EndpointRemoved>(&change)) {
+    return m_endpoints.Find(removed->id) != nullptr;
+  }
+  const auto* written = std::get_if<EndpointWritten>(&change);
+  if (!written) return true;
+  const Endpoint* known = m_endpoints.Find(written->entry.id);
+  return !known || known->reregister_deadline.has_value() ||
+         Differ(known->entry, written->entry);
+}
+
 void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now) {
   m_nodes.clear();
   m_holders.clear();
@@ -92,7 +111,9 @@
   const bool was_leaving = known && known->leaving;
   const bool leaving = change.entry.draining;
   if (m_endpoints.Put(std::move(change.entry), now)) {
-    if (!known) m_never_held_engines.insert(id);
+    if (!known && !m_once_held_engines.contains(id)) {
+      m_never_held_engines.insert(id);
+    }
     return ViewUpdate::kEndpointAdded;
   }
   return leaving && !was_leaving ? ViewUpdate::kEndpointLeaving
@@ -117,6 +138,7 @@
     const EndpointId engine(std::string(key.substr(kHolderPrefix.size())));
     m_holders[engine] = {NodeId(change.value), Epoch(change.revision.value())};
     m_never_held_engines.erase(engine);
+    m_once_held_engines.insert(engine);
     return ViewUpdate::kHolderChanged;
   }
   return ViewUpdate::kUnchanged;
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -42,6 +42,56 @@
   CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
 }
 
+TEST_CASE("An engine that registers again after it was held is not new",
+          "[fleet][view]") {
+  FleetView view;
+  view.Apply(ConfigWritten{EngineConfig(1)}, TimeMs(0));
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(0));
+  view.Apply(Holder("e1", "n1", 9), TimeMs(1));
+  SECTION("while its holder's record stands") {
+    view.Apply(EndpointRemoved{EndpointId("e1")}, TimeMs(2));
+  }
+  SECTION("after its holder's record has gone") {
+    view.Apply(RecordRemoved{FleetView::HolderKey(EndpointId("e1"))},
+               TimeMs(2));
+    view.Apply(EndpointRemoved{EndpointId("e1")}, TimeMs(2));
+  }
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(3));
+  // Its last holder's orders may still be on their way.
+  CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
+}
+
+TEST_CASE("Only entries that change what nodes do are news",
+          "[fleet][view][large]") {
+  FleetView view;
+  EndpointEntry entry = EngineEntry("e1");
+  CHECK(view.IsNews(EndpointWritten{entry}));
+  CHECK_FALSE(view.IsNews(EndpointRemoved{EndpointId("e1")}));
+  view.Apply(EndpointWritten{entry}, TimeMs(0));
+  SECTION("adapters are told by the engine's holder") {
+    entry.adapters[Adapter("a1")] = AdapterRevision(1);
+    CHECK_FALSE(view.IsNews(EndpointWritten{entry}));
+  }
+  SECTION(
+      "a node may know from an answer that the endpoint leaves, others "
+      "do not") {
+    view.endpoints().MarkLeaving(entry.id);
+    entry.draining = true;
+    CHECK(view.IsNews(EndpointWritten{entry}));
+  }
+  SECTION("a restart") {
+    entry.start_unix_ms = 2;
+    CHECK(view.IsNews(EndpointWritten{entry}));
+  }
+  SECTION("an entry that is back after an outage") {
+    view.endpoints().OnStoreRecovered(TimeMs(10));
+    view.Apply(EndpointRemoved{entry.id}, TimeMs(20));
+    CHECK(view.IsNews(EndpointWritten{entry}));
+  }
+  CHECK(view.IsNews(EndpointRemoved{EndpointId("e1")}));
+  CHECK(view.IsNews(Holder("e1", "n1", 9)));
+}
+
 TEST_CASE("A holder's fencing number is its record's revision",
           "[fleet][view]") {
   FleetView view;
