--- a/include/yuccamoor/coordination/fleet/endpoint_choice.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_choice.h
@@ -32,6 +32,10 @@
   FailureDomainId domain;
   /// Endpoints that have already failed this request.
   std::vector<EndpointId> excluded;
+  /// Differs between requests. If set, plain endpoints with nearly the same
+  /// load are chosen at random: nodes that know little of each other's requests
+  /// would otherwise all choose the same one.
+  std::optional<std::uint64_t> spread;
 };
 
 /// The result of ChooseEndpoint.
@@ -53,6 +57,12 @@
 EndpointChoice ChooseEndpoint(const EndpointTable& table,
                               const EndpointQuery& query, TimeMs now);
 
+/// Returns the usable engines that have the base model of the query's adapter,
+/// in rendezvous order of the adapter. Nodes with the same view agree on it.
+std::vector<EndpointId> RankByRendezvous(const EndpointTable& table,
+                                         const EndpointQuery& query,
+                                         TimeMs now);
+
 }  // namespace yuccamoor::fleet
 
 #endif  // YUCCAMOOR_COORDINATION_FLEET_ENDPOINT_CHOICE_H_
--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -145,6 +145,9 @@
 
   /// The loaded adapters, without those that are retired or being replaced.
   AdapterSet Resident() const;
+  /// The loaded version of one adapter, as Resident.
+  std::optional<AdapterRevision> ResidentVersion(
+      const AdapterRef& adapter) const;
   /// The number of adapter loads in flight.
   std::uint32_t loads_in_flight() const;
   /// Whether adapters can be loaded: the engine's state was read and the model
--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -68,6 +68,9 @@
   kUnknown,
 };
 
+/// The status's name in logs.
+const char* ToText(StoreStatus status);
+
 /// The result of ReadAll or Watch.
 struct StoreReadResult {
   StoreStatus status = StoreStatus::kUnknown;
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -45,10 +45,30 @@
   double jitter = 1;
 };
 
+/// What an engine has to do already.
+struct PrefillLoad {
+  std::uint32_t requests = 0;
+  std::uint32_t slots = 0;
+  /// As PrefillBacklog.
+  DurationMs backlog{0};
+};
+
+/// Returns the engine's load as this node knows it.
+PrefillLoad PrefillLoadOf(const Endpoint& engine, TimeMs now);
+
+/// Returns the engine time that a prompt takes, including the steps of running
+/// streams in between.
+DurationMs ReservedPrefill(std::uint32_t tokens);
+
+/// Returns the estimated time until AllowsPrompt holds if nothing else is sent;
+/// zero if it holds now.
+DurationMs PromptWait(const PrefillLoad& engine, const PromptOffer& prompt);
+
 /// Returns whether a prompt may be sent now. An engine whose batch is full
 /// takes none: a prompt that is held back can still go to another engine that
 /// loads the adapter meanwhile. A prompt too large for any limit is sent once
 /// the engine has no backlog.
+bool AllowsPrompt(const PrefillLoad& engine, const PromptOffer& prompt);
 bool AllowsPrompt(const Endpoint& engine, const PromptOffer& prompt,
                   TimeMs now);
 
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -11,8 +11,13 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
+#include "yuccamoor/coordination/fleet/engine_quote.h"
+#include "yuccamoor/coordination/fleet/engine_use.h"
+#include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/order_right.h"
+#include "yuccamoor/coordination/fleet/prompt_queue.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 
 namespace yuccamoor::fleet {
@@ -27,10 +32,7 @@
   AdapterSet adapters;
 };
 
-/// Requests by engine and adapter.
-using UsedAdapters = std::map<EndpointId, std::map<AdapterRef, std::uint32_t>>;
-
-/// What a node tells all others from time to time.
+/// What a node of a small fleet tells all others from time to time.
 struct NodeStatus {
   NodeId node;
   StoreView store;
@@ -96,9 +98,72 @@
   std::uint32_t tokens = 0;
 };
 
+/// Asks an engine's holder, in a large fleet, when the engine can serve a
+/// request.
+struct AskAdmission {
+  /// The asking node and the request's number there.
+  AdmissionId id;
+  EndpointId engine;
+  AdapterRef adapter;
+  AdapterRevision version;
+  /// Whether an older version may serve the request as well.
+  bool accept_older_version = false;
+  std::uint32_t prompt_tokens = 0;
+  int priority = 0;
+  /// How much time is left until the prompt has to be sent to be on time; not
+  /// positive if it is late.
+  DurationMs send_within{0};
+  /// Requests at the node that wait for the adapter, and how soon it has to be
+  /// loaded for the newest of them to be on time.
+  std::uint32_t demand = 1;
+  DurationMs ready_within{0};
+  /// Asked as the adapter's home.
+  bool as_home = false;
+  /// Queue the prompt until it may be sent.
+  bool enqueue = false;
+};
+
+/// Answers AskAdmission, or admits a prompt that was queued.
+struct TellAdmission {
+  std::uint64_t number = 0;
+  AdmissionAnswer answer;
+};
+
+/// Tells an engine's holder that an admitted prompt was sent.
+struct TellSent {
+  AdmissionId id;
+  EndpointId engine;
+  std::uint32_t prompt_tokens = 0;
+};
+
+/// Tells the holder of some engines how the node uses them.
+struct TellUse {
+  NodeId node;
+  EngineUse use;
+  /// The node's requests to all engines.
+  double requests_per_second = 0;
+};
+
+/// Passes on what a node has read from the store.
+struct TellChanges {
+  NodeId node;
+  /// The changes are those after the first revision, up to and including the
+  /// second one, that are news to other nodes.
+  Revision after;
+  Revision read;
+  /// Whether all of them are contained. If not, the receiver has to read them
+  /// itself.
+  bool complete = true;
+  /// Whether the store has just been back after an outage: entries that are
+  /// missing may still be registered again.
+  bool after_outage = false;
+  std::vector<StoreChange> changes;
+};
+
 using PeerMessage =
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
-                 TellPrompt, TellRetired, TellInUse>;
+                 TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
+                 TellAdmission, TellSent, TellUse>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -22,6 +22,13 @@
 
 namespace yuccamoor::fleet {
 
+/// The requests of this node that wait for an adapter.
+struct WaitingDemand {
+  std::uint32_t requests = 0;
+  /// The newest of them is on time if the adapter is in place by then.
+  TimeMs on_time_until;
+};
+
 /// Shared by all requests of a node.
 class Dispatcher {
  public:
@@ -34,9 +41,18 @@
   /// more copy, is asked for.
   EndpointChoice Choose(EndpointQuery query, int priority);
 
+  /// Whether the fleet is large: engines' holders admit requests then, instead
+  /// of every node telling all others its state.
+  bool IsLarge() const;
+  /// Chooses an endpoint by what this node knows, without asking for loads.
+  EndpointChoice ChooseKnown(const EndpointQuery& query) const;
+  std::uint32_t CountEngines(const ServiceId& service, TimeMs now) const;
+  WaitingDemand DemandFor(const AdapterRef& adapter) const;
+
   /// Whether the engine can take the prompt without holding up its streams.
   bool AllowsPrompt(const EndpointId& engine, const PromptOffer& prompt) const;
-  /// Notes a prompt that is sent to the engine, and tells peers of a large one.
+  /// Notes a prompt that is sent to the engine, and tells the peers of a small
+  /// fleet.
   void OnPrompt(const EndpointId& engine, std::uint32_t tokens);
   void OnPeerPrompt(const TellPrompt& told);
 
@@ -67,6 +83,18 @@
   void EarnRetry(const ServiceId& service);
 
   void OnPeerStatus(const NodeStatus& status);
+  /// Notes how another node uses the engines that this one holds.
+  void OnPeerUse(const TellUse& told);
+  /// Returns what to tell the holders of the engines in use, where it is due.
+  std::map<NodeId, TellUse> TakeUse(TimeMs now);
+  /// The estimated requests per second of the whole fleet to engines.
+  double FleetRate() const;
+  /// Notes the load of an engine that was asked for admission.
+  void OnEngineQuote(const EngineQuote& quote);
+  /// The mean requests in flight at an engine.
+  double MeanEngineRequests() const { return m_mean_requests; }
+  /// Notes what a plain endpoint has said of its load.
+  void OnEndpointLoad(const EndpointId& endpoint, const EndpointLoad& load);
   void OnLoaded(const TellLoaded& told);
   void OnQueued(const TellQueued& told);
   void OnLocalHeld(const std::map<EndpointId, HeldEngineStatus>& held);
@@ -91,11 +119,6 @@
     TimeMs told;
     std::uint32_t waiting = 0;
   };
-  // The requests for an adapter that is not in place.
-  struct Demand {
-    std::uint32_t requests = 0;
-    TimeMs on_time_until;
-  };
   struct Asked {
     EndpointId engine;
     TimeMs at;
@@ -109,13 +132,11 @@
                   const std::vector<EndpointId>& places, bool urgent);
   void Ask(const EndpointQuery& query, int priority, Asked& asked);
   void NoteOrdering(const EndpointId& engine, const HeldEngineStatus& held);
-  std::uint32_t CountEngines(const ServiceId& service, TimeMs now) const;
   bool IsOrdering(const EndpointId& engine, TimeMs now) const;
   std::optional<EndpointId> PlaceToAsk(const AdapterRef& adapter,
                                        const std::vector<EndpointId>& places,
                                        const std::vector<Asked>& asked,
                                        TimeMs now) const;
-  Demand DemandFor(const AdapterRef& adapter) const;
   void NoteHomes(const EndpointId& engine, const AdapterSet& adapters);
   void NoteHeld(const std::map<EndpointId, HeldEngineStatus>& held, TimeMs now);
   void ShowPeerLoads(const std::vector<EndpointId>& changed);
@@ -131,13 +152,21 @@
   std::map<EndpointId, Ordering> m_ordering;
   std::map<AdapterRef, std::vector<Asked>> m_asked;
   // Requests since the adapter was asked for.
-  std::map<AdapterRef, Demand> m_demand;
+  std::map<AdapterRef, WaitingDemand> m_demand;
   // The engine that held an adapter last: its host memory probably still has
   // it.
   std::map<AdapterRef, EndpointId> m_homes;
   // Requests under way, and begun in this interval.
   UsedAdapters m_running;
   UsedAdapters m_begun;
+  EngineUseReports m_use;
+  // The other nodes' requests per second to engines, as told.
+  std::map<NodeId, double> m_rates;
+  // Means over the engines that were asked lately.
+  double m_mean_loading = 0;
+  double m_mean_requests = 0;
+  // Plain endpoints that have said their load, and when.
+  std::map<EndpointId, TimeMs> m_load_told;
   std::map<ServiceId, RetryBudget> m_retries;
   TimeMs m_swept;
 };
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -17,7 +17,7 @@
 #include "yuccamoor/coordination/fleet/holder_claims.h"
 #include "yuccamoor/coordination/fleet/order_right.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
-#include "yuccamoor/transport/fleet/store_session.h"
+#include "yuccamoor/transport/fleet/lease_keeper.h"
 
 namespace yuccamoor::fleet {
 
@@ -29,8 +29,8 @@
   /// Called with an adapter that every node should stop using.
   using Announce = std::function<void(const TellRetired&)>;
 
-  EngineHolder(NodeContext& context, StoreSession& session,
-               EngineControl& control, Notify notify, Announce announce);
+  EngineHolder(NodeContext& context, LeaseKeeper& lease, EngineControl& control,
+               Notify notify, Announce announce);
 
   /// Takes up and gives up engines by the view of the store.
   void OnViewChanged();
@@ -44,6 +44,16 @@
   /// Returns when the adapter will probably be in place, or nothing if this
   /// node does not hold the engine.
   std::optional<TellQueued> OnAskLoad(const AskLoad& ask);
+  /// Whether this node holds the engine.
+  bool Holds(const EndpointId& engine) const { return m_held.contains(engine); }
+  /// Whether this node may have adapters loaded by the engine now.
+  bool MayLoad(const EndpointId& engine) const;
+  /// The version of the adapter that a held engine holds, if it does. Of a base
+  /// model, versions are not distinguished.
+  std::optional<AdapterRevision> ResidentVersion(
+      const EndpointId& engine, const AdapterRef& adapter) const;
+  /// Adapters on their way to a held engine.
+  std::uint32_t LoadsInFlight(const EndpointId& engine) const;
   void OnTellMissing(const TellMissing& told);
   void OnTellInUse(const TellInUse& told);
   void OnUsed(const EndpointId& engine, const AdapterRef& adapter,
@@ -71,7 +81,7 @@
   Held* FindHeld(const EndpointId& engine, Epoch fence);
 
   NodeContext& m_context;
-  StoreSession& m_session;
+  LeaseKeeper& m_lease;
   EngineControl& m_control;
   Notify m_notify;
   Announce m_announce;
@@ -82,6 +92,7 @@
   // When this node last had the right to order engines that it held.
   std::map<EndpointId, TimeMs> m_last_valid;
   bool m_claiming = false;
+  TimeMs m_last_claim_check;
   FleetConditions m_pace;
 };
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -12,6 +12,7 @@
 
 #include "yuccamoor/coordination/fleet/route_table.h"
 #include "yuccamoor/protocol/fleet/event_cutter.h"
+#include "yuccamoor/transport/fleet/admission_client.h"
 #include "yuccamoor/transport/fleet/dispatcher.h"
 #include "yuccamoor/transport/fleet/endpoint_call.h"
 #include "yuccamoor/transport/fleet/front_connection.h"
@@ -23,6 +24,7 @@
 struct ExchangeContext {
   NodeContext& node;
   Dispatcher& dispatcher;
+  AdmissionClient& admissions;
   IdleConnections& idle;
   /// Set while the node shuts down: responses end their connections.
   const bool& closing;
@@ -57,6 +59,18 @@
   /// Refuses a prompt that was held back until its client will leave.
   void HoldBack(TimeMs now);
   void Wait(TimeMs now);
+  /// Refuses the request if it cannot be served any more when it could be sent
+  /// at \p expected at the earliest. Returns whether it was refused.
+  bool RefuseIfTooLate(TimeMs expected, const char* reason, TimeMs now);
+  void NoteWaiting(TimeMs now);
+
+  /// Asks the engines' holders for admission, in a large fleet.
+  void SeekAdmission(TimeMs now);
+  AdmissionNeeds MakeNeeds(TimeMs now) const;
+  void OnAdmissionStep(const AdmissionStep& step);
+  void FollowStep(const AdmissionStep& step, TimeMs now);
+  /// Sends the request by what this node knows, as no holder has answered.
+  void SendUnadmitted(TimeMs now);
   void StopWaiting(TimeMs now);
   EndpointQuery MakeQuery(TimeMs now) const;
   void SendTo(const EndpointId& endpoint, TimeMs now);
@@ -95,6 +109,12 @@
   bool IsIdempotent() const;
   bool ResumesStream() const;
 
+  // From an adapter's arrival to the first event, if no other prompt is ahead.
+  static constexpr DurationMs kPrefillTime{120};
+  // Without an engine whose holder answers for this long, none will load.
+  static constexpr DurationMs kNobodyLoadsTime{500};
+  static constexpr DurationMs kNobodyRetryAfter{1'500};
+  static constexpr DurationMs kNoEndpointRetryAfter{300};
   // Less time than this is no offer to an endpoint.
   static constexpr DurationMs kShortestOffer{15};
 
@@ -107,6 +127,7 @@
   ServiceId m_service;
   TimeMs m_deadline;
   std::unique_ptr<EndpointCall> m_call;
+  std::unique_ptr<AdmissionTicket> m_ticket;
   EndpointId m_endpoint;
   FailureDomainId m_endpoint_domain;
   TimeMs m_sent;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -16,8 +16,8 @@
 /// The clients' side of a node.
 class FrontServer final : public FrontHandler {
  public:
-  static Result<std::unique_ptr<FrontServer>> Create(NodeContext& node,
-                                                     Dispatcher& dispatcher);
+  static Result<std::unique_ptr<FrontServer>> Create(
+      NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions);
 
   void OnTick(TimeMs now);
 
@@ -38,7 +38,8 @@
   std::string RejectBadRequest(int status, const HttpHead& head) override;
 
  private:
-  FrontServer(NodeContext& node, Dispatcher& dispatcher);
+  FrontServer(NodeContext& node, Dispatcher& dispatcher,
+              AdmissionClient& admissions);
 
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
--- /dev/null
+++ b/include/yuccamoor/transport/fleet/lease_keeper.h
@@ -0,0 +1,62 @@
+/// \file
+/// \brief Registers a node in the store under a lease, and keeps the lease
+/// alive.
+
+#ifndef YUCCAMOOR_TRANSPORT_FLEET_LEASE_KEEPER_H_
+#define YUCCAMOOR_TRANSPORT_FLEET_LEASE_KEEPER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+
+#include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/transport/fleet/node_context.h"
+
+namespace yuccamoor::fleet {
+
+/// The node's lease, record and claims. Calls to the store that fail are
+/// repeated after a pause.
+class LeaseKeeper {
+ public:
+  LeaseKeeper(NodeContext& context, FleetStore& store);
+
+  /// Takes over the lease of this VM's earlier process if the view shows one,
+  /// else gets a new one. Called once, with the first view of the store.
+  /// \p on_change is called when the lease is taken over or lost.
+  void Begin(std::function<void()> on_change);
+
+  /// The lease, while its records surely stand if nobody takes them away.
+  std::optional<StoreLease> lease() const { return m_lease; }
+  /// When the last renewal that succeeded was sent.
+  TimeMs renewed() const { return m_renewed; }
+  /// Whether the lease of this VM's earlier process was taken over.
+  bool adopted() const { return m_adopted; }
+
+  /// Claims the right to give orders to an engine, under the lease.
+  void Claim(const EndpointId& engine,
+             std::function<void(std::optional<Epoch>)> done);
+
+ private:
+  void Adopt(StoreLease lease);
+  void Keep();
+  void Grant();
+  void Register();
+  void Renew();
+  void Lose(const char* reason);
+  void KeepAfter(DurationMs pause);
+
+  NodeContext& m_context;
+  FleetStore& m_store;
+  std::function<void()> m_on_change;
+  boost::asio::steady_timer m_timer;
+  bool m_adopted = false;
+  bool m_registered = false;
+  std::uint32_t m_register_conflicts = 0;
+  std::optional<StoreLease> m_lease;
+  TimeMs m_renewed;
+};
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_TRANSPORT_FLEET_LEASE_KEEPER_H_
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -12,9 +12,12 @@
 
 #include "yuccamoor/coordination/fleet/engine_control.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/transport/fleet/admission_client.h"
+#include "yuccamoor/transport/fleet/admission_server.h"
 #include "yuccamoor/transport/fleet/dispatcher.h"
 #include "yuccamoor/transport/fleet/engine_holder.h"
 #include "yuccamoor/transport/fleet/front_server.h"
+#include "yuccamoor/transport/fleet/lease_keeper.h"
 #include "yuccamoor/transport/fleet/peer_link.h"
 #include "yuccamoor/transport/fleet/status_server.h"
 #include "yuccamoor/transport/fleet/store_session.h"
@@ -51,25 +54,31 @@
   void CheckShutdown(TimeMs now);
   void Tick();
   void FlushLog(TimeMs now);
-  /// How often this node tells the others its state.
-  DurationMs TellInterval() const;
   void TellPeers(TimeMs now);
+  /// Takes up the changed view of the store.
+  void OnViewChanged();
   void OnPeerMessage(const PeerMessage& message, bool direct);
-  void NoteUsed(const NodeStatus& status);
+  void NoteUsed(const UsedAdapters& used);
+  /// Tells the holders of engines in use, in a large fleet.
+  void TellHolders(TimeMs now);
   bool IsReady() const;
 
   NodeContext& m_context;
   MetricsRegistry& m_registry;
   NodePlatform m_platform;
+  LeaseKeeper m_lease;
   StoreSession m_session;
   Dispatcher m_dispatcher;
   EngineHolder m_holder;
+  AdmissionClient m_admissions;
+  AdmissionServer m_admission_server;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<FrontServer> m_front;
   std::unique_ptr<StatusServer> m_ready;
   std::unique_ptr<StatusServer> m_metrics_server;
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_timer;
+  bool m_lease_begun = false;
   TimeMs m_told;
   TimeMs m_flushed;
   std::uint64_t m_counted_drops = 0;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -24,6 +24,7 @@
   Counter& order_conflicts;
   Counter& store_calls;
   Counter& store_failures;
+  Counter& peer_messages_dropped;
   Counter& log_lines_dropped;
   /// From a request's arrival to its first event or whole answer.
   Distribution& first_answer_seconds;
--- a/include/yuccamoor/transport/fleet/peer_link.h
+++ b/include/yuccamoor/transport/fleet/peer_link.h
@@ -16,8 +16,8 @@
 namespace yuccamoor::fleet {
 
 /// Sends and receives peer messages. A message to this node itself is handled
-/// at once. A node whose registration has gone still gets messages for a while:
-/// it may live and be cut off from the store only.
+/// from the event loop. A node whose registration has gone still gets messages
+/// for a while: it may live and be cut off from the store only.
 class PeerLink {
  public:
   /// Called with a message, and whether it came from its sender directly. One
@@ -30,33 +30,38 @@
 
   /// Sends to one node; dropped if the node is not known.
   void Send(const NodeId& node, const PeerMessage& message);
-  /// Sends to all other nodes; in a large fleet through relays.
+  /// Sends to all other nodes. Only small fleets need it.
   void Broadcast(const PeerMessage& message);
+  /// Sends to the other nodes of this node's failure domain.
+  void SendToDomain(const PeerMessage& message);
 
  private:
   PeerLink(NodeContext& context, Handler handler);
 
   struct KnownNode {
-    SocketAddress address;
+    boost::asio::ip::udp::endpoint address;
     FailureDomainId domain;
     TimeMs listed;
   };
 
   void UpdateKnown();
+  void NoteMalformed();
   void Receive();
   void Drain();
   void OnDatagram(std::string_view datagram);
-  void BroadcastByRelays(const std::string& datagram);
-  /// Passes a message on to the other nodes of this node's domain.
-  void PassOn(const std::string& datagram);
-  void SendTo(const SocketAddress& address, const std::string& datagram);
+  void SendEncodedToDomain(const std::string& datagram);
+  void SendTo(const boost::asio::ip::udp::endpoint& address,
+              const std::string& datagram);
 
   NodeContext& m_context;
   Handler m_handler;
   boost::asio::ip::udp::socket m_socket;
   // Nodes that are registered, or were until lately.
   std::map<NodeId, KnownNode> m_known;
-  std::uint64_t m_turn = 0;
+  TimeMs m_updated;
+  // Datagrams that were no message, since they were last logged.
+  std::uint64_t m_malformed = 0;
+  TimeMs m_logged_malformed;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Keeps a node's view of the store up to date, and its lease alive.
+/// \brief Keeps a node's view of the store up to date.
 
 #ifndef YUCCAMOOR_TRANSPORT_FLEET_STORE_SESSION_H_
 #define YUCCAMOOR_TRANSPORT_FLEET_STORE_SESSION_H_
@@ -7,69 +7,66 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
-#include <string>
+#include <vector>
 
 #include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/coordination/fleet/watch_plan.h"
+#include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/node_context.h"
 
 namespace yuccamoor::fleet {
 
-/// Reads everything once, then watches; registers the node under a lease.
+/// Reads everything once, then the changes: from the store, or in a large
+/// fleet from the nodes that read the store for its failure domain.
 class StoreSession {
  public:
-  StoreSession(NodeContext& context, FleetStore& store);
+  /// Called with changes that the other nodes of the failure domain should
+  /// learn of.
+  using PassOn = std::function<void(const TellChanges&)>;
 
-  /// Starts reading and registering. \p on_change is called after each change
-  /// of the view.
+  StoreSession(NodeContext& context, FleetStore& store, PassOn pass_on);
+
+  /// Starts reading. \p on_change is called after each change of the view.
   void Start(std::function<void()> on_change);
-  /// Whether the store has answered lately.
+  /// Handles changes that another node has read.
+  void OnTellChanges(const TellChanges& told);
+  /// Whether the store has answered lately, this node or the one that reads
+  /// for it.
   bool IsFresh(TimeMs now) const;
-  /// Whether the lease of this VM's earlier process was taken over.
-  bool adopted() const { return m_adopted; }
-
-  /// The lease, while its records surely stand if nobody takes them away.
-  std::optional<StoreLease> lease() const { return m_lease; }
-  /// When the last renewal that succeeded was sent.
-  TimeMs renewed() const { return m_renewed; }
-
-  /// Claims the right to give orders to an engine, under the lease.
-  void Claim(const EndpointId& engine,
-             std::function<void(std::optional<Epoch>)> done);
 
  private:
-  void ReadAll();
-  void Watch();
-  void OnReading(const StoreReadResult& reading, bool whole);
-  void ApplyAll(const StoreReadResult& reading, bool whole, TimeMs now);
-  void Again(DurationMs pause, std::function<void()> step);
+  void ScheduleRead();
+  void Read();
+  // \p after is the revision after which changes were read, or nothing if
+  // everything was.
+  void OnReading(const StoreReadResult& reading, std::optional<Revision> after);
+  // Both return whether the view changed by more than repeated entries.
+  bool OnReadAll(const StoreReadResult& reading, TimeMs now);
+  bool OnWatched(const StoreReadResult& reading, Revision after, TimeMs now);
+  std::vector<StoreChange> Apply(const std::vector<StoreChange>& changes,
+                                 TimeMs now);
+  void PassOnChanges(const std::vector<StoreChange>& news, Revision after,
+                     TimeMs now);
+  void OnOutageNotice(TimeMs now);
+  void OnViewChanged();
   void NoteAnswer(StoreStatus status);
   void LogNews(const StoreChange& change, ViewUpdate news);
 
-  void BeginLease();
-  void Adopt(StoreLease lease);
-  void KeepLease();
-  void Grant();
-  void Renew();
-  void LoseLease(const char* reason);
-  void Register();
-  void LeaseAgain(DurationMs pause);
-
   NodeContext& m_context;
   FleetStore& m_store;
+  PassOn m_pass_on;
   std::function<void()> m_on_change;
-  boost::asio::steady_timer m_watch_timer;
-  boost::asio::steady_timer m_lease_timer;
-  TimeMs m_started;
+  boost::asio::steady_timer m_timer;
+  WatchPlan m_plan;
   Revision m_as_of;
   bool m_has_view = false;
+  bool m_history_gone = false;
+  bool m_reading = false;
   bool m_reachable = true;
-  bool m_lease_begun = false;
-  bool m_adopted = false;
-  bool m_registered = false;
-  std::uint32_t m_register_conflicts = 0;
+  // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
-  std::optional<StoreLease> m_lease;
-  TimeMs m_renewed;
+  // When the store was last seen to be back after an outage.
+  std::optional<TimeMs> m_recovered;
 };
 
 }  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/coordination/fleet/copy_directory.cc
@@ -0,0 +1,95 @@
+#include "yuccamoor/coordination/fleet/copy_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Each copy is asked to load or to confirm this often.
+constexpr DurationMs kConfirmInterval{1'000};
+// A copy that has not confirmed for this long may have been unloaded.
+constexpr DurationMs kConfirmedLifetime{2'500};
+// Copies that one request may ask for, so that the loads of an adapter that
+// suddenly becomes popular are spread over its requests.
+constexpr std::size_t kMaxAsksPerRequest = 2;
+
+// A home with more requests in flight than this, relative to the average
+// engine and in addition, has its more popular adapters copied.
+constexpr double kBusyFactor = 1.2;
+constexpr double kBusyMargin = 1;
+// Recent requests that make a copy worth its load.
+constexpr double kMinRequestsWhenBusy = 1.5;
+
+}  // namespace
+
+std::uint32_t CopyDirectory::DesiredCopies(const HomeRequest& request,
+                                           TimeMs now) const {
+  const std::uint32_t desired = m_popularity.DesiredCopies(
+      request.adapter, request.engines, request.fleet_rate, now);
+  const bool busy =
+      request.home_requests > request.mean_requests * kBusyFactor + kBusyMargin;
+  const bool popular =
+      m_popularity.RecentRequests(request.adapter, now) >= kMinRequestsWhenBusy;
+  return busy && popular ? std::max<std::uint32_t>(desired, 2) : desired;
+}
+
+bool CopyDirectory::IsReady(const Copy& copy, TimeMs now) {
+  return copy.confirmed && now - *copy.confirmed < kConfirmedLifetime;
+}
+
+std::vector<EndpointId> CopyDirectory::ChooseTwo(
+    std::vector<EndpointId> engines, std::uint64_t number) {
+  const std::size_t count = engines.size();
+  if (count <= 2) return engines;
+  const std::size_t first = number % count;
+  const std::size_t step = 1 + number / count % (count - 1);
+  return {engines[first], engines[(first + step) % count]};
+}
+
+CopyChoice CopyDirectory::OnRequest(const HomeRequest& request,
+                                    const Ranking& ranking, TimeMs now) {
+  m_popularity.AddRequests(request.adapter, 1, now);
+  const std::uint32_t desired = DesiredCopies(request, now);
+  CopyChoice choice;
+  if (desired <= 1) return choice;
+  Copies& copies = m_copies[request.adapter];
+  std::vector<EndpointId> ready;
+  if (request.home_holds) ready.push_back(request.home);
+  const std::vector<EndpointId> engines = ranking();
+  const std::size_t last = std::min<std::size_t>(desired, engines.size());
+  for (std::size_t i = 0; i < last; ++i) {
+    if (engines[i] == request.home) continue;
+    Copy& copy = copies[engines[i]];
+    if (IsReady(copy, now)) ready.push_back(engines[i]);
+    const bool due = !copy.asked || now - *copy.asked >= kConfirmInterval;
+    if (!due || choice.to_load.size() >= kMaxAsksPerRequest) continue;
+    copy.asked = now;
+    choice.to_load.push_back(engines[i]);
+  }
+  const bool only_home = ready.size() == 1 && request.home_holds;
+  if (!only_home) choice.choices = ChooseTwo(std::move(ready), request.number);
+  return choice;
+}
+
+void CopyDirectory::OnLoaded(const AdapterRef& adapter,
+                             const EndpointId& engine, TimeMs now) {
+  const auto copies = m_copies.find(adapter);
+  if (copies == m_copies.end()) return;
+  const auto copy = copies->second.find(engine);
+  if (copy != copies->second.end()) copy->second.confirmed = now;
+}
+
+void CopyDirectory::Expire(TimeMs now) {
+  m_popularity.Expire(now);
+  for (auto& [adapter, copies] : m_copies) {
+    std::erase_if(copies, [now](const auto& item) {
+      const Copy& copy = item.second;
+      return !copy.asked || now - *copy.asked > kConfirmedLifetime * 2;
+    });
+  }
+  std::erase_if(m_copies, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -48,13 +48,23 @@
   return endpoint.load() / slots;
 }
 
+// Returns up to one request's load, different for each request and endpoint.
+double SpreadCost(const EndpointQuery& query, const Endpoint& endpoint) {
+  if (!query.spread) return 0;
+  constexpr std::uint64_t kSteps = 256;
+  const std::uint64_t hash = StableBucketHash(endpoint.entry.id.str() + "#" +
+                                              std::to_string(*query.spread));
+  const double slots = std::max<std::uint32_t>(endpoint.entry.slots, 1);
+  return static_cast<double>(hash % kSteps) / kSteps / slots;
+}
+
 const Endpoint* FindLeastLoaded(const Candidates& candidates,
-                                const FailureDomainId& domain) {
+                                const EndpointQuery& query) {
   const Endpoint* best = nullptr;
   double best_cost = 0;
   for (const Endpoint* endpoint : candidates) {
-    double cost = LoadRatio(*endpoint);
-    if (endpoint->entry.domain != domain) cost += kOtherDomainPenalty;
+    double cost = LoadRatio(*endpoint) + SpreadCost(query, *endpoint);
+    if (endpoint->entry.domain != query.domain) cost += kOtherDomainPenalty;
     if (!best || cost < best_cost) {
       best = endpoint;
       best_cost = cost;
@@ -195,6 +205,25 @@
 
 }  // namespace
 
+std::vector<EndpointId> RankByRendezvous(const EndpointTable& table,
+                                         const EndpointQuery& query,
+                                         TimeMs now) {
+  std::vector<std::pair<std::uint64_t, const Endpoint*>> ranked;
+  const std::string name = ToString(*query.adapter);
+  for (const Endpoint* endpoint : FindCandidates(table, query, now)) {
+    if (!endpoint->HasModel(query.adapter->model)) continue;
+    ranked.emplace_back(RendezvousScore(name, *endpoint), endpoint);
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<EndpointId> engines;
+  engines.reserve(ranked.size());
+  for (const auto& [score, endpoint] : ranked) {
+    engines.push_back(endpoint->entry.id);
+  }
+  return engines;
+}
+
 EndpointChoice ChooseEndpoint(const EndpointTable& table,
                               const EndpointQuery& query, TimeMs now) {
   const Candidates candidates = FindCandidates(table, query, now);
@@ -202,7 +231,7 @@
   if (query.adapter) return ChooseEngine(candidates, query, now);
   EndpointChoice choice;
   choice.any_usable = true;
-  choice.send_to = FindLeastLoaded(candidates, query.domain)->entry.id;
+  choice.send_to = FindLeastLoaded(candidates, query)->entry.id;
   return choice;
 }
 
--- a/lib/coordination/fleet/engine_host_places.cc
+++ b/lib/coordination/fleet/engine_host_places.cc
@@ -29,6 +29,14 @@
   return adapters;
 }
 
+std::optional<AdapterRevision> EngineHost::ResidentVersion(
+    const AdapterRef& adapter) const {
+  const auto it = m_slots.find(adapter);
+  if (it == m_slots.end()) return std::nullopt;
+  if (it->second.state != AdapterSlotState::kResident) return std::nullopt;
+  return it->second.version;
+}
+
 bool EngineHost::IsRequested(const AdapterRef& adapter) const {
   return std::any_of(
       m_queue.begin(), m_queue.end(),
--- a/lib/coordination/fleet/prefill_pacing.cc
+++ b/lib/coordination/fleet/prefill_pacing.cc
@@ -27,14 +27,12 @@
 // Fraction of the burst limit that applies to a prompt with jitter 0.
 constexpr double kMinJitter = 0.7;
 
-// Returns the engine time to reserve for a prompt at the prefill share.
-DurationMs ReservedTime(std::uint32_t tokens) {
-  return DurationMs(tokens / kPrefillTokensPerMs) * kPrefillShareDivisor;
-}
+// An estimate of when one of the running requests ends and leaves its slot.
+constexpr DurationMs kFullBatchWait{50};
 
 // Returns the longest burst of prefill that keeps the engine's streams on time.
-double MaxBurstMs(const Endpoint& engine, PromptUrgency urgency) {
-  const double step_ms = kStepMs + kStepMsPerStream * engine.load();
+double MaxBurstMs(std::uint32_t requests, PromptUrgency urgency) {
+  const double step_ms = kStepMs + kStepMsPerStream * requests;
   const double burst_ms = kMaxEventIntervalMs / kPrefillShareDivisor -
                           kStepsPerEvent * step_ms - kUnreportedPromptsMs;
   return urgency == PromptUrgency::kNearDeadline
@@ -42,28 +40,50 @@
              : burst_ms;
 }
 
+// Returns the largest backlog, the prompt included, with which it may be sent.
+DurationMs MaxBacklog(const PrefillLoad& engine, const PromptOffer& prompt) {
+  const double jitter = kMinJitter + (1 - kMinJitter) * prompt.jitter;
+  const double limit = MaxBurstMs(engine.requests, prompt.urgency) * jitter;
+  return DurationMs(static_cast<std::int64_t>(limit * kPrefillShareDivisor));
+}
+
 }  // namespace
 
+DurationMs ReservedPrefill(std::uint32_t tokens) {
+  return DurationMs(tokens / kPrefillTokensPerMs) * kPrefillShareDivisor;
+}
+
 void RecordPrompt(Endpoint& engine, std::uint32_t tokens, TimeMs now) {
   engine.prefill_until =
-      std::max(engine.prefill_until, now) + ReservedTime(tokens);
+      std::max(engine.prefill_until, now) + ReservedPrefill(tokens);
 }
 
 DurationMs PrefillBacklog(const Endpoint& engine, TimeMs now) {
   return std::max(DurationMs(0), engine.prefill_until - now);
 }
 
+PrefillLoad PrefillLoadOf(const Endpoint& engine, TimeMs now) {
+  return {engine.load(), engine.entry.slots, PrefillBacklog(engine, now)};
+}
+
+DurationMs PromptWait(const PrefillLoad& engine, const PromptOffer& prompt) {
+  if (engine.requests >= engine.slots) {
+    return std::max(engine.backlog, kFullBatchWait);
+  }
+  const DurationMs backlog_after =
+      engine.backlog + ReservedPrefill(prompt.tokens);
+  const DurationMs excess = backlog_after - MaxBacklog(engine, prompt);
+  // A prompt above the limit is sent only while no other one is prefilled.
+  return std::clamp(excess, DurationMs(0), engine.backlog);
+}
+
+bool AllowsPrompt(const PrefillLoad& engine, const PromptOffer& prompt) {
+  return PromptWait(engine, prompt) == DurationMs(0);
+}
+
 bool AllowsPrompt(const Endpoint& engine, const PromptOffer& prompt,
                   TimeMs now) {
-  if (engine.load() >= engine.entry.slots) return false;
-  const DurationMs backlog = PrefillBacklog(engine, now);
-  const DurationMs backlog_after = backlog + ReservedTime(prompt.tokens);
-  const double jitter = kMinJitter + (1 - kMinJitter) * prompt.jitter;
-  const double limit = MaxBurstMs(engine, prompt.urgency) * jitter;
-  if (static_cast<double>(backlog_after.ms()) <= limit * kPrefillShareDivisor)
-    return true;
-  // A prompt above the limit is sent only while no other one is prefilled.
-  return backlog == DurationMs(0);
+  return AllowsPrompt(PrefillLoadOf(engine, now), prompt);
 }
 
 }  // namespace yuccamoor::fleet
--- /dev/null
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -0,0 +1,120 @@
+#include "yuccamoor/coordination/fleet/watch_plan.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include "yuccamoor/coordination/fleet/fleet_size.h"
+#include "yuccamoor/state/stable_hash.h"
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Two, so that the loss of one goes unnoticed.
+constexpr std::size_t kReadersPerDomain = 2;
+constexpr DurationMs kRetryPause{250};
+// Pauses let several changes come together. They are parts of the maximum
+// propagation delay.
+constexpr std::int64_t kSmallFleetPausePart = 3;
+constexpr std::int64_t kReaderPausePart = 4;
+// Changes often come in groups: a release, a start of many nodes.
+constexpr DurationMs kPauseAfterChange{250};
+// The nodes of a small starting fleet find each other quickly.
+constexpr DurationMs kStartPause{150};
+constexpr DurationMs kStartTime{4'000};
+// A follower waits this part of the maximum propagation delay longer than a
+// reader's pause, and one more step for each node before it, so that the first
+// one that reads can pass the changes on to the others.
+constexpr std::int64_t kFollowerMarginPart = 8;
+constexpr std::int64_t kFollowerStepPart = 80;
+constexpr std::size_t kMaxFollowerSteps = 8;
+// Spreads the reads of followers that all missed the same changes.
+constexpr std::uint64_t kRequestSpreadMs = 300;
+
+std::uint64_t Score(const NodeId& node) { return StableBucketHash(node.str()); }
+
+}  // namespace
+
+WatchPlan::WatchPlan(NodeId self, FailureDomainId domain,
+                     DurationMs max_propagation_delay, TimeMs started)
+    : m_self(std::move(self)),
+      m_domain(std::move(domain)),
+      m_max_propagation_delay(max_propagation_delay),
+      m_started(started),
+      m_last_read(started) {}
+
+void WatchPlan::SetNodes(const std::map<NodeId, NodeRecord>& nodes) {
+  m_nodes = nodes.size();
+  const std::uint64_t own_score = Score(m_self);
+  const bool registered = nodes.contains(m_self);
+  m_rank = 0;
+  for (const auto& [node, record] : nodes) {
+    if (record.domain != m_domain || node == m_self) continue;
+    // A node that the others do not know yet cannot be their reader.
+    if (!registered || Score(node) < own_score) ++m_rank;
+  }
+}
+
+void WatchPlan::OnRead(ReadOutcome outcome, TimeMs now) {
+  m_last_read = now;
+  m_last_outcome = outcome;
+  m_requested.reset();
+}
+
+void WatchPlan::OnReceived(TimeMs now) { m_last_received = now; }
+
+void WatchPlan::RequestRead(TimeMs now) {
+  if (m_requested) return;
+  const auto spread =
+      static_cast<std::int64_t>(Score(m_self) % kRequestSpreadMs);
+  m_requested = now + DurationMs(spread);
+}
+
+bool WatchPlan::IsLarge() const { return m_nodes > kMaxSmallFleetNodes; }
+
+bool WatchPlan::IsReader() const { return m_rank < kReadersPerDomain; }
+
+DurationMs WatchPlan::SmallFleetPause() const {
+  if (m_last_outcome == ReadOutcome::kFailed) return kRetryPause;
+  if (m_last_read - m_started < kStartTime) return kStartPause;
+  return m_max_propagation_delay / kSmallFleetPausePart;
+}
+
+DurationMs WatchPlan::ReaderPause() const {
+  if (m_last_outcome == ReadOutcome::kFailed) return kRetryPause;
+  const DurationMs pause = m_max_propagation_delay / kReaderPausePart;
+  return m_last_outcome == ReadOutcome::kChanged
+             ? std::min(pause, kPauseAfterChange)
+             : pause;
+}
+
+DurationMs WatchPlan::FollowerTimeout() const {
+  const std::size_t before = m_rank - kReadersPerDomain;
+  const auto steps =
+      static_cast<std::int64_t>(std::min(before, kMaxFollowerSteps));
+  return m_max_propagation_delay / kReaderPausePart +
+         m_max_propagation_delay / kFollowerMarginPart +
+         m_max_propagation_delay / kFollowerStepPart * steps;
+}
+
+TimeMs WatchPlan::NextRead() const {
+  if (!IsLarge()) return m_last_read + SmallFleetPause();
+  TimeMs next;
+  if (IsReader()) {
+    next = m_last_read + ReaderPause();
+  } else {
+    const TimeMs last =
+        std::max(m_last_read, m_last_received.value_or(TimeMs()));
+    next = last + FollowerTimeout();
+  }
+  return m_requested ? std::min(next, *m_requested) : next;
+}
+
+bool WatchPlan::PassesOn(TimeMs now) const {
+  if (!IsLarge()) return false;
+  if (IsReader()) return true;
+  return !m_last_received || now - *m_last_received >= FollowerTimeout();
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -1,29 +1,46 @@
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 
+#include "yuccamoor/protocol/fleet/adapter_codec.h"
+#include "yuccamoor/protocol/fleet/store_change_codec.h"
 #include "yuccamoor/protocol/json.h"
 
 namespace yuccamoor::fleet {
 
 namespace {
 
-// Adapters grouped by their model, whose name is long.
-Json EncodeAdapters(const AdapterSet& adapters) {
+Json EncodeUsed(const UsedAdapters& used) {
   Json json = Json::object();
-  for (const auto& [adapter, version] : adapters) {
-    json[adapter.model.str()][adapter.name] = version.value();
+  for (const auto& [engine, adapters] : used) {
+    for (const auto& [adapter, count] : adapters) {
+      json[engine.str()][adapter.model.str()][adapter.name] = count;
+    }
   }
   return json;
 }
 
-AdapterSet DecodeAdapters(const Json& json) {
-  AdapterSet adapters;
-  for (const auto& [model, names] : json.items()) {
-    for (const auto& [name, version] : names.items()) {
-      adapters[AdapterRef{ModelId(model), name}] =
-          AdapterRevision(GetUnsigned(version));
+UsedAdapters DecodeUsed(const Json& json) {
+  UsedAdapters used;
+  for (const auto& [engine, models] : json.items()) {
+    auto& adapters = used[EndpointId(engine)];
+    for (const auto& [adapter, count] : DecodeAdapters(models)) {
+      adapters[adapter] = static_cast<std::uint32_t>(count.value());
     }
   }
-  return adapters;
+  return used;
+}
+
+Json EncodeInFlight(const std::map<EndpointId, std::uint32_t>& in_flight) {
+  Json json = Json::object();
+  for (const auto& [endpoint, count] : in_flight) json[endpoint.str()] = count;
+  return json;
+}
+
+std::map<EndpointId, std::uint32_t> DecodeInFlight(const Json& json) {
+  std::map<EndpointId, std::uint32_t> in_flight;
+  for (const auto& [endpoint, count] : json.items()) {
+    in_flight[EndpointId(endpoint)] = GetUnsigned32(count);
+  }
+  return in_flight;
 }
 
 Json Encode(const NodeStatus& status) {
@@ -36,16 +53,8 @@
   for (const auto& [engine, fence] : status.store.holders) {
     holders[engine.str()] = fence.value();
   }
-  Json& in_flight = json["in_flight"] = Json::object();
-  for (const auto& [endpoint, count] : status.in_flight) {
-    in_flight[endpoint.str()] = count;
-  }
-  Json& used = json["used"] = Json::object();
-  for (const auto& [engine, adapters] : status.used) {
-    for (const auto& [adapter, count] : adapters) {
-      used[engine.str()][adapter.model.str()][adapter.name] = count;
-    }
-  }
+  json["in_flight"] = EncodeInFlight(status.in_flight);
+  json["used"] = EncodeUsed(status.used);
   Json& held = json["held"] = Json::object();
   for (const auto& [engine, state] : status.held) {
     Json& item = held[engine.str()];
@@ -121,6 +130,143 @@
   return json;
 }
 
+Json Encode(const TellChanges& told) {
+  Json json;
+  json["type"] = "changes";
+  json["node"] = told.node.str();
+  json["after"] = told.after.value();
+  json["read"] = told.read.value();
+  json["complete"] = told.complete;
+  json["after_outage"] = told.after_outage;
+  json["changes"] = EncodeStoreChanges(told.changes);
+  return json;
+}
+
+TellChanges DecodeChanges(const Json& json) {
+  TellChanges told;
+  told.node = json.at("node").get<NodeId>();
+  told.after = json.at("after").get<Revision>();
+  told.read = json.at("read").get<Revision>();
+  told.complete = json.at("complete").get<bool>();
+  told.after_outage = json.at("after_outage").get<bool>();
+  told.changes = DecodeStoreChanges(json.at("changes"));
+  return told;
+}
+
+void EncodeId(const AdmissionId& id, Json& json) {
+  json["node"] = id.node.str();
+  json["number"] = id.number;
+}
+
+AdmissionId DecodeId(const Json& json) {
+  return {json.at("node").get<NodeId>(), GetUnsigned(json.at("number"))};
+}
+
+Json Encode(const AskAdmission& ask) {
+  Json json;
+  json["type"] = "ask_admission";
+  EncodeId(ask.id, json);
+  json["engine"] = ask.engine.str();
+  json["adapter"] = ToString(ask.adapter);
+  json["version"] = ask.version.value();
+  json["accept_older"] = ask.accept_older_version;
+  json["tokens"] = ask.prompt_tokens;
+  json["priority"] = ask.priority;
+  json["send_within_ms"] = ask.send_within.ms();
+  json["demand"] = ask.demand;
+  json["ready_within_ms"] = ask.ready_within.ms();
+  json["as_home"] = ask.as_home;
+  json["enqueue"] = ask.enqueue;
+  return json;
+}
+
+Json Encode(const TellAdmission& told) {
+  const EngineQuote& quote = told.answer.quote;
+  Json json;
+  json["type"] = "admission";
+  json["number"] = told.number;
+  json["engine"] = quote.engine.str();
+  if (quote.version) json["version"] = quote.version->value();
+  if (quote.adapter_wait) json["adapter_wait_ms"] = quote.adapter_wait->ms();
+  json["prompt_wait_ms"] = quote.prompt_wait.ms();
+  json["requests"] = quote.requests;
+  json["loading"] = quote.loading;
+  Json& choices = json["choices"] = Json::array();
+  for (const EndpointId& engine : told.answer.choices) {
+    choices.push_back(engine.str());
+  }
+  return json;
+}
+
+Json Encode(const TellSent& told) {
+  Json json;
+  json["type"] = "sent";
+  EncodeId(told.id, json);
+  json["engine"] = told.engine.str();
+  json["tokens"] = told.prompt_tokens;
+  return json;
+}
+
+Json Encode(const TellUse& told) {
+  Json json;
+  json["type"] = "use";
+  json["node"] = told.node.str();
+  json["in_flight"] = EncodeInFlight(told.use.in_flight);
+  json["used"] = EncodeUsed(told.use.used);
+  json["requests_per_second"] = told.requests_per_second;
+  return json;
+}
+
+DurationMs DurationOf(const Json& json) {
+  return DurationMs(json.get<std::int64_t>());
+}
+
+AskAdmission DecodeAskAdmission(const Json& json) {
+  AskAdmission ask;
+  ask.id = DecodeId(json);
+  ask.engine = json.at("engine").get<EndpointId>();
+  ask.adapter = ParseAdapterRef(json.at("adapter").get<std::string>());
+  ask.version = json.at("version").get<AdapterRevision>();
+  ask.accept_older_version = json.at("accept_older").get<bool>();
+  ask.prompt_tokens = GetUnsigned32(json.at("tokens"));
+  ask.priority = json.at("priority").get<int>();
+  ask.send_within = DurationOf(json.at("send_within_ms"));
+  ask.demand = GetUnsigned32(json.at("demand"));
+  ask.ready_within = DurationOf(json.at("ready_within_ms"));
+  ask.as_home = json.at("as_home").get<bool>();
+  ask.enqueue = json.at("enqueue").get<bool>();
+  return ask;
+}
+
+TellAdmission DecodeAdmission(const Json& json) {
+  TellAdmission told;
+  told.number = GetUnsigned(json.at("number"));
+  EngineQuote& quote = told.answer.quote;
+  quote.engine = json.at("engine").get<EndpointId>();
+  if (json.contains("version")) {
+    quote.version = json["version"].get<AdapterRevision>();
+  }
+  if (json.contains("adapter_wait_ms")) {
+    quote.adapter_wait = DurationOf(json["adapter_wait_ms"]);
+  }
+  quote.prompt_wait = DurationOf(json.at("prompt_wait_ms"));
+  quote.requests = GetUnsigned32(json.at("requests"));
+  quote.loading = GetUnsigned32(json.at("loading"));
+  for (const Json& engine : json.at("choices")) {
+    told.answer.choices.push_back(engine.get<EndpointId>());
+  }
+  return told;
+}
+
+TellUse DecodeUse(const Json& json) {
+  TellUse told;
+  told.node = json.at("node").get<NodeId>();
+  told.use.in_flight = DecodeInFlight(json.at("in_flight"));
+  told.use.used = DecodeUsed(json.at("used"));
+  told.requests_per_second = json.at("requests_per_second").get<double>();
+  return told;
+}
+
 NodeStatus DecodeStatus(const Json& json) {
   NodeStatus status;
   status.node = NodeId(json.at("node").get<std::string>());
@@ -129,15 +275,8 @@
   for (const auto& [engine, fence] : json.at("holders").items()) {
     status.store.holders[EndpointId(engine)] = Epoch(GetUnsigned(fence));
   }
-  for (const auto& [endpoint, count] : json.at("in_flight").items()) {
-    status.in_flight[EndpointId(endpoint)] = GetUnsigned32(count);
-  }
-  for (const auto& [engine, models] : json.at("used").items()) {
-    auto& used = status.used[EndpointId(engine)];
-    for (const auto& [adapter, count] : DecodeAdapters(models)) {
-      used[adapter] = static_cast<std::uint32_t>(count.value());
-    }
-  }
+  status.in_flight = DecodeInFlight(json.at("in_flight"));
+  status.used = DecodeUsed(json.at("used"));
   for (const auto& [engine, item] : json.at("held").items()) {
     HeldEngineStatus& held = status.held[EndpointId(engine)];
     held.ordering = item.at("ordering").get<bool>();
@@ -163,6 +302,14 @@
 std::optional<PeerMessage> Decode(const Json& json) {
   const auto type = json.at("type").get<std::string>();
   if (type == "status") return DecodeStatus(json);
+  if (type == "changes") return DecodeChanges(json);
+  if (type == "ask_admission") return DecodeAskAdmission(json);
+  if (type == "admission") return DecodeAdmission(json);
+  if (type == "use") return DecodeUse(json);
+  if (type == "sent") {
+    return TellSent{DecodeId(json), EngineOf(json),
+                    GetUnsigned32(json.at("tokens"))};
+  }
   if (type == "ask_load") {
     return AskLoad{NodeId(json.at("node").get<std::string>()),
                    EngineOf(json),
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "yuccamoor/coordination/fleet/fleet_size.h"
+
 namespace yuccamoor::fleet {
 
 namespace {
@@ -14,10 +16,6 @@
 constexpr DurationMs kTellDemand{40};
 // Another engine is asked when the first one's holder does not answer.
 constexpr DurationMs kAskAnother{400};
-// Prompts are told to the other nodes, as a few of them at once hold up an
-// engine's streams. In a large fleet only those that are large by themselves,
-// so that what a node hears stays bounded.
-constexpr std::uint32_t kLargePrompt = 2'000;
 constexpr std::size_t kMaxHomes = 16'384;
 // Tables of thousands of adapters are swept this often only.
 constexpr DurationMs kSweepInterval{1'000};
@@ -28,6 +26,10 @@
 // nodes; each node keeps well within its part.
 constexpr double kBudgetPart = 0.5;
 constexpr double kMsPerSecond = 1'000;
+// Weight of one engine in the mean over those asked last.
+constexpr double kQuoteWeight = 0.05;
+// What an endpoint has said of its load says little of later.
+constexpr DurationMs kToldLoadLifetime{1'000};
 
 }  // namespace
 
@@ -45,9 +47,8 @@
 
 void Dispatcher::OnPrompt(const EndpointId& engine, std::uint32_t tokens) {
   OnPeerPrompt({engine, tokens});
-  const bool tell = m_context.view.nodes().size() <= kMaxSmallFleetNodes ||
-                    tokens >= kLargePrompt;
-  if (tell) m_broadcast(TellPrompt{engine, tokens});
+  // A few prompts at once hold up an engine's streams.
+  if (!IsLarge()) m_broadcast(TellPrompt{engine, tokens});
 }
 
 void Dispatcher::OnPeerPrompt(const TellPrompt& told) {
@@ -70,6 +71,15 @@
   return choice;
 }
 
+bool Dispatcher::IsLarge() const {
+  return m_context.view.nodes().size() > kMaxSmallFleetNodes;
+}
+
+EndpointChoice Dispatcher::ChooseKnown(const EndpointQuery& query) const {
+  return ChooseEndpoint(m_context.view.endpoints(), query,
+                        m_context.clock.Now());
+}
+
 bool Dispatcher::AnyOrdering(const ServiceId& service) const {
   const TimeMs now = m_context.clock.Now();
   const auto& all = m_context.view.endpoints().all();
@@ -123,14 +133,14 @@
 }
 
 void Dispatcher::AddDemand(const AdapterRef& adapter, TimeMs on_time_until) {
-  Demand& demand = m_demand[adapter];
+  WaitingDemand& demand = m_demand[adapter];
   ++demand.requests;
   demand.on_time_until = std::max(demand.on_time_until, on_time_until);
 }
 
-Dispatcher::Demand Dispatcher::DemandFor(const AdapterRef& adapter) const {
+WaitingDemand Dispatcher::DemandFor(const AdapterRef& adapter) const {
   const auto it = m_demand.find(adapter);
-  return it == m_demand.end() ? Demand() : it->second;
+  return it == m_demand.end() ? WaitingDemand() : it->second;
 }
 
 // Returns the engine that held the adapter last, else the one of the first two
@@ -186,7 +196,7 @@
   ask.version = query.version;
   ask.priority = priority;
   const TimeMs now = m_context.clock.Now();
-  const Demand demand = DemandFor(ask.adapter);
+  const WaitingDemand demand = DemandFor(ask.adapter);
   ask.demand = demand.requests;
   ask.on_time = demand.on_time_until - now;
   asked.at = now;
@@ -208,7 +218,11 @@
   }
   if (!adapter) return;
   ++m_running[endpoint][*adapter];
-  ++m_begun[endpoint][*adapter];
+  if (IsLarge()) {
+    m_use.OnBegin(endpoint, *adapter, m_context.clock.Now());
+  } else {
+    ++m_begun[endpoint][*adapter];
+  }
 }
 
 void Dispatcher::OnEnd(const EndpointId& endpoint,
@@ -217,6 +231,7 @@
     if (known->in_flight > 0) --known->in_flight;
   }
   if (!adapter) return;
+  m_use.OnEnd(endpoint, *adapter);
   auto& running = m_running[endpoint];
   const auto it = running.find(*adapter);
   if (it == running.end()) return;
@@ -277,6 +292,46 @@
   ShowPeerLoads(m_peer_loads.Set(status.node, status.in_flight));
 }
 
+void Dispatcher::OnPeerUse(const TellUse& told) {
+  m_peers[told.node] = {m_context.clock.Now(), NodeStatus()};
+  m_rates[told.node] = told.requests_per_second;
+  ShowPeerLoads(m_peer_loads.Set(told.node, told.use.in_flight));
+}
+
+std::map<NodeId, TellUse> Dispatcher::TakeUse(TimeMs now) {
+  std::map<NodeId, TellUse> messages;
+  for (auto& [holder, use] : m_use.Take(m_context.view.holders(), now)) {
+    TellUse& told = messages[holder];
+    told.node = m_context.settings.node;
+    told.use = std::move(use);
+    told.requests_per_second = m_use.RequestRate(now);
+  }
+  return messages;
+}
+
+double Dispatcher::FleetRate() const {
+  double sum = m_use.RequestRate(m_context.clock.Now());
+  for (const auto& [node, rate] : m_rates) sum += rate;
+  const auto known = static_cast<double>(m_rates.size() + 1);
+  return sum / known * static_cast<double>(m_context.view.nodes().size());
+}
+
+void Dispatcher::OnEngineQuote(const EngineQuote& quote) {
+  m_mean_loading += (quote.loading - m_mean_loading) * kQuoteWeight;
+  m_mean_requests += (quote.requests - m_mean_requests) * kQuoteWeight;
+}
+
+void Dispatcher::OnEndpointLoad(const EndpointId& endpoint,
+                                const EndpointLoad& load) {
+  if (!IsLarge()) return;
+  Endpoint* known = m_context.view.endpoints().Find(endpoint);
+  if (!known || m_context.view.EngineOf(known->entry.service)) return;
+  const std::uint32_t requests = load.running + load.waiting;
+  known->peers_in_flight =
+      requests > known->in_flight ? requests - known->in_flight : 0;
+  m_load_told[endpoint] = m_context.clock.Now();
+}
+
 void Dispatcher::NotePopularity(const UsedAdapters& used, TimeMs now) {
   for (const auto& [engine, adapters] : used) {
     for (const auto& [adapter, requests] : adapters) {
@@ -345,6 +400,11 @@
 }
 
 std::uint32_t Dispatcher::LoadsElsewhere() const {
+  if (IsLarge()) {
+    const auto engines =
+        static_cast<double>(m_context.view.endpoints().all().size());
+    return static_cast<std::uint32_t>(m_mean_loading * engines);
+  }
   std::uint32_t loads = 0;
   for (const auto& [node, peer] : m_peers) {
     for (const auto& [engine, held] : peer.status.held) loads += held.loading;
@@ -373,7 +433,10 @@
 void Dispatcher::OnTick(TimeMs now) {
   for (auto it = m_peers.begin(); it != m_peers.end();) {
     const bool silent = now - it->second.heard > kPeerLifetime;
-    if (silent) ShowPeerLoads(m_peer_loads.Remove(it->first));
+    if (silent) {
+      ShowPeerLoads(m_peer_loads.Remove(it->first));
+      m_rates.erase(it->first);
+    }
     it = silent ? m_peers.erase(it) : std::next(it);
   }
   std::erase_if(m_asked, [now](const auto& item) {
@@ -386,8 +449,15 @@
 
 void Dispatcher::Sweep(TimeMs now) {
   m_popularity.Expire(now);
-  std::erase_if(m_demand, [this](const auto& item) {
-    return !m_asked.contains(item.first);
+  std::erase_if(m_demand, [this, now](const auto& item) {
+    return !m_asked.contains(item.first) &&
+           now - item.second.on_time_until > kAskLifetime;
+  });
+  std::erase_if(m_load_told, [this, now](const auto& item) {
+    if (now - item.second < kToldLoadLifetime) return false;
+    Endpoint* endpoint = m_context.view.endpoints().Find(item.first);
+    if (endpoint) endpoint->peers_in_flight = 0;
+    return true;
   });
   std::erase_if(m_homes, [this](const auto& item) {
     return !m_context.view.endpoints().Find(item.second);
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -1,6 +1,8 @@
 #include "yuccamoor/transport/fleet/engine_holder.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace yuccamoor::fleet {
 
@@ -11,6 +13,8 @@
 constexpr DurationMs kClaimDelay{900};
 // A node that is cut off from the store hears of a new one by then.
 constexpr DurationMs kLateClaimDelay{2'200};
+// Looking for an engine to claim walks over all engines and nodes.
+constexpr DurationMs kClaimInterval{100};
 
 const char* ToText(OrderOutcome end) {
   switch (end) {
@@ -30,11 +34,11 @@
 
 }  // namespace
 
-EngineHolder::EngineHolder(NodeContext& context, StoreSession& session,
+EngineHolder::EngineHolder(NodeContext& context, LeaseKeeper& lease,
                            EngineControl& control, Notify notify,
                            Announce announce)
     : m_context(context),
-      m_session(session),
+      m_lease(lease),
       m_control(control),
       m_notify(std::move(notify)),
       m_announce(std::move(announce)),
@@ -44,7 +48,7 @@
 
 bool EngineHolder::MayOrder(TimeMs now) const {
   std::optional<TimeMs> renewed;
-  if (m_session.lease()) renewed = m_session.renewed();
+  if (m_lease.lease()) renewed = m_lease.renewed();
   // Asked several times a tick: the others matter in an outage only.
   if (OrderRight::IsRenewed(renewed, now)) return true;
   std::map<EndpointId, Epoch> held;
@@ -77,7 +81,7 @@
     const auto record = view.holders().find(item.first);
     const bool ours = record != view.holders().end() &&
                       record->second.fence == item.second.fence &&
-                      m_session.lease();
+                      m_lease.lease();
     if (!ours) {
       m_context.log.Event("engine_released").Text("engine", item.first.str());
     }
@@ -86,7 +90,7 @@
   // Without a lease it is not yet known whether this VM's earlier process held
   // them until now.
   for (const auto& [engine, record] : view.holders()) {
-    if (!m_session.lease()) break;
+    if (!m_lease.lease()) break;
     if (record.node == m_context.settings.node && !m_held.contains(engine)) {
       TakeUp(engine, record.fence);
     }
@@ -115,7 +119,7 @@
   // The holder before may have ordered until its own validity ended. This VM
   // itself need not wait.
   const bool no_other = m_context.view.WasNeverHeld(engine) ||
-                        LatelyHeld(now).contains(engine) || m_session.adopted();
+                        LatelyHeld(now).contains(engine) || m_lease.adopted();
   const DurationMs wait = no_other ? DurationMs(0)
                                    : OrderRight::kLeaseValidity +
                                          m_context.settings.holder_separation +
@@ -144,26 +148,27 @@
   const DurationMs delay =
       m_context.settings.first_start ? kClaimDelay : kLateClaimDelay;
   if (m_claiming || now - m_started < delay) return;
+  if (now - m_last_claim_check < kClaimInterval) return;
+  m_last_claim_check = now;
   const auto engine =
       m_claims.NextClaim(m_context.view.Engines(), m_context.view.HolderIds(),
                          m_context.view.NodeIds(), LatelyHeld(now),
                          m_context.view.NeverHeldEngines(), now);
   if (!engine) return;
   m_claiming = true;
-  m_session.Claim(*engine,
-                  [this, engine = *engine](std::optional<Epoch> fence) {
-                    m_claiming = false;
-                    if (!fence) {
-                      m_claims.OnClaimFailed(engine, m_context.clock.Now());
-                      return;
-                    }
-                    RecordWritten record;
-                    record.key = FleetView::HolderKey(engine);
-                    record.value = m_context.settings.node.str();
-                    record.revision = Revision(fence->value());
-                    if (!m_held.contains(engine)) TakeUp(engine, *fence);
-                    m_context.view.Apply(record, m_context.clock.Now());
-                  });
+  m_lease.Claim(*engine, [this, engine = *engine](std::optional<Epoch> fence) {
+    m_claiming = false;
+    if (!fence) {
+      m_claims.OnClaimFailed(engine, m_context.clock.Now());
+      return;
+    }
+    RecordWritten record;
+    record.key = FleetView::HolderKey(engine);
+    record.value = m_context.settings.node.str();
+    record.revision = Revision(fence->value());
+    if (!m_held.contains(engine)) TakeUp(engine, *fence);
+    m_context.view.Apply(record, m_context.clock.Now());
+  });
 }
 
 EngineHolder::Held* EngineHolder::FindHeld(const EndpointId& engine,
@@ -259,6 +264,28 @@
   return TellQueued{ask.engine, ask.adapter, wait};
 }
 
+bool EngineHolder::MayLoad(const EndpointId& engine) const {
+  const auto it = m_held.find(engine);
+  return it != m_held.end() && it->second.host.can_load() &&
+         MayOrder(m_context.clock.Now());
+}
+
+std::optional<AdapterRevision> EngineHolder::ResidentVersion(
+    const EndpointId& engine, const AdapterRef& adapter) const {
+  const auto it = m_held.find(engine);
+  if (it == m_held.end()) return std::nullopt;
+  if (!adapter.name.empty()) return it->second.host.ResidentVersion(adapter);
+  const std::vector<ModelId>& models = it->second.entry.models;
+  const bool has_model =
+      std::find(models.begin(), models.end(), adapter.model) != models.end();
+  return has_model ? std::make_optional(AdapterRevision()) : std::nullopt;
+}
+
+std::uint32_t EngineHolder::LoadsInFlight(const EndpointId& engine) const {
+  const auto it = m_held.find(engine);
+  return it == m_held.end() ? 0 : it->second.host.loads_in_flight();
+}
+
 void EngineHolder::OnTellMissing(const TellMissing& told) {
   const auto it = m_held.find(told.engine);
   if (it == m_held.end()) return;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -16,15 +16,9 @@
 // How long a new connection may take.
 constexpr DurationMs kConnectTime{300};
 constexpr std::size_t kMaxPendingToClient = 262'144;
-constexpr DurationMs kNoEndpointRetryAfter{300};
-// Holders tell several times a second that they give orders.
-constexpr DurationMs kNobodyLoadsTime{500};
-constexpr DurationMs kNobodyRetryAfter{1'500};
 // Most of the prompts that an engine was sent have been prefilled by then.
 constexpr DurationMs kBusyEngineRetryAfter{400};
-// From an adapter's arrival to the first event, if no other prompt is ahead.
-constexpr DurationMs kPrefillTime{120};
-// The same with others ahead.
+// From an adapter's arrival to the first event, with other prompts ahead.
 constexpr DurationMs kFirstEventTime{250};
 // Clients honour a Retry-After of up to this part of their time left.
 constexpr std::int64_t kRetryAfterPart = 3;
@@ -76,6 +70,9 @@
   query.adapter = m_meta.adapter;
   query.domain = m_context.node.settings.domain;
   query.excluded = m_excluded;
+  if (m_context.dispatcher.IsLarge()) {
+    query.spread = StableBucketHash(m_meta.attempt.str());
+  }
   if (!m_meta.adapter) return query;
   query.version = m_context.node.view.NewestRevision(*m_meta.adapter);
   query.accept_older_version =
@@ -90,6 +87,10 @@
     return;
   }
   m_last_choice = now;
+  if (m_meta.adapter && m_context.dispatcher.IsLarge()) {
+    SeekAdmission(now);
+    return;
+  }
   EndpointChoice choice =
       m_context.dispatcher.Choose(MakeQuery(now), m_route.priority);
   if (!choice.any_usable && !m_excluded.empty()) {
@@ -134,12 +135,7 @@
 }
 
 void Exchange::Wait(TimeMs now) {
-  if (!m_waiting_since) {
-    m_waiting_since = now;
-    m_context.dispatcher.AddDemand(
-        *m_meta.adapter,
-        m_request.received + m_route.latency_objective - kPrefillTime);
-  }
+  NoteWaiting(now);
   if (m_stream_started || m_runs > 0) return;
   const auto expected = m_context.dispatcher.ExpectedAt(*m_meta.adapter);
   if (!expected) {
@@ -148,17 +144,33 @@
     if (nobody_loads) Refuse("no holder gives orders", kNobodyRetryAfter);
     return;
   }
+  RefuseIfTooLate(*expected, "adapter comes too late", now);
+}
+
+void Exchange::NoteWaiting(TimeMs now) {
+  if (m_waiting_since) return;
+  m_waiting_since = now;
+  m_context.dispatcher.AddDemand(
+      *m_meta.adapter,
+      m_request.received + m_route.latency_objective - kPrefillTime);
+}
+
+bool Exchange::RefuseIfTooLate(TimeMs expected, const char* reason,
+                               TimeMs now) {
   const TimeMs latest =
       std::min(m_deadline, m_request.received + m_route.first_event_timeout) -
       kFirstEventTime;
-  if (*expected <= latest) return;
-  m_context.node.log.Event("adapter_too_late")
+  if (expected <= latest) return false;
+  m_context.node.log.Event("request_too_late")
       .Text("request", m_meta.attempt.str())
+      .Text("reason", reason)
       .Text("adapter", ToString(*m_meta.adapter))
-      .Ms("expected_in_ms", *expected - now)
+      .Ms("expected_in_ms", expected - now)
       .Ms("latest_in_ms", latest - now);
   const DurationMs longest = (m_deadline - now) / kRetryAfterPart;
-  Refuse("adapter comes too late", std::min(*expected - now, longest));
+  const DurationMs wait = std::max(expected - now, DurationMs(0));
+  Refuse(reason, std::min(wait, longest));
+  return true;
 }
 
 void Exchange::StopWaiting(TimeMs now) {
@@ -204,7 +216,9 @@
       .Ms("adapters_age_ms", now - target->adapters_reported_at)
       .Number("config", m_routes->config().version.value());
   m_context.dispatcher.OnBegin(endpoint, m_meta.adapter);
-  if (m_meta.adapter) {
+  if (m_meta.adapter && m_ticket) {
+    m_ticket->OnSent(endpoint);
+  } else if (m_meta.adapter) {
     m_context.dispatcher.OnPrompt(endpoint, m_meta.prompt_tokens);
   }
   m_call = std::make_unique<EndpointCall>(
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -51,6 +51,7 @@
     return;
   }
   ++m_runs;
+  if (meta.load) m_context.dispatcher.OnEndpointLoad(m_endpoint, *meta.load);
   const int status = m_call->head().status;
   const bool success = status / 100 == 2;
   if (m_route.kind == RequestKind::kStream && success) {
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -20,8 +20,9 @@
 }  // namespace
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
-    NodeContext& node, Dispatcher& dispatcher) {
-  std::unique_ptr<FrontServer> server(new FrontServer(node, dispatcher));
+    NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions) {
+  std::unique_ptr<FrontServer> server(
+      new FrontServer(node, dispatcher, admissions));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -31,8 +32,10 @@
   return server;
 }
 
-FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher)
-    : m_node(node), m_context{node, dispatcher, m_idle, m_closing} {}
+FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
+                         AdmissionClient& admissions)
+    : m_node(node),
+      m_context{node, dispatcher, admissions, m_idle, m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
   const auto& routes = m_node.view.routes();
--- /dev/null
+++ b/lib/transport/fleet/lease_keeper.cc
@@ -0,0 +1,167 @@
+#include "yuccamoor/transport/fleet/lease_keeper.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+constexpr DurationMs kRetryPause{250};
+constexpr DurationMs kLeaseTtl{3'000};
+constexpr DurationMs kRenewInterval{900};
+constexpr DurationMs kRenewTimeout{700};
+// Conflicts, one each retry pause, that outlast an earlier process's lease.
+constexpr std::uint32_t kMaxRegisterConflicts = 16;
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(NodeContext& context, FleetStore& store)
+    : m_context(context), m_store(store), m_timer(context.io) {}
+
+void LeaseKeeper::KeepAfter(DurationMs pause) {
+  m_timer.expires_after(std::chrono::milliseconds(pause.ms()));
+  m_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) Keep();
+  });
+}
+
+// A process that starts again on its VM within the lease's time goes on with
+// the lease: the VM is still the holder of its engines.
+void LeaseKeeper::Begin(std::function<void()> on_change) {
+  m_on_change = std::move(on_change);
+  const auto& nodes = m_context.view.nodes();
+  const auto record = nodes.find(m_context.settings.node);
+  const bool same_vm =
+      record != nodes.end() &&
+      record->second.peer_address == m_context.settings.peer_address &&
+      record->second.lease.value() > 0;
+  if (same_vm) {
+    Adopt(record->second.lease);
+  } else {
+    Keep();
+  }
+}
+
+void LeaseKeeper::Adopt(StoreLease lease) {
+  m_context.metrics.store_calls.Add();
+  const TimeMs sent = m_context.clock.Now();
+  m_store.RenewLease(lease, kRenewTimeout,
+                     [this, lease, sent](StoreStatus status) {
+                       m_context.log.Event("lease_adopted")
+                           .Number("lease", lease.value())
+                           .Text("outcome", ToText(status));
+                       if (status != StoreStatus::kOk) {
+                         Keep();
+                         return;
+                       }
+                       m_lease = lease;
+                       m_renewed = sent;
+                       m_registered = true;
+                       m_adopted = true;
+                       if (m_on_change) m_on_change();
+                       KeepAfter(kRenewInterval);
+                     });
+}
+
+void LeaseKeeper::Keep() {
+  if (!m_lease) {
+    Grant();
+  } else if (!m_registered) {
+    Register();
+  } else {
+    Renew();
+  }
+}
+
+void LeaseKeeper::Grant() {
+  m_context.metrics.store_calls.Add();
+  const TimeMs sent = m_context.clock.Now();
+  m_store.GrantLease(kLeaseTtl, [this, sent](const LeaseReply& reply) {
+    if (reply.status != StoreStatus::kOk) {
+      KeepAfter(kRetryPause);
+      return;
+    }
+    m_lease = reply.lease;
+    m_renewed = sent;
+    m_registered = false;
+    m_context.log.Event("lease_granted").Number("lease", reply.lease.value());
+    Keep();
+  });
+}
+
+void LeaseKeeper::Register() {
+  m_context.metrics.store_calls.Add();
+  m_store.CreateRecord(
+      FleetView::NodeKey(m_context.settings.node),
+      EncodeNodeRecord({m_context.settings.peer_address, *m_lease,
+                        m_context.settings.domain}),
+      *m_lease, [this](const WriteReply& reply) {
+        if (reply.status == StoreStatus::kLeaseEnded) {
+          Lose("lease ended");
+          return;
+        }
+        // A conflict: the record of this node's earlier process still stands,
+        // or this one's own from a call whose answer was lost. The earlier
+        // one ends with its lease.
+        const bool conflict = reply.status == StoreStatus::kConflict;
+        m_register_conflicts = conflict ? m_register_conflicts + 1 : 0;
+        m_registered = reply.status == StoreStatus::kOk ||
+                       m_register_conflicts > kMaxRegisterConflicts;
+        if (!m_registered) {
+          Renew();
+          return;
+        }
+        KeepAfter(kRenewInterval);
+      });
+}
+
+void LeaseKeeper::Renew() {
+  m_context.metrics.store_calls.Add();
+  const TimeMs sent = m_context.clock.Now();
+  m_store.RenewLease(*m_lease, kRenewTimeout, [this, sent](StoreStatus status) {
+    if (status == StoreStatus::kLeaseEnded) {
+      Lose("lease ended");
+      return;
+    }
+    if (status != StoreStatus::kOk) {
+      KeepAfter(kRetryPause);
+      return;
+    }
+    m_renewed = sent;
+    KeepAfter(m_registered ? kRenewInterval : kRetryPause);
+  });
+}
+
+void LeaseKeeper::Lose(const char* reason) {
+  m_context.log.Event("lease_lost").Text("reason", reason);
+  m_lease.reset();
+  m_registered = false;
+  if (m_on_change) m_on_change();
+  KeepAfter(kRetryPause);
+}
+
+void LeaseKeeper::Claim(const EndpointId& engine,
+                        std::function<void(std::optional<Epoch>)> done) {
+  if (!m_lease) {
+    done(std::nullopt);
+    return;
+  }
+  m_context.metrics.store_calls.Add();
+  m_store.CreateRecord(
+      FleetView::HolderKey(engine), m_context.settings.node.str(), *m_lease,
+      [this, engine, done = std::move(done)](const WriteReply& reply) {
+        m_context.log.Event("engine_claim")
+            .Text("engine", engine.str())
+            .Text("outcome", ToText(reply.status))
+            .Number("revision", reply.revision.value());
+        if (reply.status != StoreStatus::kOk) {
+          done(std::nullopt);
+          return;
+        }
+        done(Epoch(reply.revision.value()));
+      });
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -12,10 +12,8 @@
 
 constexpr std::chrono::milliseconds kTick{20};
 constexpr DurationMs kLogFlush{100};
-// Nodes tell their state this often, less often in large fleets so that what
-// a node hears stays bounded.
+// The nodes of a small fleet tell each other their state this often.
 constexpr DurationMs kTellInterval{250};
-constexpr DurationMs kTellIntervalPerNode{4};
 // A datagram there and one back, each with a late wake-up.
 constexpr DurationMs kRetireTime{60};
 // After SIGTERM, the balancer takes the node out within two questions a second
@@ -45,7 +43,10 @@
     : m_context(context),
       m_registry(registry),
       m_platform(std::move(platform)),
-      m_session(context, m_platform.store),
+      m_lease(context, m_platform.store),
+      m_session(
+          context, m_platform.store,
+          [this](const TellChanges& told) { m_peers->SendToDomain(told); }),
       m_dispatcher(
           context,
           [this](const NodeId& node, const PeerMessage& message) {
@@ -53,7 +54,7 @@
           },
           [this](const PeerMessage& message) { m_peers->Broadcast(message); }),
       m_holder(
-          context, m_session, m_platform.engines,
+          context, m_lease, m_platform.engines,
           [this](const NodeId& node, const TellLoaded& told) {
             m_peers->Send(node, told);
           },
@@ -62,6 +63,15 @@
             const auto used = m_dispatcher.OnRetired(told);
             if (used) m_holder.OnTellInUse(*used);
           }),
+      m_admissions(context, m_dispatcher,
+                   [this](const NodeId& node, const PeerMessage& message) {
+                     m_peers->Send(node, message);
+                   }),
+      m_admission_server(
+          context, m_holder, m_dispatcher,
+          [this](const NodeId& node, const PeerMessage& message) {
+            m_peers->Send(node, message);
+          }),
       m_signals(context.io),
       m_timer(context.io) {}
 
@@ -80,7 +90,7 @@
                           OnPeerMessage(message, direct);
                         }),
        m_peers);
-  take(FrontServer::Create(m_context, m_dispatcher), m_front);
+  take(FrontServer::Create(m_context, m_dispatcher, m_admissions), m_front);
   take(StatusServer::Create(m_context.io, m_context.clock,
                             settings.readiness_address,
                             [this](const std::string& path) {
@@ -107,10 +117,18 @@
   m_signals.add(SIGINT);
   m_signals.add(SIGHUP);
   AwaitSignal();
-  m_session.Start([this] { m_holder.OnViewChanged(); });
+  m_session.Start([this] { OnViewChanged(); });
   Tick();
 }
 
+void Node::OnViewChanged() {
+  if (!m_lease_begun) {
+    m_lease_begun = true;
+    m_lease.Begin([this] { m_holder.OnViewChanged(); });
+  }
+  m_holder.OnViewChanged();
+}
+
 bool Node::IsReady() const {
   return !m_stopping_since && m_context.view.routes() != nullptr;
 }
@@ -176,12 +194,18 @@
   m_context.view.endpoints().Expire(now);
   m_dispatcher.OnTick(now);
   m_dispatcher.OnLocalHeld(m_holder.Status());
-  const bool small = m_context.view.nodes().size() <= kMaxSmallFleetNodes;
-  m_holder.SetPace({m_dispatcher.LoadsElsewhere(), TellInterval(),
-                    small ? kRetireTime : DurationMs(0)});
+  const bool large = m_dispatcher.IsLarge();
+  m_holder.SetPace({m_dispatcher.LoadsElsewhere(),
+                    large ? EngineUseReports::kRepeatInterval : kTellInterval,
+                    large ? DurationMs(0) : kRetireTime});
   m_holder.OnTick(now);
   m_front->OnTick(now);
-  TellPeers(now);
+  if (large) {
+    m_admission_server.OnTick(now);
+    TellHolders(now);
+  } else {
+    TellPeers(now);
+  }
   FlushLog(now);
   CheckShutdown(now);
   m_timer.expires_after(kTick);
@@ -201,13 +225,8 @@
   metrics.requests_in_flight.Set(static_cast<double>(m_front->in_flight()));
 }
 
-DurationMs Node::TellInterval() const {
-  const auto nodes = static_cast<std::int64_t>(m_context.view.nodes().size());
-  return std::max(kTellInterval, kTellIntervalPerNode * nodes);
-}
-
 void Node::TellPeers(TimeMs now) {
-  if (now - m_told < TellInterval()) return;
+  if (now - m_told < kTellInterval) return;
   m_told = now;
   NodeStatus status = m_dispatcher.TakeStatus();
   status.held = m_holder.Status();
@@ -219,12 +238,23 @@
       status.store.holders[engine] = holder.fence;
     }
   }
-  NoteUsed(status);
+  NoteUsed(status.used);
   m_peers->Broadcast(status);
 }
 
-void Node::NoteUsed(const NodeStatus& status) {
-  for (const auto& [engine, adapters] : status.used) {
+void Node::TellHolders(TimeMs now) {
+  for (const auto& [holder, told] : m_dispatcher.TakeUse(now)) {
+    if (holder == m_context.settings.node) {
+      // Its own requests are counted where they begin and end.
+      NoteUsed(told.use.used);
+    } else {
+      m_peers->Send(holder, told);
+    }
+  }
+}
+
+void Node::NoteUsed(const UsedAdapters& used) {
+  for (const auto& [engine, adapters] : used) {
     for (const auto& [adapter, requests] : adapters) {
       m_holder.OnUsed(engine, adapter, requests);
     }
@@ -235,7 +265,7 @@
   if (const auto* status = std::get_if<NodeStatus>(&message)) {
     m_dispatcher.OnPeerStatus(*status);
     if (direct) m_holder.OnPeerStatus(*status, m_context.clock.Now());
-    NoteUsed(*status);
+    NoteUsed(status->used);
   } else if (const auto* ask = std::get_if<AskLoad>(&message)) {
     const auto queued = m_holder.OnAskLoad(*ask);
     if (queued) m_peers->Send(ask->node, *queued);
@@ -243,6 +273,8 @@
     m_dispatcher.OnQueued(*queued);
   } else if (const auto* loaded = std::get_if<TellLoaded>(&message)) {
     m_dispatcher.OnLoaded(*loaded);
+    m_admissions.OnLoaded(*loaded);
+    m_admission_server.OnLoaded(*loaded);
   } else if (const auto* prompt = std::get_if<TellPrompt>(&message)) {
     m_dispatcher.OnPeerPrompt(*prompt);
   } else if (const auto* missing = std::get_if<TellMissing>(&message)) {
@@ -252,6 +284,17 @@
     if (used) m_peers->Send(retired->holder, *used);
   } else if (const auto* in_use = std::get_if<TellInUse>(&message)) {
     m_holder.OnTellInUse(*in_use);
+  } else if (const auto* changes = std::get_if<TellChanges>(&message)) {
+    m_session.OnTellChanges(*changes);
+  } else if (const auto* asked = std::get_if<AskAdmission>(&message)) {
+    m_admission_server.OnAsk(*asked);
+  } else if (const auto* admission = std::get_if<TellAdmission>(&message)) {
+    m_admissions.OnTellAdmission(*admission);
+  } else if (const auto* sent = std::get_if<TellSent>(&message)) {
+    m_admission_server.OnSent(*sent);
+  } else if (const auto* use = std::get_if<TellUse>(&message)) {
+    m_dispatcher.OnPeerUse(*use);
+    NoteUsed(use->use.used);
   }
 }
 
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -25,6 +25,9 @@
           r.GetCounter("yuccamoor_store_calls_total", "Calls to the store")),
       store_failures(r.GetCounter("yuccamoor_store_failures_total",
                                   "Calls to the store without success")),
+      peer_messages_dropped(
+          r.GetCounter("yuccamoor_peer_messages_dropped_total",
+                       "Datagrams that were no message of a node")),
       log_lines_dropped(r.GetCounter("yuccamoor_log_lines_dropped_total",
                                      "Log lines left out")),
       first_answer_seconds(
--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -3,20 +3,21 @@
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <utility>
 
-#include "yuccamoor/coordination/fleet/fleet_size.h"
-#include "yuccamoor/coordination/fleet/relay_plan.h"
-
 namespace yuccamoor::fleet {
 
 namespace {
 using boost::asio::ip::udp;
 // Longer than the store's outages for single nodes usually last.
 constexpr DurationMs kUnlistedTime{15'000};
+// Taking over the registered nodes takes a step for each of them.
+constexpr DurationMs kUpdateInterval{100};
+constexpr DurationMs kMalformedLogInterval{1'000};
 constexpr std::size_t kMaxDatagram = 65'536;
-// Begins a datagram that the receiver passes on in its domain. No message
-// begins so.
+// Begins a datagram of a node of an earlier release that the receiver passes on
+// in its domain. No message begins so.
 constexpr char kPassOn = '>';
 // Begins a datagram that was passed on.
 constexpr char kPassedOn = '<';
@@ -71,14 +72,30 @@
   const bool passed_on = datagram.starts_with(kPassedOn);
   const bool pass_on = datagram.starts_with(kPassOn);
   if (passed_on || pass_on) datagram.remove_prefix(1);
-  if (pass_on) PassOn(kPassedOn + std::string(datagram));
+  if (pass_on) SendEncodedToDomain(kPassedOn + std::string(datagram));
   const auto message = DecodePeerMessage(datagram);
-  if (message) m_handler(*message, !passed_on);
+  if (message) {
+    m_handler(*message, !passed_on);
+  } else {
+    NoteMalformed();
+  }
+}
+
+void PeerLink::NoteMalformed() {
+  m_context.metrics.peer_messages_dropped.Add();
+  ++m_malformed;
+  const TimeMs now = m_context.clock.Now();
+  if (now - m_logged_malformed < kMalformedLogInterval) return;
+  m_context.log.Event("peer_messages_dropped").Number("count", m_malformed);
+  m_malformed = 0;
+  m_logged_malformed = now;
 }
 
 void PeerLink::Send(const NodeId& node, const PeerMessage& message) {
   if (node == m_context.settings.node) {
-    m_handler(message, true);
+    // The handler may be what sends.
+    boost::asio::post(m_context.io,
+                      [this, message] { m_handler(message, true); });
     return;
   }
   UpdateKnown();
@@ -90,29 +107,16 @@
 void PeerLink::Broadcast(const PeerMessage& message) {
   UpdateKnown();
   const std::string datagram = EncodePeerMessage(message);
-  if (m_known.size() > kMaxSmallFleetNodes) {
-    BroadcastByRelays(datagram);
-    return;
-  }
   for (const auto& [node, known] : m_known) {
     if (node != m_context.settings.node) SendTo(known.address, datagram);
   }
 }
 
-void PeerLink::BroadcastByRelays(const std::string& datagram) {
-  std::map<NodeId, FailureDomainId> nodes;
-  for (const auto& [node, known] : m_known) nodes[node] = known.domain;
-  const RelayPlan plan = PlanRelays(m_context.settings.node,
-                                    m_context.settings.domain, nodes, m_turn++);
-  for (const NodeId& node : plan.direct_receivers) {
-    SendTo(m_known[node].address, datagram);
-  }
-  for (const NodeId& node : plan.relays) {
-    SendTo(m_known[node].address, kPassOn + datagram);
-  }
+void PeerLink::SendToDomain(const PeerMessage& message) {
+  SendEncodedToDomain(EncodePeerMessage(message));
 }
 
-void PeerLink::PassOn(const std::string& datagram) {
+void PeerLink::SendEncodedToDomain(const std::string& datagram) {
   UpdateKnown();
   for (const auto& [node, known] : m_known) {
     const bool other_domain = known.domain != m_context.settings.domain;
@@ -123,21 +127,25 @@
 
 void PeerLink::UpdateKnown() {
   const TimeMs now = m_context.clock.Now();
+  if (now - m_updated < kUpdateInterval) return;
+  m_updated = now;
   for (const auto& [node, record] : m_context.view.nodes()) {
-    m_known[node] = {record.peer_address, record.domain, now};
+    boost::system::error_code error;
+    const auto ip =
+        boost::asio::ip::make_address(record.peer_address.ip, error);
+    if (error) continue;
+    m_known[node] = {{ip, record.peer_address.port}, record.domain, now};
   }
   std::erase_if(m_known, [now](const auto& item) {
     return now - item.second.listed > kUnlistedTime;
   });
 }
 
-void PeerLink::SendTo(const SocketAddress& address,
+void PeerLink::SendTo(const udp::endpoint& address,
                       const std::string& datagram) {
   boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(address.ip, error);
-  if (error) return;
   // A datagram that cannot be sent is a lost one: messages are repeated.
-  m_socket.send_to(boost::asio::buffer(datagram), {ip, address.port}, 0, error);
+  m_socket.send_to(boost::asio::buffer(datagram), address, 0, error);
 }
 
 }  // namespace yuccamoor::fleet
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -6,6 +6,7 @@
 #include "yuccamoor/protocol/fleet/event_cutter.h"
 #include "yuccamoor/protocol/fleet/http_head.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
+#include "yuccamoor/protocol/fleet/store_change_codec.h"
 
 namespace yuccamoor::fleet {
 
@@ -63,6 +64,131 @@
         status.held.at(EndpointId("e1")).adapters);
 }
 
+TEST_CASE("Changes of the store come through as they were", "[fleet][peer]") {
+  EndpointEntry entry;
+  entry.id = EndpointId("e1");
+  entry.service = ServiceId("s");
+  entry.address = "10.0.0.1:80";
+  entry.domain = FailureDomainId("a");
+  entry.slots = 16;
+  entry.draining = true;
+  entry.start_unix_ms = 1'700'000'000'123;
+  entry.models = {ModelId("m")};
+  entry.adapters[{ModelId("m"), "a1"}] = AdapterRevision(3);
+  TellChanges told;
+  told.node = NodeId("n1");
+  told.after = Revision(10);
+  told.read = Revision(15);
+  told.after_outage = true;
+  told.changes = {
+      EndpointWritten{entry}, EndpointRemoved{EndpointId("e2")},
+      RecordWritten{"node/n2", "10.0.0.2:1 7 a", Revision(14)},
+      RecordRemoved{"holder/e2"},
+      AdapterRevisionPublished{{ModelId("m"), "a2"}, AdapterRevision(5)}};
+  const std::string datagram = EncodePeerMessage(told);
+  CHECK(datagram.size() <= EncodedSize(told.changes));
+  const auto message = DecodePeerMessage(datagram);
+  REQUIRE(message);
+  const auto& decoded = std::get<TellChanges>(*message);
+  CHECK(decoded.node == told.node);
+  CHECK(decoded.after == told.after);
+  CHECK(decoded.read == told.read);
+  CHECK(decoded.complete);
+  CHECK(decoded.after_outage);
+  REQUIRE(decoded.changes.size() == told.changes.size());
+  const auto& written = std::get<EndpointWritten>(decoded.changes[0]).entry;
+  CHECK(written.id == entry.id);
+  CHECK(written.service == entry.service);
+  CHECK(written.address == entry.address);
+  CHECK(written.domain == entry.domain);
+  CHECK(written.slots == entry.slots);
+  CHECK(written.draining);
+  CHECK(written.start_unix_ms == entry.start_unix_ms);
+  CHECK(written.models == entry.models);
+  CHECK(written.adapters == entry.adapters);
+  CHECK(std::get<EndpointRemoved>(decoded.changes[1]).id == EndpointId("e2"));
+  const auto& record = std::get<RecordWritten>(decoded.changes[2]);
+  CHECK(record.key == "node/n2");
+  CHECK(record.value == "10.0.0.2:1 7 a");
+  CHECK(record.revision == Revision(14));
+  CHECK(std::get<RecordRemoved>(decoded.changes[3]).key == "holder/e2");
+  const auto& named = std::get<AdapterRevisionPublished>(decoded.changes[4]);
+  CHECK(named.revision == AdapterRevision(5));
+}
+
+TEST_CASE("Requests for admission and their answers come through as they were",
+          "[fleet][peer]") {
+  AskAdmission ask;
+  ask.id = {NodeId("n1"), 0xFFFF'FFFF'FFFF'FFFEULL};
+  ask.engine = EndpointId("e1");
+  ask.adapter = {ModelId("m"), "a1"};
+  ask.version = AdapterRevision(4);
+  ask.accept_older_version = true;
+  ask.prompt_tokens = 2'400;
+  ask.priority = 1;
+  ask.send_within = DurationMs(-20);
+  ask.demand = 3;
+  ask.ready_within = DurationMs(400);
+  ask.as_home = true;
+  const auto asked = DecodePeerMessage(EncodePeerMessage(ask));
+  REQUIRE(asked);
+  const auto& decoded = std::get<AskAdmission>(*asked);
+  CHECK(decoded.id == ask.id);
+  CHECK(decoded.engine == ask.engine);
+  CHECK(decoded.adapter == ask.adapter);
+  CHECK(decoded.version == ask.version);
+  CHECK(decoded.accept_older_version);
+  CHECK(decoded.prompt_tokens == ask.prompt_tokens);
+  CHECK(decoded.priority == 1);
+  CHECK(decoded.send_within == ask.send_within);
+  CHECK(decoded.demand == 3);
+  CHECK(decoded.ready_within == ask.ready_within);
+  CHECK(decoded.as_home);
+  CHECK_FALSE(decoded.enqueue);
+
+  TellAdmission told;
+  told.number = 7;
+  told.answer.quote.engine = EndpointId("e1");
+  told.answer.quote.prompt_wait = DurationMs(30);
+  told.answer.quote.requests = 12;
+  told.answer.quote.loading = 2;
+  SECTION("an engine that holds the adapter") {
+    told.answer.quote.version = AdapterRevision(4);
+    told.answer.quote.adapter_wait = DurationMs(0);
+    told.answer.choices = {EndpointId("e1"), EndpointId("e2")};
+  }
+  SECTION("an engine that cannot load it") {}
+  const auto answered = DecodePeerMessage(EncodePeerMessage(told));
+  REQUIRE(answered);
+  const auto& answer = std::get<TellAdmission>(*answered);
+  CHECK(answer.number == 7);
+  CHECK(answer.answer.choices == told.answer.choices);
+  CHECK(answer.answer.quote.engine == told.answer.quote.engine);
+  CHECK(answer.answer.quote.version == told.answer.quote.version);
+  CHECK(answer.answer.quote.adapter_wait == told.answer.quote.adapter_wait);
+  CHECK(answer.answer.quote.prompt_wait == DurationMs(30));
+  CHECK(answer.answer.quote.requests == 12);
+  CHECK(answer.answer.quote.loading == 2);
+
+  TellUse use;
+  use.node = NodeId("n1");
+  use.use.in_flight[EndpointId("e1")] = 3;
+  use.use.used[EndpointId("e1")][{ModelId("m"), "a1"}] = 2;
+  use.requests_per_second = 2.5;
+  const auto used = DecodePeerMessage(EncodePeerMessage(use));
+  REQUIRE(used);
+  CHECK(std::get<TellUse>(*used).use.in_flight == use.use.in_flight);
+  CHECK(std::get<TellUse>(*used).use.used == use.use.used);
+  CHECK(std::get<TellUse>(*used).requests_per_second == 2.5);
+}
+
+TEST_CASE("A change that an older node does not know drops the message",
+          "[fleet][peer]") {
+  CHECK_FALSE(DecodePeerMessage(
+      R"({"type":"changes","node":"n","after":1,"read":2,"complete":true,)"
+      R"("after_outage":false,"changes":[{"change":"later"}]})"));
+}
+
 TEST_CASE("A datagram that is no message is dropped", "[fleet][peer]") {
   CHECK_FALSE(DecodePeerMessage(""));
   CHECK_FALSE(DecodePeerMessage("{\"type\":\"ask_load\"}"));
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -114,9 +114,12 @@
         context{io, clock, settings, *dialect, view, log, metrics},
         dispatcher(
             context, [](const NodeId&, const PeerMessage&) {},
-            [](const PeerMessage&) {}) {
+            [](const PeerMessage&) {}),
+        admissions(context, dispatcher,
+                   [](const NodeId&, const PeerMessage&) {}) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
-    front = std::move(FrontServer::Create(context, dispatcher)).value();
+    front =
+        std::move(FrontServer::Create(context, dispatcher, admissions)).value();
   }
 
   BootClock clock;
@@ -128,6 +131,7 @@
   FleetView view;
   NodeContext context;
   Dispatcher dispatcher;
+  AdmissionClient admissions;
   std::unique_ptr<FrontServer> front;
 };
 
