Leave loads of a busy home to the next engine

Cause: in virtual time the busiest engine of 100 to 1,000 nodes had 1.54 to 1.61 times the mean load: homes of several adapters that are not popular enough for copies. Change: a home with 1.4 times the mean has repeatedly requested adapters copied, and leaves loads to the next engine; the home's load is not queued when other engines were chosen.

--- a/include/yuccamoor/coordination/fleet/copy_directory.h
+++ b/include/yuccamoor/coordination/fleet/copy_directory.h
@@ -41,7 +41,7 @@
 
 /// The engines for one request.
 struct CopyChoice {
-  /// Engines to choose from, two at most. Empty if there are no copies.
+  /// Engines to choose from, two at most. Empty if the home is the only one.
   std::vector<EndpointId> choices;
   /// Engines that should load the adapter, or confirm that they hold it.
   std::vector<EndpointId> to_load;
@@ -69,6 +69,7 @@
   };
   using Copies = std::map<EndpointId, Copy>;
 
+  static bool IsBusy(const HomeRequest& request);
   std::uint32_t DesiredCopies(const HomeRequest& request, TimeMs now) const;
   static bool IsReady(const Copy& copy, TimeMs now);
   static std::vector<EndpointId> ChooseTwo(std::vector<EndpointId> engines,
--- a/lib/coordination/fleet/copy_directory.cc
+++ b/lib/coordination/fleet/copy_directory.cc
@@ -15,24 +15,27 @@
 // suddenly becomes popular are spread over its requests.
 constexpr std::size_t kMaxAsksPerRequest = 2;
 
-// A home with more requests in flight than this, relative to the average
-// engine and in addition, has its more popular adapters copied.
-constexpr double kBusyFactor = 1.2;
-constexpr double kBusyMargin = 1;
+// A home with more requests in flight than the average engine, by this factor,
+// has its more popular adapters copied, and leaves loads to other engines.
+constexpr double kBusyFactor = 1.4;
 // Recent requests that make a copy worth its load.
 constexpr double kMinRequestsWhenBusy = 1.5;
 
 }  // namespace
 
+bool CopyDirectory::IsBusy(const HomeRequest& request) {
+  return request.mean_requests > 0 &&
+         request.home_requests > request.mean_requests * kBusyFactor;
+}
+
 std::uint32_t CopyDirectory::DesiredCopies(const HomeRequest& request,
                                            TimeMs now) const {
   const std::uint32_t desired = m_popularity.DesiredCopies(
       request.adapter, request.engines, request.fleet_rate, now);
-  const bool busy =
-      request.home_requests > request.mean_requests * kBusyFactor + kBusyMargin;
   const bool popular =
       m_popularity.RecentRequests(request.adapter, now) >= kMinRequestsWhenBusy;
-  return busy && popular ? std::max<std::uint32_t>(desired, 2) : desired;
+  return IsBusy(request) && popular ? std::max<std::uint32_t>(desired, 2)
+                                    : desired;
 }
 
 bool CopyDirectory::IsReady(const Copy& copy, TimeMs now) {
@@ -53,7 +56,14 @@
   m_popularity.AddRequests(request.adapter, 1, now);
   const std::uint32_t desired = DesiredCopies(request, now);
   CopyChoice choice;
-  if (desired <= 1) return choice;
+  if (desired <= 1) {
+    // A home that would have to load it leaves that to the next engine.
+    const bool pass_on = IsBusy(request) && !request.home_holds;
+    if (!pass_on) return choice;
+    const std::vector<EndpointId> engines = ranking();
+    if (engines.size() > 1) choice.choices = {engines[1]};
+    return choice;
+  }
   Copies& copies = m_copies[request.adapter];
   std::vector<EndpointId> ready;
   if (request.home_holds) ready.push_back(request.home);
@@ -68,6 +78,8 @@
     copy.asked = now;
     choice.to_load.push_back(engines[i]);
   }
+  // With copies, requests hardly wait for the home any more.
+  if (!request.home_holds) choice.to_load.push_back(request.home);
   const bool only_home = ready.size() == 1 && request.home_holds;
   if (!only_home) choice.choices = ChooseTwo(std::move(ready), request.number);
   return choice;
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -82,7 +82,11 @@
     AskForCopies(ask, copies.to_load);
     answer.choices = std::move(copies.choices);
   }
-  if (!holds && !named) return answer;
+  const auto& choices = answer.choices;
+  const bool chosen =
+      choices.empty() ||
+      std::find(choices.begin(), choices.end(), ask.engine) != choices.end();
+  if (!chosen || (!holds && !named)) return answer;
   if (!holds) {
     const auto queued = m_holder.OnAskLoad(LoadAskOf(ask));
     if (queued && m_holder.MayLoad(ask.engine)) {
@@ -92,11 +96,6 @@
   }
   quote.version = version;
   quote.adapter_wait = DurationMs(0);
-  const auto& choices = answer.choices;
-  const bool chosen =
-      choices.empty() ||
-      std::find(choices.begin(), choices.end(), ask.engine) != choices.end();
-  if (!chosen) return answer;
   // It must not be unloaded before the request has come.
   m_holder.OnUsed(ask.engine, ask.adapter, 0);
   PromptQueue& queue = m_queues[ask.engine];
--- a/unittests/coordination/fleet/copy_directory_test.cc
+++ b/unittests/coordination/fleet/copy_directory_test.cc
@@ -72,6 +72,28 @@
   CHECK(chosen.contains(EndpointId("e0")));
 }
 
+TEST_CASE("A busy home leaves loads to the next engine",
+          "[fleet][copies][large]") {
+  CopyDirectory directory;
+  HomeRequest request = Request(1);
+  request.mean_requests = 4;
+  request.home_requests = 9;
+  SECTION("of adapters that it does not hold") {
+    request.home_holds = false;
+    CHECK(directory.OnRequest(request, Ranking, TimeMs(0)).choices ==
+          std::vector<EndpointId>{EndpointId("e1")});
+  }
+  SECTION("what it holds it serves") {
+    CHECK(directory.OnRequest(request, Ranking, TimeMs(0)).choices.empty());
+  }
+  SECTION("and has what is requested repeatedly copied") {
+    directory.OnRequest(request, Ranking, TimeMs(0));
+    request.number = 2;
+    CHECK(directory.OnRequest(request, Ranking, TimeMs(100)).to_load ==
+          std::vector<EndpointId>{EndpointId("e1")});
+  }
+}
+
 TEST_CASE("A copy that is no longer confirmed is not chosen",
           "[fleet][copies]") {
   CopyDirectory directory;
--- a/unittests/coordination/fleet/holder_claims_test.cc
+++ b/unittests/coordination/fleet/holder_claims_test.cc
@@ -79,6 +79,7 @@
     nodes.insert(node);
     claims.emplace(node, HolderClaims(node));
   }
+  engines.reserve(kEngineCount);
   for (int i = 0; i < kEngineCount; ++i) {
     engines.emplace_back("engine-" + std::to_string(i));
   }
