Bound bytes that never end a chunk's size, trailers or an event

Cause: Beast bounds the header only. A server in trouble that sends a chunk's size line or trailers without end had them collected until the request's deadline, and a stream's event without end up to 16 MB. Change: what a parser leaves unread is bounded like a header, for endpoints, the store and clients alike; an event of more than 128 KB counts as a broken connection, so that a resumable stream goes on elsewhere. Figures in messages between nodes are bounded as well.

--- a/include/yuccamoor/protocol/fleet/event_cutter.h
+++ b/include/yuccamoor/protocol/fleet/event_cutter.h
@@ -21,6 +21,9 @@
 
   /// Whether the bytes so far end between two events.
   bool AtBoundary() const { return m_pending.empty(); }
+  /// Whether the event that has begun is longer than any event may be: its
+  /// sender is in trouble, and may go on without end.
+  bool IsTooLong() const { return m_pending.size() > kMaxEventBytes; }
   /// Forgets an event that was cut off.
   void DropPartial() { m_pending.clear(); }
   /// The id of the last event handed out; empty without one.
@@ -29,6 +32,8 @@
   std::uint64_t events() const { return m_events; }
 
  private:
+  static constexpr std::size_t kMaxEventBytes = 131'072;
+
   void NoteIds(std::string_view events);
 
   std::string m_pending;
--- a/include/yuccamoor/transport/fleet/admission_client.h
+++ b/include/yuccamoor/transport/fleet/admission_client.h
@@ -82,6 +82,8 @@
   AdmissionStep Poll(AdmissionNeeds needs) {
     return m_client.Poll(m_number, std::move(needs));
   }
+  /// The request's number in messages and in holders' logs.
+  std::uint64_t number() const { return m_number; }
   const AdmissionRequest& request() const {
     return m_client.m_searches.at(m_number).request;
   }
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -90,6 +90,8 @@
   void PassWhole();
   void ReadStream(TimeMs now);
   void PassEvents();
+  /// Handles an event that does not end like a broken connection.
+  void OnEndlessEvent();
   void NotePause();
   void FinishStream();
   void StartStream();
--- a/include/yuccamoor/transport/fleet/http_parser.h
+++ b/include/yuccamoor/transport/fleet/http_parser.h
@@ -20,7 +20,8 @@
   kBodyTooLong,
 };
 
-/// Bounds on one message.
+/// Bounds on one message. The first one also holds for a chunk's size and for
+/// trailers.
 struct HttpParserLimits {
   std::uint32_t max_header_bytes = 65'536;
   std::uint64_t max_body_bytes = 16'777'216;
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Each of them is asked.
+constexpr std::size_t kMaxChoices = 4;
+
 Json EncodeUsed(const UsedAdapters& used) {
   Json json = Json::object();
   for (const auto& [engine, adapters] : used) {
@@ -217,8 +220,14 @@
   return json;
 }
 
+// Durations of messages are added to times. Throws for longer ones.
 DurationMs DurationOf(const Json& json) {
-  return DurationMs(json.get<std::int64_t>());
+  constexpr std::int64_t kLongestMs = 3'600'000;
+  const auto ms = json.get<std::int64_t>();
+  if (ms < -kLongestMs || ms > kLongestMs) {
+    throw Json::other_error::create(501, "duration out of range", &json);
+  }
+  return DurationMs(ms);
 }
 
 AskAdmission DecodeAskAdmission(const Json& json) {
@@ -252,6 +261,9 @@
   quote.prompt_wait = DurationOf(json.at("prompt_wait_ms"));
   quote.requests = GetUnsigned32(json.at("requests"));
   quote.loading = GetUnsigned32(json.at("loading"));
+  if (json.at("choices").size() > kMaxChoices) {
+    throw Json::other_error::create(501, "too many choices", &json);
+  }
   for (const Json& engine : json.at("choices")) {
     told.answer.choices.push_back(engine.get<EndpointId>());
   }
--- a/lib/transport/fleet/exchange_admission.cc
+++ b/lib/transport/fleet/exchange_admission.cc
@@ -18,6 +18,10 @@
     m_ticket = m_context.admissions.Open(
         MakeNeeds(now),
         [this](const AdmissionStep& step) { OnAdmissionStep(step); });
+    m_context.node.log.Event("admission_search")
+        .Text("request", m_meta.attempt.str())
+        .Text("adapter", ToString(*m_meta.adapter))
+        .Number("number", m_ticket->number());
   }
   FollowStep(m_ticket->Poll(MakeNeeds(now)), now);
 }
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -69,7 +69,10 @@
   m_call->body().clear();
   const std::uint64_t before = m_cutter.events();
   const std::string events = m_cutter.TakeWhole();
-  if (events.empty()) return;
+  if (events.empty()) {
+    if (m_cutter.IsTooLong()) OnEndlessEvent();
+    return;
+  }
   m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
   if (!m_stream_started) StartStream();
   if (m_ended) return;
@@ -80,6 +83,14 @@
   m_client->Send(ChunkOf(events));
 }
 
+void Exchange::OnEndlessEvent() {
+  m_context.node.log.Event("event_too_long")
+      .Text("request", m_meta.attempt.str())
+      .Text("endpoint", m_endpoint.str());
+  m_cutter.DropPartial();
+  OnBroken();
+}
+
 void Exchange::NotePause() {
   const TimeMs now = m_context.node.clock.Now();
   if (m_last_events && now - *m_last_events > m_longest_pause) {
--- a/lib/transport/fleet/http_parser.cc
+++ b/lib/transport/fleet/http_parser.cc
@@ -100,7 +100,7 @@
       if (n == 0) break;
     }
     buffer.erase(0, used);
-    return fault;
+    return fault == HttpFault::kNone ? CheckRemainder(buffer) : fault;
   }
 
   bool FinishAtEnd() override {
@@ -129,6 +129,15 @@
   std::string& body() override { return m_collector->m_body; }
 
  private:
+  // What stays in the buffer is the beginning of a header, of a chunk's size or
+  // of trailers. A peer in trouble may go on with it without end.
+  HttpFault CheckRemainder(const std::string& buffer) const {
+    if (m_collector->is_done()) return HttpFault::kNone;
+    if (buffer.size() <= m_limits.max_header_bytes) return HttpFault::kNone;
+    return m_collector->m_has_head ? HttpFault::kMalformed
+                                   : HttpFault::kHeaderTooLong;
+  }
+
   HttpParserLimits m_limits;
   std::optional<Collector<kIsRequest>> m_collector;
 };
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -189,6 +189,18 @@
       R"("after_outage":false,"changes":[{"change":"later"}]})"));
 }
 
+TEST_CASE("Messages with figures out of range are dropped", "[fleet][peer]") {
+  TellAdmission told;
+  told.answer.quote.engine = EndpointId("e1");
+  SECTION("a wait that no clock can add") {
+    told.answer.quote.adapter_wait = DurationMs(INT64_MAX);
+  }
+  SECTION("more engines to ask than a request may") {
+    told.answer.choices.assign(100, EndpointId("e2"));
+  }
+  CHECK_FALSE(DecodePeerMessage(EncodePeerMessage(told)));
+}
+
 TEST_CASE("A datagram that is no message is dropped", "[fleet][peer]") {
   CHECK_FALSE(DecodePeerMessage(""));
   CHECK_FALSE(DecodePeerMessage("{\"type\":\"ask_load\"}"));
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -2,6 +2,7 @@
 /// \brief Tests of what clients and endpoints see of a request.
 
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "transport/fleet/front_world.h"
 
@@ -158,6 +159,20 @@
   CHECK(world.requests_run() == 1);
 }
 
+TEST_CASE("A resumable stream goes on elsewhere after an event without end",
+          "[fleet][front][endless]") {
+  constexpr std::size_t kEndless = 200'000;
+  FrontWorld world(
+      {Send(kStreamHead + Chunk(Event(1)) + Chunk(std::string(kEndless, 'y')))},
+      {Send(kStreamHead + Chunk(Event(2)) + "0\r\n\r\n")});
+  const std::string got =
+      world.Exchange(RequestText("/resumable/x"), "0\r\n\r\n");
+  CHECK(Contains(got, Event(1)));
+  CHECK(Contains(got, Event(2)));
+  CHECK_FALSE(Contains(got, "yyyy"));
+  CHECK(got.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("A resumable stream goes on at another endpoint without a gap",
           "[fleet][front]") {
   FrontWorld world(
