--- a/unittests/coordination/fleet/admission_fleet_test.cc
+++ b/unittests/coordination/fleet/admission_fleet_test.cc
@@ -225,6 +225,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<EndpointId> engines;
+    engines.reserve(ranked.size());
     for (const auto& [score, id] : ranked) engines.push_back(id);
     return engines;
   }
