--- a/include/yuccamoor/transport/fleet/admission_client.h
+++ b/include/yuccamoor/transport/fleet/admission_client.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "yuccamoor/coordination/fleet/admission_request.h"
 #include "yuccamoor/coordination/fleet/endpoint_choice.h"
