--- a/include/yuccamoor/coordination/fleet/admission_request.h
+++ b/include/yuccamoor/coordination/fleet/admission_request.h
@@ -47,9 +47,8 @@
   using Ranking = std::function<std::vector<EndpointId>()>;
 
   /// \p any_engine is set if every engine can serve the request, because it
-  /// needs the base model only. \p number is any number that differs between
-  /// requests.
-  AdmissionRequest(std::uint64_t number, bool any_engine);
+  /// needs the base model only. \p random should be uniform over requests.
+  AdmissionRequest(std::uint64_t random, bool any_engine);
 
   /// Call it several times a second until the request is sent or ends. After
   /// send_to, the next call starts anew.
@@ -86,7 +85,7 @@
   AdmissionStep Decide(TimeMs now);
   bool AllAnswered() const;
 
-  std::uint64_t m_number;
+  std::uint64_t m_random;
   bool m_any_engine;
   Stage m_stage = Stage::kStart;
   TimeMs m_start_from;
--- a/include/yuccamoor/coordination/fleet/copy_directory.h
+++ b/include/yuccamoor/coordination/fleet/copy_directory.h
@@ -25,7 +25,7 @@
 /// A request for an adapter as its home sees it.
 struct HomeRequest {
   AdapterRef adapter;
-  /// Differs between requests.
+  /// Uniform over requests.
   std::uint64_t number = 0;
   EndpointId home;
   /// Whether the home itself holds the adapter.
@@ -72,8 +72,6 @@
   static bool IsBusy(const HomeRequest& request);
   std::uint32_t DesiredCopies(const HomeRequest& request, TimeMs now) const;
   static bool IsReady(const Copy& copy, TimeMs now);
-  static std::vector<EndpointId> ChooseTwo(std::vector<EndpointId> engines,
-                                           std::uint64_t number);
 
   // The home sees all requests for the adapter.
   static constexpr double kMinRequests = 3;
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -17,6 +17,9 @@
 
 namespace yuccamoor::fleet {
 
+/// When engines are compared, a request in flight counts as much as this wait.
+inline constexpr std::int64_t kWaitMsPerRequest = 8;
+
 /// Adds a prompt that was sent to the engine to its estimated backlog.
 void RecordPrompt(Endpoint& engine, std::uint32_t tokens, TimeMs now);
 
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -114,6 +114,10 @@
     TimeMs heard;
     NodeStatus status;
   };
+  struct PeerUse {
+    TimeMs heard;
+    double requests_per_second = 0;
+  };
   // An engine whose holder gives orders.
   struct Ordering {
     TimeMs told;
@@ -160,8 +164,8 @@
   UsedAdapters m_running;
   UsedAdapters m_begun;
   EngineUseReports m_use;
-  // The other nodes' requests per second to engines, as told.
-  std::map<NodeId, double> m_rates;
+  // The nodes that use engines of this one.
+  std::map<NodeId, PeerUse> m_peer_uses;
   // Means over the engines that were asked lately.
   double m_mean_loading = 0;
   double m_mean_requests = 0;
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -56,7 +56,7 @@
 
   void Dispatch(TimeMs now);
   bool HoldsBack(const EndpointId& endpoint, TimeMs now) const;
-  /// Refuses a prompt that was held back until its client will leave.
+  /// Ends a request whose prompt was held back until its client will leave.
   void HoldBack(TimeMs now);
   void Wait(TimeMs now);
   /// Refuses the request if it cannot be served any more when it could be sent
--- a/lib/coordination/fleet/admission_request.cc
+++ b/lib/coordination/fleet/admission_request.cc
@@ -1,7 +1,9 @@
 #include "yuccamoor/coordination/fleet/admission_request.h"
 
 #include <algorithm>
-#include <utility>
+
+#include "yuccamoor/coordination/fleet/prefill_pacing.h"
+#include "yuccamoor/coordination/fleet/two_choices.h"
 
 namespace yuccamoor::fleet {
 
@@ -17,21 +19,19 @@
 constexpr DurationMs kRefreshInterval{250};
 // Without an answer for this long, the holder is gone.
 constexpr DurationMs kHolderTimeout{600};
-// A request in flight costs about as much as this wait.
-constexpr std::int64_t kMsPerRequest = 8;
 
 // The estimated time until the request starts, or nothing if the engine cannot
 // serve it.
 std::optional<std::int64_t> CostOf(const EngineQuote& quote) {
   if (!quote.adapter_wait) return std::nullopt;
   return quote.adapter_wait->ms() + quote.prompt_wait.ms() +
-         kMsPerRequest * quote.requests;
+         kWaitMsPerRequest * quote.requests;
 }
 
 }  // namespace
 
-AdmissionRequest::AdmissionRequest(std::uint64_t number, bool any_engine)
-    : m_number(number), m_any_engine(any_engine) {}
+AdmissionRequest::AdmissionRequest(std::uint64_t random, bool any_engine)
+    : m_random(random), m_any_engine(any_engine) {}
 
 AdmissionStep AdmissionRequest::Poll(const Ranking& ranking, TimeMs now) {
   switch (m_stage) {
@@ -59,16 +59,10 @@
   m_ranking = ranking();
   m_expected.reset();
   if (!m_any_engine) return AskHome(0, now);
-  // Two engines chosen at random: the better one is rarely a busy one.
   m_attempt = kMaxHomes;
   m_quotes.clear();
-  const std::size_t engines = m_ranking.size();
-  if (engines > 0) {
-    const std::size_t first = m_number % engines;
-    const std::size_t step =
-        1 + m_number / engines % std::max<std::size_t>(engines - 1, 1);
-    m_quotes[m_ranking[first]] = std::nullopt;
-    m_quotes[m_ranking[(first + step) % engines]] = std::nullopt;
+  for (const EndpointId& engine : ChooseTwo(m_ranking, m_random)) {
+    m_quotes[engine] = std::nullopt;
   }
   return AskCopies(now);
 }
--- a/lib/coordination/fleet/copy_directory.cc
+++ b/lib/coordination/fleet/copy_directory.cc
@@ -1,7 +1,8 @@
 #include "yuccamoor/coordination/fleet/copy_directory.h"
 
 #include <algorithm>
-#include <utility>
+
+#include "yuccamoor/coordination/fleet/two_choices.h"
 
 namespace yuccamoor::fleet {
 
@@ -42,15 +43,6 @@
   return copy.confirmed && now - *copy.confirmed < kConfirmedLifetime;
 }
 
-std::vector<EndpointId> CopyDirectory::ChooseTwo(
-    std::vector<EndpointId> engines, std::uint64_t number) {
-  const std::size_t count = engines.size();
-  if (count <= 2) return engines;
-  const std::size_t first = number % count;
-  const std::size_t step = 1 + number / count % (count - 1);
-  return {engines[first], engines[(first + step) % count]};
-}
-
 CopyChoice CopyDirectory::OnRequest(const HomeRequest& request,
                                     const Ranking& ranking, TimeMs now) {
   m_popularity.AddRequests(request.adapter, 1, now);
@@ -81,7 +73,7 @@
   // With copies, requests hardly wait for the home any more.
   if (!request.home_holds) choice.to_load.push_back(request.home);
   const bool only_home = ready.size() == 1 && request.home_holds;
-  if (!only_home) choice.choices = ChooseTwo(std::move(ready), request.number);
+  if (!only_home) choice.choices = ChooseTwo(ready, request.number);
   return choice;
 }
 
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-// Prefill backlog that counts as much as one running request.
-constexpr double kBacklogMsPerRequest = 8;
 // An engine whose load exceeds average * factor + margin (in requests) loads no
 // further adapter while others are less loaded.
 constexpr double kOverloadFactor = 1.6;
@@ -171,7 +169,7 @@
   double least_cost = 0;
   for (const Endpoint* holder : holders) {
     const auto backlog = static_cast<double>(PrefillBacklog(*holder, now).ms());
-    const double cost = holder->load() + backlog / kBacklogMsPerRequest;
+    const double cost = holder->load() + backlog / kWaitMsPerRequest;
     if (best && cost >= least_cost) continue;
     best = holder;
     least_cost = cost;
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Each of them is asked.
+// The receiver sends a message to each of them.
 constexpr std::size_t kMaxChoices = 4;
 
 Json EncodeUsed(const UsedAdapters& used) {
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -391,12 +391,14 @@
 void Dispatcher::OnTick(TimeMs now) {
   for (auto it = m_peers.begin(); it != m_peers.end();) {
     const bool silent = now - it->second.heard > kPeerLifetime;
-    if (silent) {
-      ShowPeerLoads(m_peer_loads.Remove(it->first));
-      m_rates.erase(it->first);
-    }
+    if (silent) ShowPeerLoads(m_peer_loads.Remove(it->first));
     it = silent ? m_peers.erase(it) : std::next(it);
   }
+  for (auto it = m_peer_uses.begin(); it != m_peer_uses.end();) {
+    const bool silent = now - it->second.heard > kPeerLifetime;
+    if (silent) ShowPeerLoads(m_peer_loads.Remove(it->first));
+    it = silent ? m_peer_uses.erase(it) : std::next(it);
+  }
   std::erase_if(m_asked, [now](const auto& item) {
     return item.second.empty() || now - item.second.back().first > kAskLifetime;
   });
--- a/lib/transport/fleet/dispatcher_large_fleet.cc
+++ b/lib/transport/fleet/dispatcher_large_fleet.cc
@@ -12,8 +12,7 @@
 }  // namespace
 
 void Dispatcher::OnPeerUse(const TellUse& told) {
-  m_peers[told.node] = {m_context.clock.Now(), NodeStatus()};
-  m_rates[told.node] = told.requests_per_second;
+  m_peer_uses[told.node] = {m_context.clock.Now(), told.requests_per_second};
   ShowPeerLoads(m_peer_loads.Set(told.node, told.use.in_flight));
 }
 
@@ -30,8 +29,8 @@
 
 double Dispatcher::FleetRate() const {
   double sum = m_use.RequestRate(m_context.clock.Now());
-  for (const auto& [node, rate] : m_rates) sum += rate;
-  const auto known = static_cast<double>(m_rates.size() + 1);
+  for (const auto& [node, use] : m_peer_uses) sum += use.requests_per_second;
+  const auto known = static_cast<double>(m_peer_uses.size() + 1);
   return sum / known * static_cast<double>(m_context.view.nodes().size());
 }
 
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -131,7 +131,8 @@
 void Exchange::HoldBack(TimeMs now) {
   if (now < m_request.received + m_route.first_event_timeout - kFirstEventTime)
     return;
-  Refuse("prompts ahead take too long", kBusyEngineRetryAfter);
+  // An earlier engine may have run it.
+  GiveUp("prompts ahead take too long", kBusyEngineRetryAfter);
 }
 
 void Exchange::Wait(TimeMs now) {
--- a/lib/transport/fleet/exchange_admission.cc
+++ b/lib/transport/fleet/exchange_admission.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "yuccamoor/transport/fleet/exchange.h"
 
 namespace yuccamoor::fleet {
@@ -61,7 +59,11 @@
     return;
   }
   if (choice.send_to) {
-    if (!HoldsBack(*choice.send_to, now)) SendTo(*choice.send_to, now);
+    if (HoldsBack(*choice.send_to, now)) {
+      HoldBack(now);
+    } else {
+      SendTo(*choice.send_to, now);
+    }
     return;
   }
   if (m_stream_started || m_runs > 0) return;
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -187,6 +187,21 @@
   CHECK(Contains(world.second().requests()[0], "Last-Event-Id: 1\r\n"));
 }
 
+TEST_CASE("A prompt that an engine may have run is not refused as not run",
+          "[fleet][front]") {
+  // The first engine breaks off before any event, the second one stays full.
+  FrontWorld world({SendAndReset("HTTP/1.1 200 OK\r\n")}, {kOk});
+  world.UseEngines();
+  world.FillSecond();
+  std::string request = RequestText("/resumable/x");
+  request.insert(request.find("\r\n") + 2,
+                 "Model: m\r\nToken-Count: 100,10\r\n");
+  const std::string got = world.Exchange(request, "\r\n\r\n");
+  CHECK(world.first().requests().size() == 1);
+  CHECK(world.second().requests().empty());
+  CHECK(Contains(got, "HTTP/1.1 502"));
+}
+
 TEST_CASE("A client that leaves ends the work at the endpoint",
           "[fleet][front]") {
   FrontWorld world({Send(kStreamHead + Chunk(Event(1)))}, {kOk});
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -147,6 +147,27 @@
 
 FrontWorld::~FrontWorld() = default;
 
+void FrontWorld::UseEngines() {
+  const TimeMs now = m_parts->clock.Now();
+  FleetConfig config = Config();
+  config.version = Revision(2);
+  EngineSpec engine;
+  engine.models = {{ModelId("m"), DurationMs(1'000)}};
+  config.services[ServiceId("s")].engine = engine;
+  m_parts->view.Apply(ConfigWritten{config}, now);
+  for (const auto& [id, port] :
+       {std::pair{"e1", m_first->port()}, std::pair{"e2", m_second->port()}}) {
+    EndpointEntry entry = Entry(id, port);
+    entry.models = {ModelId("m")};
+    m_parts->view.Apply(EndpointWritten{entry}, now);
+  }
+}
+
+void FrontWorld::FillSecond() {
+  Endpoint* second = m_parts->view.endpoints().Find(EndpointId("e2"));
+  second->peers_in_flight = second->entry.slots;
+}
+
 void FrontWorld::Run(DurationMs time) {
   const TimeMs end = m_parts->clock.Now() + time;
   while (m_parts->clock.Now() < end) {
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -80,6 +80,10 @@
   void SendAndLeaveAtOnce(const std::string& text);
   /// Begins the shutdown: streams are taken no more, other requests are.
   void BeginShutdown();
+  /// Makes both endpoints engines of the base model "m".
+  void UseEngines();
+  /// Has the second endpoint look full.
+  void FillSecond();
   /// Runs the event loop for a while.
   void Run(DurationMs time);
 
