Show that a change is applied late when the watch has fallen silent

The test's store stops answering on all open connections as soon as it is watched, and serves new ones. It fails on this code: "1 == 2", version 1 is in force 3 s later.

--- /dev/null
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -0,0 +1,184 @@
+/// \file
+/// \brief Tests of a node's view of the store when connections to it fail.
+
+#include "yuccamoor/transport/fleet/store_session.h"
+
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "platform/request_dialect.h"
+#include "platform/store_client.h"
+#include "yuccamoor/protocol/request/base64.h"
+#include "yuccamoor/state/fleet/boot_clock.h"
+#include "yuccamoor/transport/fleet/http_caller.h"
+#include "yuccamoor/transport/fleet/listener.h"
+#include "yuccamoor/transport/fleet/socket.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+constexpr char kIp[] = "127.0.0.1";
+constexpr std::size_t kReadLimit = 65'536;
+
+std::string Item(int version) {
+  const std::string config = R"({"version":)" + std::to_string(version) +
+                             R"(,"routes":[],"services":[]})";
+  return R"([{"key":"op/config","value":")" + EncodeBase64(config) +
+         R"(","rev":)" + std::to_string(version) + "}]";
+}
+
+std::string Reply(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+/// A store that holds version 1 of a configuration. When it is first watched,
+/// it takes version 2, and all open connections fall silent for good.
+class SilencedStore {
+ public:
+  SilencedStore(boost::asio::io_context& io, std::function<void()> on_silence)
+      : m_on_silence(std::move(on_silence)),
+        m_listener(
+            std::move(Listener::Create(io, {kIp, 0}, [this](auto socket) {
+              Accept(std::move(socket));
+            })).value()) {}
+
+  SocketAddress address() const { return {kIp, m_listener->port()}; }
+
+ private:
+  struct Connection {
+    std::unique_ptr<Socket> socket;
+    std::string in;
+    bool silent = false;
+  };
+
+  void Accept(boost::asio::ip::tcp::socket socket) {
+    m_connections.push_back(
+        {std::make_unique<Socket>(std::move(socket)), "", false});
+    Await(m_connections.back());
+  }
+
+  void Await(Connection& connection) {
+    connection.socket->AwaitReadable(
+        [this, &connection] { OnReadable(connection); });
+  }
+
+  void OnReadable(Connection& connection) {
+    const IoResult result = connection.socket->Read(connection.in, kReadLimit);
+    const bool closed =
+        result.status == IoStatus::kEnd || result.status == IoStatus::kReset;
+    if (closed) {
+      connection.socket->Close();
+      return;
+    }
+    if (connection.in.ends_with("\r\n\r\n")) Answer(connection);
+    Await(connection);
+  }
+
+  void Answer(Connection& connection) {
+    const bool watch = connection.in.starts_with("GET /kv-watch");
+    connection.in.clear();
+    if (watch && !m_silenced) {
+      m_silenced = true;
+      for (Connection& open : m_connections) open.silent = true;
+      m_on_silence();
+    }
+    if (connection.silent) return;
+    const std::string body =
+        watch ? R"({"events":)" + Item(2) + R"(,"as-of":2})"
+              : R"({"items":)" + Item(1) + R"(,"more-pages":false,"as-of":1})";
+    connection.socket->Write(Reply(body));
+  }
+
+  std::function<void()> m_on_silence;
+  std::list<Connection> m_connections;
+  bool m_silenced = false;
+  std::unique_ptr<Listener> m_listener;
+};
+
+/// A store session with what it needs.
+class SessionWorld {
+ public:
+  SessionWorld()
+      : m_log(m_clock, STDERR_FILENO),
+        m_registry(m_clock),
+        m_metrics(m_registry),
+        m_dialect(platform::CreateRequestDialect()),
+        m_context{m_io,   m_clock, m_settings, *m_dialect,
+                  m_view, m_log,   m_metrics},
+        m_contact_timer(m_io),
+        m_store(m_io, [this] { StartContactTime(); }),
+        m_caller(m_io, m_clock),
+        m_client(m_caller, m_store.address(),
+                 [](std::string_view, const Findings&) {}),
+        m_session(m_context, m_client, [](const TellChanges&) {}) {}
+
+  /// Starts the session. Returns the configuration's version when the contact
+  /// time has passed since the connections fell silent.
+  std::uint64_t VersionAfterContactTime(DurationMs contact_time) {
+    m_contact_time = contact_time;
+    m_session.Start([] {});
+    m_io.run();
+    return m_final_version;
+  }
+
+ private:
+  void StartContactTime() {
+    m_contact_timer.expires_after(
+        std::chrono::milliseconds(m_contact_time.ms()));
+    m_contact_timer.async_wait([this](boost::system::error_code) {
+      m_final_version = config_version();
+      m_io.stop();
+    });
+  }
+
+  std::uint64_t config_version() const {
+    return m_view.routes() ? m_view.routes()->config().version.value() : 0;
+  }
+
+  static NodeSettings Settings() {
+    NodeSettings settings;
+    settings.node = NodeId("n1");
+    settings.max_propagation_delay = DurationMs(2'000);
+    return settings;
+  }
+
+  boost::asio::io_context m_io;
+  BootClock m_clock;
+  NodeSettings m_settings = Settings();
+  LineLog m_log;
+  MetricsRegistry m_registry;
+  NodeMetrics m_metrics;
+  std::unique_ptr<RequestDialect> m_dialect;
+  FleetView m_view;
+  NodeContext m_context;
+  DurationMs m_contact_time{0};
+  std::uint64_t m_final_version = 0;
+  boost::asio::steady_timer m_contact_timer;
+  SilencedStore m_store;
+  HttpCaller m_caller;
+  platform::StoreClient m_client;
+  StoreSession m_session;
+};
+
+}  // namespace
+
+// A watch on a connection that had fallen silent for good held up every change
+// for longer than the time after which the node counts as connected again.
+TEST_CASE("A configuration is applied although the watch fell silent",
+          "[fleet][store]") {
+  SessionWorld world;
+  CHECK(world.VersionAfterContactTime(DurationMs(3'000)) == 2);
+}
+
+}  // namespace yuccamoor::fleet
