Log which call to the store went unanswered, and for how long

store_lost named a reason only: a watch that hung on a silent connection, a first read that hung, and a store that had been gone for a while before the call looked alike. The line now tells the call, how long it waited and how long the store has been silent, which the hypotheses of the late configuration change need to be told apart.

--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -49,7 +49,8 @@
                      TimeMs now);
   void OnOutageNotice(TimeMs now);
   void OnViewChanged();
-  void NoteAnswer(StoreStatus status);
+  // \p call names the call in logs.
+  void NoteAnswer(StoreStatus status, const char* call);
   void LogNews(const StoreChange& change, ViewUpdate news);
 
   NodeContext& m_context;
@@ -63,6 +64,7 @@
   bool m_history_gone = false;
   bool m_reading = false;
   bool m_reachable = true;
+  TimeMs m_read_began;
   // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
   // When the store was last seen to be back after an outage.
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -56,6 +56,7 @@
   // An expired timer's handler may run although the read was put off.
   if (m_reading) return;
   m_reading = true;
+  m_read_began = m_context.clock.Now();
   m_context.metrics.store_calls.Add();
   if (!m_has_view || m_history_gone) {
     m_store.ReadAll([this](const StoreReadResult& reading) {
@@ -73,7 +74,7 @@
                              std::optional<Revision> after) {
   m_reading = false;
   const TimeMs now = m_context.clock.Now();
-  NoteAnswer(reading.status);
+  NoteAnswer(reading.status, after ? "watch" : "read");
   if (reading.status == StoreStatus::kCompacted) {
     m_context.log.Event("store_history_gone")
         .Number("after_revision", m_as_of.value());
@@ -222,14 +223,18 @@
   }
 }
 
-void StoreSession::NoteAnswer(StoreStatus status) {
+void StoreSession::NoteAnswer(StoreStatus status, const char* call) {
   const TimeMs now = m_context.clock.Now();
   const bool answered =
       status != StoreStatus::kUnknown && status != StoreStatus::kRefused;
   if (!answered) {
     m_context.metrics.store_failures.Add();
     if (m_reachable) {
-      m_context.log.Event("store_lost").Text("reason", ToText(status));
+      m_context.log.Event("store_lost")
+          .Text("reason", ToText(status))
+          .Text("call", call)
+          .Ms("waited_ms", now - m_read_began)
+          .Ms("silence_ms", now - m_last_answer);
     }
     m_reachable = false;
     return;
