Give up a silent watch of the store within the propagation delay

Cause: a watch was given up only 4 s after it began, 2 s of its own and 2 s of margin, whatever the deployment's bounds. When the connection under it falls silent for good, nothing tells the node before that, and the next watch followed 0.25 s later: up to 4.3 s without changes, longer than the contact time plus what was left of the bound.

Now WatchPlan decides the watch's times from the maximum propagation delay of the settings: half of it to wait for changes, a quarter for the answer, so that silence, the retry and the next read fit into that delay. A slow store gets twice the margin after each read without answer, up to the 2 s of before. A call that times out on a kept connection closes the other idle ones to that address too, since what silenced one may have silenced all.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -79,6 +79,14 @@
   Revision read_revision;
 };
 
+/// How long a watch takes.
+struct WatchTimes {
+  /// The store answers by then, also without changes.
+  DurationMs wait{0};
+  /// Without an answer by then, the call has failed.
+  DurationMs timeout{0};
+};
+
 struct LeaseReply {
   StoreStatus status = StoreStatus::kUnknown;
   StoreLease lease;
@@ -98,8 +106,8 @@
   /// Reads everything. Each page is linearizable, but the pages together are
   /// not a snapshot, so the changes after read_revision must be read as well.
   virtual void ReadAll(std::function<void(StoreReadResult)> done) = 0;
-  /// Waits up to `wait` for changes after the revision.
-  virtual void Watch(Revision after, DurationMs wait,
+  /// Waits for changes after the revision.
+  virtual void Watch(Revision after, WatchTimes times,
                      std::function<void(StoreReadResult)> done) = 0;
 
   virtual void GrantLease(DurationMs ttl,
--- a/include/yuccamoor/coordination/fleet/watch_plan.h
+++ b/include/yuccamoor/coordination/fleet/watch_plan.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 
+#include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/fleet_view.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/ids.h"
@@ -23,6 +24,8 @@
 
 /// The outcome of a read, which decides how soon the next one follows.
 enum class ReadOutcome : std::uint8_t {
+  /// The store or the connection to it was silent.
+  kUnanswered,
   kFailed,
   kUnchanged,
   kChanged,
@@ -49,6 +52,10 @@
 
   /// When the next own read is due.
   TimeMs NextRead() const;
+  /// The times of the next watch. A connection may fall silent for good while
+  /// new ones work: the node notices that, and reads again, within the maximum
+  /// propagation delay.
+  WatchTimes NextWatch() const;
   /// Whether to pass changes on to the node's failure domain after a read that
   /// ends at \p now: as a reader, or in place of readers that are not heard.
   bool PassesOn(TimeMs now) const;
@@ -56,6 +63,7 @@
  private:
   bool IsLarge() const;
   bool IsReader() const;
+  bool HasFailed() const;
   DurationMs ReaderPause() const;
   DurationMs SmallFleetPause() const;
   // How long this node waits for a reader before it reads by itself.
@@ -70,6 +78,8 @@
   std::size_t m_rank = 0;
   TimeMs m_last_read;
   ReadOutcome m_last_outcome = ReadOutcome::kUnchanged;
+  // Reads without answer since the last one with an answer.
+  int m_unanswered = 0;
   std::optional<TimeMs> m_last_received;
   std::optional<TimeMs> m_requested;
 };
--- a/include/yuccamoor/transport/fleet/idle_connections.h
+++ b/include/yuccamoor/transport/fleet/idle_connections.h
@@ -23,6 +23,8 @@
   /// Keeps a connection until the time given.
   void Put(const std::string& address, std::unique_ptr<Socket> socket,
            TimeMs usable_until);
+  /// Closes all idle connections to the address.
+  void Drop(const std::string& address);
   /// Closes what is out of date.
   void Expire(TimeMs now);
 
--- a/lib/coordination/fleet/watch_plan.cc
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -14,6 +14,12 @@
 // Two, so that the loss of one goes unnoticed.
 constexpr std::size_t kReadersPerDomain = 2;
 constexpr DurationMs kRetryPause{250};
+// A watch waits for changes for a part of the maximum propagation delay, and
+// the answer may take another part longer.
+constexpr std::int64_t kWatchPart = 2;
+constexpr std::int64_t kAnswerPart = 4;
+// A slow store's answers may take this long.
+constexpr DurationMs kLongestAnswerTime{2'000};
 // Pauses let several changes come together. They are parts of the maximum
 // propagation delay.
 constexpr std::int64_t kSmallFleetPausePart = 3;
@@ -59,6 +65,7 @@
 void WatchPlan::OnRead(ReadOutcome outcome, TimeMs now) {
   m_last_read = now;
   m_last_outcome = outcome;
+  m_unanswered = outcome == ReadOutcome::kUnanswered ? m_unanswered + 1 : 0;
   m_requested.reset();
 }
 
@@ -75,14 +82,29 @@
 
 bool WatchPlan::IsReader() const { return m_rank < kReadersPerDomain; }
 
+WatchTimes WatchPlan::NextWatch() const {
+  const DurationMs wait = m_max_propagation_delay / kWatchPart;
+  DurationMs answer_time = m_max_propagation_delay / kAnswerPart;
+  // Several reads in a row without answer mean a slow store.
+  for (int i = 0; i < m_unanswered && answer_time < kLongestAnswerTime; ++i) {
+    answer_time = std::min(answer_time * 2, kLongestAnswerTime);
+  }
+  return {wait, wait + answer_time};
+}
+
+bool WatchPlan::HasFailed() const {
+  return m_last_outcome == ReadOutcome::kFailed ||
+         m_last_outcome == ReadOutcome::kUnanswered;
+}
+
 DurationMs WatchPlan::SmallFleetPause() const {
-  if (m_last_outcome == ReadOutcome::kFailed) return kRetryPause;
+  if (HasFailed()) return kRetryPause;
   if (m_last_read - m_started < kStartTime) return kStartPause;
   return m_max_propagation_delay / kSmallFleetPausePart;
 }
 
 DurationMs WatchPlan::ReaderPause() const {
-  if (m_last_outcome == ReadOutcome::kFailed) return kRetryPause;
+  if (HasFailed()) return kRetryPause;
   const DurationMs pause = m_max_propagation_delay / kReaderPausePart;
   return m_last_outcome == ReadOutcome::kChanged
              ? std::min(pause, kPauseAfterChange)
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -48,11 +48,12 @@
     m_timer.expires_after(std::chrono::milliseconds(m_call.timeout.ms()));
     m_timer.async_wait(
         [self = shared_from_this()](boost::system::error_code error) {
-          if (!error) self->End(false);
+          if (!error) self->OnTimeout();
         });
     m_socket =
         m_caller.m_idle.Take(ToString(m_call.address), m_caller.m_clock.Now());
     if (m_socket) {
+      m_reused = true;
       WriteMore();
       return;
     }
@@ -87,6 +88,12 @@
     AwaitResponse();
   }
 
+  void OnTimeout() {
+    // What silenced one kept connection may have silenced the others.
+    if (m_reused) m_caller.m_idle.Drop(ToString(m_call.address));
+    End(false);
+  }
+
   void AwaitResponse() {
     m_socket->AwaitReadable([self = shared_from_this()] {
       if (!self->m_ended) self->ReadMore();
@@ -149,6 +156,7 @@
   boost::asio::steady_timer m_timer;
   std::unique_ptr<Socket> m_socket;
   std::unique_ptr<HttpParser> m_parser;
+  bool m_reused = false;
   bool m_sent = false;
   bool m_ended = false;
 };
--- a/lib/transport/fleet/idle_connections.cc
+++ b/lib/transport/fleet/idle_connections.cc
@@ -31,6 +31,10 @@
   idle.push_back({std::move(socket), usable_until});
 }
 
+void IdleConnections::Drop(const std::string& address) {
+  m_idle.erase(address);
+}
+
 void IdleConnections::Expire(TimeMs now) {
   for (auto it = m_idle.begin(); it != m_idle.end();) {
     std::erase_if(it->second,
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr DurationMs kWatchTime{2'000};
 // Within this, some watch has always ended.
 constexpr DurationMs kFreshTime{1'500};
 // Silence of the store that counts as an outage.
@@ -64,7 +63,7 @@
     });
     return;
   }
-  m_store.Watch(m_as_of, kWatchTime,
+  m_store.Watch(m_as_of, m_plan.NextWatch(),
                 [this, after = m_as_of](const StoreReadResult& reading) {
                   OnReading(reading, after);
                 });
@@ -83,7 +82,10 @@
     return;
   }
   if (reading.status != StoreStatus::kOk) {
-    m_plan.OnRead(ReadOutcome::kFailed, now);
+    m_plan.OnRead(reading.status == StoreStatus::kUnknown
+                      ? ReadOutcome::kUnanswered
+                      : ReadOutcome::kFailed,
+                  now);
     ScheduleRead();
     return;
   }
--- a/unittests/coordination/fleet/watch_plan_test.cc
+++ b/unittests/coordination/fleet/watch_plan_test.cc
@@ -179,6 +179,34 @@
   CHECK(fleet.Reads() >= 9 * 7);
 }
 
+// A watch on a connection that fell silent hid changes for longer than they may
+// take to be in force.
+TEST_CASE("A silent watch ends and is repeated within the propagation delay",
+          "[fleet][watch]") {
+  const NodeId self("n");
+  const FailureDomainId domain("d");
+  for (const DurationMs max_delay : {DurationMs(2'000), kMaxDelay}) {
+    WatchPlan plan(self, domain, max_delay, TimeMs(0));
+    plan.OnRead(ReadOutcome::kUnchanged, TimeMs(5'000));
+    const WatchTimes times = plan.NextWatch();
+    CHECK(times.wait < times.timeout);
+    const TimeMs given_up = TimeMs(6'000) + times.timeout;
+    plan.OnRead(ReadOutcome::kUnanswered, given_up);
+    CHECK(plan.NextRead() < TimeMs(6'000) + max_delay);
+  }
+}
+
+TEST_CASE("Watches wait longer for the answers of a slow store",
+          "[fleet][watch]") {
+  WatchPlan plan(NodeId("n"), FailureDomainId("d"), DurationMs(2'000),
+                 TimeMs(0));
+  const DurationMs slow{1'900};
+  for (int i = 0; i < 3; ++i) plan.OnRead(ReadOutcome::kUnanswered, TimeMs(0));
+  CHECK(plan.NextWatch().timeout - plan.NextWatch().wait > slow);
+  plan.OnRead(ReadOutcome::kUnchanged, TimeMs(0));
+  CHECK(plan.NextWatch().timeout < DurationMs(2'000));
+}
+
 TEST_CASE("A node that others do not know yet follows", "[fleet][watch]") {
   std::map<NodeId, NodeRecord> others;
   for (int i = 0; i < 40; ++i) {
