Apply changed limits to connections that are open already

A connection took the limits on requests from the configuration when it was opened and kept them for life: after a change, bodies that are allowed now were answered 413, and connections closed after the old idle time although clients reuse them by the new one.

FrontConnection now asks its handler for the limits in force when a request begins and when it checks timeouts. A shorter idle time holds from a connection's next idle period on, since its client may not know of it yet.

"Changed limits hold on connections that are open already" failed before in both sections (413, and a closed connection in place of 200), and passes now.

--- a/include/yuccamoor/transport/fleet/front_connection.h
+++ b/include/yuccamoor/transport/fleet/front_connection.h
@@ -29,6 +29,9 @@
  public:
   virtual ~FrontHandler() = default;
 
+  /// The limits in force. They may change while connections are open.
+  virtual const RequestLimits& limits() const = 0;
+
   /// Takes a request. The response goes to the connection.
   virtual void OnRequest(std::shared_ptr<FrontConnection> connection,
                          FrontRequest request) = 0;
@@ -46,7 +49,7 @@
 class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
  public:
   FrontConnection(boost::asio::ip::tcp::socket socket, FrontHandler& handler,
-                  const Clock& clock, const RequestLimits& limits);
+                  const Clock& clock);
 
   void Start();
 
@@ -65,6 +68,7 @@
  private:
   void AwaitReadable();
   void OnReadable();
+  void BeginRequest();
   void ParseInput();
   void OnWhole();
   void Reject(HttpFault fault);
@@ -75,7 +79,8 @@
   Socket m_socket;
   FrontHandler& m_handler;
   const Clock& m_clock;
-  RequestLimits m_limits;
+  // Those that the parser applies to the current request.
+  HttpParserLimits m_limits;
   std::unique_ptr<HttpParser> m_parser;
   std::string m_in;
   std::string m_out;
@@ -89,6 +94,8 @@
   bool m_continue_sent = false;
   TimeMs m_first_byte;
   TimeMs m_idle_since;
+  // The limit in force at that time.
+  DurationMs m_idle_timeout;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -31,6 +31,7 @@
   /// The port that clients reach.
   std::uint16_t port() const { return m_listener->port(); }
 
+  const RequestLimits& limits() const override;
   void OnRequest(std::shared_ptr<FrontConnection> connection,
                  FrontRequest request) override;
   void OnClientGone(FrontConnection& connection) override;
--- a/include/yuccamoor/transport/fleet/http_parser.h
+++ b/include/yuccamoor/transport/fleet/http_parser.h
@@ -25,6 +25,9 @@
 struct HttpParserLimits {
   std::uint32_t max_header_bytes = 65'536;
   std::uint64_t max_body_bytes = 16'777'216;
+
+  friend bool operator==(const HttpParserLimits&,
+                         const HttpParserLimits&) = default;
 };
 
 /// Parses one message at a time.
--- a/include/yuccamoor/transport/fleet/status_server.h
+++ b/include/yuccamoor/transport/fleet/status_server.h
@@ -29,6 +29,7 @@
       boost::asio::io_context& io, const Clock& clock,
       const SocketAddress& address, Answer answer);
 
+  const RequestLimits& limits() const override { return m_limits; }
   void OnRequest(std::shared_ptr<FrontConnection> connection,
                  FrontRequest request) override;
   void OnClientGone(FrontConnection& connection) override;
@@ -40,6 +41,7 @@
 
   const Clock& m_clock;
   Answer m_answer;
+  RequestLimits m_limits;
   std::unique_ptr<Listener> m_listener;
 };
 
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -38,15 +38,14 @@
 }  // namespace
 
 FrontConnection::FrontConnection(boost::asio::ip::tcp::socket socket,
-                                 FrontHandler& handler, const Clock& clock,
-                                 const RequestLimits& limits)
+                                 FrontHandler& handler, const Clock& clock)
     : m_socket(std::move(socket)),
       m_handler(handler),
       m_clock(clock),
-      m_limits(limits),
-      m_parser(HttpParser::Create(HttpParser::Kind::kRequest,
-                                  ToParserLimits(limits))),
-      m_idle_since(clock.Now()) {}
+      m_limits(ToParserLimits(handler.limits())),
+      m_parser(HttpParser::Create(HttpParser::Kind::kRequest, m_limits)),
+      m_idle_since(clock.Now()),
+      m_idle_timeout(handler.limits().idle_timeout) {}
 
 void FrontConnection::Start() { AwaitReadable(); }
 
@@ -77,12 +76,18 @@
   if (!m_busy || m_in.size() < kMaxPipelinedBytes) AwaitReadable();
 }
 
+void FrontConnection::BeginRequest() {
+  m_receiving = true;
+  m_first_byte = m_clock.Now();
+  const HttpParserLimits limits = ToParserLimits(m_handler.limits());
+  if (limits == m_limits) return;
+  m_limits = limits;
+  m_parser = HttpParser::Create(HttpParser::Kind::kRequest, m_limits);
+}
+
 void FrontConnection::ParseInput() {
   if (m_in.empty() || m_closing) return;
-  if (!m_receiving) {
-    m_receiving = true;
-    m_first_byte = m_clock.Now();
-  }
+  if (!m_receiving) BeginRequest();
   const HttpFault fault = m_parser->Feed(m_in);
   if (m_parser->has_head() && !IsUnambiguous(m_parser->head())) {
     Reject(HttpFault::kMalformed);
@@ -169,6 +174,7 @@
 void FrontConnection::Finish(bool close) {
   m_busy = false;
   m_idle_since = m_clock.Now();
+  m_idle_timeout = m_handler.limits().idle_timeout;
   if (!m_open) return;
   if (close) {
     m_closing = true;
@@ -190,12 +196,15 @@
 void FrontConnection::CheckTimeouts(TimeMs now) {
   if (!m_open || m_busy || m_closing) return;
   if (m_receiving) {
-    const bool late =
-        now - m_first_byte >= m_limits.header_timeout && !m_parser->has_head();
+    const bool late = now - m_first_byte >= m_handler.limits().header_timeout &&
+                      !m_parser->has_head();
     if (late) RejectWith(408);
     return;
   }
-  if (now - m_idle_since >= m_limits.idle_timeout) Close();
+  // The client may not know of a shorter limit yet.
+  const DurationMs limit =
+      std::max(m_idle_timeout, m_handler.limits().idle_timeout);
+  if (now - m_idle_since >= limit) Close();
 }
 
 void FrontConnection::Close() {
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -38,15 +38,18 @@
       m_context{node, dispatcher, admissions, m_idle, m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
-  const auto& routes = m_node.view.routes();
-  const RequestLimits limits =
-      routes ? routes->config().limits : RequestLimits();
-  auto connection = std::make_shared<FrontConnection>(std::move(socket), *this,
-                                                      m_node.clock, limits);
+  auto connection =
+      std::make_shared<FrontConnection>(std::move(socket), *this, m_node.clock);
   m_connections[connection.get()] = connection;
   connection->Start();
 }
 
+const RequestLimits& FrontServer::limits() const {
+  static const RequestLimits kDefaults;
+  const auto& routes = m_node.view.routes();
+  return routes ? routes->config().limits : kDefaults;
+}
+
 void FrontServer::OnRequest(std::shared_ptr<FrontConnection> connection,
                             FrontRequest request) {
   const auto routes = m_node.view.routes();
--- a/lib/transport/fleet/status_server.cc
+++ b/lib/transport/fleet/status_server.cc
@@ -24,7 +24,7 @@
   auto listener = Listener::Create(
       io, address, [self = server.get()](boost::asio::ip::tcp::socket socket) {
         std::make_shared<FrontConnection>(std::move(socket), *self,
-                                          self->m_clock, RequestLimits())
+                                          self->m_clock)
             ->Start();
       });
   if (!listener) return listener.error();
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -266,6 +266,37 @@
   CHECK(world.requests_run() == 0);
 }
 
+// Connections kept the limits that were in force when they were opened.
+TEST_CASE("Changed limits hold on connections that are open already",
+          "[fleet][front]") {
+  FrontWorld world({kOk}, {kOk});
+  RequestLimits limits;
+  SECTION("a longer body") {
+    limits.max_body_bytes = 5'000;
+    const std::string large =
+        "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
+        "Content-Length: 2000\r\n\r\n" +
+        std::string(2'000, 'x');
+    const std::string got = world.ExchangeTwice(
+        RequestText("/unsafe/x"), [&] { world.SetLimits(limits); }, large,
+        "body");
+    CHECK(Contains(got, "HTTP/1.1 200 "));
+  }
+  SECTION("a longer idle time") {
+    limits.idle_timeout = DurationMs(50);
+    world.SetLimits(limits);
+    const auto raise_limit = [&] {
+      limits.idle_timeout = DurationMs(60'000);
+      world.SetLimits(limits);
+      world.Run(DurationMs(600));
+    };
+    const std::string got =
+        world.ExchangeTwice(RequestText("/unsafe/x"), raise_limit,
+                            RequestText("/unsafe/x"), "body");
+    CHECK(Contains(got, "HTTP/1.1 200 "));
+  }
+}
+
 TEST_CASE("What is too long is refused by its own status", "[fleet][front]") {
   FrontWorld world({kOk}, {kOk});
   const std::string start = "POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\n";
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -163,6 +163,13 @@
   }
 }
 
+void FrontWorld::SetLimits(const RequestLimits& limits) {
+  FleetConfig config = Config();
+  config.version = m_parts->view.routes()->config().version.Next();
+  config.limits = limits;
+  m_parts->view.Apply(ConfigWritten{config}, m_parts->clock.Now());
+}
+
 void FrontWorld::FillSecond() {
   Endpoint* second = m_parts->view.endpoints().Find(EndpointId("e2"));
   second->peers_in_flight = second->entry.slots;
@@ -199,6 +206,31 @@
   return in + "<time over>";
 }
 
+std::string FrontWorld::ExchangeTwice(const std::string& first,
+                                      const std::function<void()>& between,
+                                      const std::string& second,
+                                      const std::string& until) {
+  Socket client(m_io);
+  client.Connect({kIp, m_parts->front->port()},
+                 [&](bool) { client.Write(first); });
+  std::string in;
+  const auto read_until = [&] {
+    const TimeMs end = m_parts->clock.Now() + DurationMs(2'000);
+    while (m_parts->clock.Now() < end && in.find(until) == std::string::npos) {
+      Run(DurationMs(5));
+      const IoResult result = client.Read(in, kReadLimit);
+      if (result.status == IoStatus::kEnd) return in + "<end>";
+      if (result.status == IoStatus::kReset) return in + "<reset>";
+    }
+    return in;
+  };
+  read_until();
+  in.clear();
+  between();
+  client.Write(second);
+  return read_until();
+}
+
 void FrontWorld::BeginShutdown() {
   const TimeMs now = m_parts->clock.Now();
   m_parts->front->BeginShutdown(now, now + DurationMs(60'000));
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -74,6 +74,14 @@
   /// has come or the time is over. Returns what came.
   std::string Exchange(const std::string& text, const std::string& until,
                        DurationMs time = DurationMs(2'000));
+  /// Sends both texts on one connection, the second one after \p between.
+  /// Returns what came after that, up to \p until.
+  std::string ExchangeTwice(const std::string& first,
+                            const std::function<void()>& between,
+                            const std::string& second,
+                            const std::string& until);
+  /// Has new limits on requests come into force.
+  void SetLimits(const RequestLimits& limits);
   /// Sends the text, and leaves after a while.
   void SendAndLeave(const std::string& text, DurationMs stay);
   /// Sends the text and leaves before it can have been read.
