Quarantine the parts of prompts that crash engines

Callers lost half and more of their chats for as long as requests with one part in their prompts came: each of these crashed the engine that began to answer it, a restarted engine is empty, and nothing kept the next such request from the next engine.

PromptQuarantine finds the part without asking anyone for each request. An engine that ends breaks off several prompts without output; the part that crashes engines is in one of them each time, and never gets output. A part that engines broke off three times in a row is quarantined: requests with it are refused as not run, with the time until the quarantine ends. Output for any prompt with a part ends its row, so the parts that deadly and sound prompts share stay free. Crashes within 0.3 s count once, and one engine process counts once, so that engines that fail together, resets and silent engines blame nobody. Nodes broadcast what they see and what they clear once a tick, and remind others of quarantined parts once a second, for nodes that have started since or lost a datagram. A quarantine lasts a minute, each renewal twice as long; at most 8,192 parts are remembered.

Weighed and left: to blame the requests (no two are alike), the caller or the first part (sound ones share them), the engine that was last (all are hit in turn); to ask the engine's holder before each send (a call for each request).

"Prompts with a part that crashes engines reach no further engine" fails without the refusal (502 in place of 503, 7 requests run in place of 6). "A stream without length or chunks is whole at an event's end only" passed before the change too.

--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -17,6 +17,7 @@
 #include "yuccamoor/coordination/fleet/engine_use.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/order_right.h"
+#include "yuccamoor/coordination/fleet/prompt_quarantine.h"
 #include "yuccamoor/coordination/fleet/prompt_queue.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 
@@ -160,10 +161,16 @@
   std::vector<StoreChange> changes;
 };
 
+/// Tells what a node has learned about parts of prompts that may crash engines.
+struct TellPromptParts {
+  NodeId node;
+  PromptPartNews news;
+};
+
 using PeerMessage =
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
                  TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
-                 TellAdmission, TellSent, TellUse>;
+                 TellAdmission, TellSent, TellUse, TellPromptParts>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/protocol/fleet/request_dialect.h
+++ b/include/yuccamoor/protocol/fleet/request_dialect.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "yuccamoor/protocol/fleet/http_head.h"
 #include "yuccamoor/state/clock.h"
@@ -23,6 +24,8 @@
   /// How long the client waits.
   std::optional<DurationMs> deadline;
   std::uint32_t prompt_tokens = 0;
+  /// The parts of the prompt that other requests may have too.
+  std::vector<PromptPartId> shared_parts;
   /// Set by a client that continues a stream.
   std::string last_event_id;
 };
--- a/include/yuccamoor/state/fleet/endpoint_entry.h
+++ b/include/yuccamoor/state/fleet/endpoint_entry.h
@@ -20,6 +20,9 @@
 /// acceptable.
 using AdapterRevision = NumberId<struct AdapterRevisionTag>;
 
+/// A part of a prompt. Requests that share it name it alike.
+using PromptPartId = StringId<struct PromptPartIdTag>;
+
 /// An adapter of a base model. An empty name stands for the base model itself.
 struct AdapterRef {
   ModelId model;
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -17,6 +17,7 @@
 #include "yuccamoor/transport/fleet/endpoint_call.h"
 #include "yuccamoor/transport/fleet/front_connection.h"
 #include "yuccamoor/transport/fleet/node_context.h"
+#include "yuccamoor/transport/fleet/prompt_guard.h"
 
 namespace yuccamoor::fleet {
 
@@ -25,6 +26,7 @@
   NodeContext& node;
   Dispatcher& dispatcher;
   AdmissionClient& admissions;
+  PromptGuard& prompts;
   IdleConnections& idle;
   /// Set while the node shuts down: responses end their connections.
   const bool& closing;
@@ -74,6 +76,12 @@
   void StopWaiting(TimeMs now);
   EndpointQuery MakeQuery(TimeMs now) const;
   void SendTo(const EndpointId& endpoint, TimeMs now);
+  /// Ends a request whose prompt would crash an engine. Returns whether it did.
+  bool EndIfQuarantined();
+  /// Reports a prompt whose engine ended before any output for it.
+  void NoteBrokenOff();
+  /// Reports the first output for the prompt from an engine.
+  void NoteOutput();
   void OnProgress();
   void OnAnswering();
   void OnComplete();
@@ -132,6 +140,7 @@
   std::unique_ptr<AdmissionTicket> m_ticket;
   EndpointId m_endpoint;
   FailureDomainId m_endpoint_domain;
+  std::uint64_t m_endpoint_start_unix_ms = 0;
   TimeMs m_sent;
   TimeMs m_last_choice;
   TimeMs m_next_choice;
@@ -149,6 +158,8 @@
   DurationMs m_longest_pause_end{0};
   EventCutter m_cutter;
   bool m_stream_started = false;
+  // Whether the current call has brought output.
+  bool m_has_output = false;
   bool m_answered_first = false;
   bool m_client_gone = false;
   bool m_ended = false;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -17,7 +17,8 @@
 class FrontServer final : public FrontHandler {
  public:
   static Result<std::unique_ptr<FrontServer>> Create(
-      NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions);
+      NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
+      PromptGuard& prompts);
 
   void OnTick(TimeMs now);
 
@@ -40,7 +41,7 @@
 
  private:
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
-              AdmissionClient& admissions);
+              AdmissionClient& admissions, PromptGuard& prompts);
 
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -19,6 +19,7 @@
 #include "yuccamoor/transport/fleet/front_server.h"
 #include "yuccamoor/transport/fleet/lease_keeper.h"
 #include "yuccamoor/transport/fleet/peer_link.h"
+#include "yuccamoor/transport/fleet/prompt_guard.h"
 #include "yuccamoor/transport/fleet/status_server.h"
 #include "yuccamoor/transport/fleet/store_session.h"
 
@@ -72,6 +73,7 @@
   EngineHolder m_holder;
   AdmissionClient m_admissions;
   AdmissionServer m_admission_server;
+  PromptGuard m_prompts;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<FrontServer> m_front;
   std::unique_ptr<StatusServer> m_ready;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -20,6 +20,9 @@
   Counter& retries;
   Counter& stream_events;
   Counter& streams_resumed;
+  /// Requests refused, and parts found, because of prompts that crash engines.
+  Counter& quarantined_prompts_refused;
+  Counter& prompt_parts_quarantined;
   Counter& orders;
   Counter& order_conflicts;
   Counter& store_calls;
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -220,6 +220,35 @@
   return json;
 }
 
+Json EncodeParts(const std::vector<PromptPartId>& parts) {
+  Json json = Json::array();
+  for (const PromptPartId& part : parts) json.push_back(part.str());
+  return json;
+}
+
+Json Encode(const TellPromptParts& told) {
+  Json json;
+  json["type"] = "prompt_parts";
+  json["node"] = told.node.str();
+  Json& broken_off = json["broken_off"] = Json::array();
+  for (const auto& [engine, parts] : told.news.broken_off) {
+    Json item;
+    item["engine"] = engine.engine.str();
+    item["start"] = engine.start_unix_ms;
+    item["parts"] = EncodeParts(parts);
+    broken_off.push_back(std::move(item));
+  }
+  json["cleared"] = EncodeParts(told.news.cleared);
+  Json& quarantined = json["quarantined"] = Json::array();
+  for (const QuarantinedPart& part : told.news.quarantined) {
+    Json item;
+    item["part"] = part.part.str();
+    item["remaining_ms"] = part.remaining.ms();
+    quarantined.push_back(std::move(item));
+  }
+  return json;
+}
+
 // Durations of messages are added to times. Throws for longer ones.
 DurationMs DurationOf(const Json& json) {
   constexpr std::int64_t kLongestMs = 3'600'000;
@@ -270,6 +299,28 @@
   return told;
 }
 
+std::vector<PromptPartId> DecodeParts(const Json& json) {
+  std::vector<PromptPartId> parts;
+  for (const Json& part : json) parts.push_back(part.get<PromptPartId>());
+  return parts;
+}
+
+TellPromptParts DecodePromptParts(const Json& json) {
+  TellPromptParts told;
+  told.node = json.at("node").get<NodeId>();
+  for (const Json& item : json.at("broken_off")) {
+    const EngineProcess engine{item.at("engine").get<EndpointId>(),
+                               GetUnsigned(item.at("start"))};
+    told.news.broken_off[engine] = DecodeParts(item.at("parts"));
+  }
+  told.news.cleared = DecodeParts(json.at("cleared"));
+  for (const Json& item : json.at("quarantined")) {
+    told.news.quarantined.push_back({item.at("part").get<PromptPartId>(),
+                                     DurationOf(item.at("remaining_ms"))});
+  }
+  return told;
+}
+
 TellUse DecodeUse(const Json& json) {
   TellUse told;
   told.node = json.at("node").get<NodeId>();
@@ -318,6 +369,7 @@
   if (type == "ask_admission") return DecodeAskAdmission(json);
   if (type == "admission") return DecodeAdmission(json);
   if (type == "use") return DecodeUse(json);
+  if (type == "prompt_parts") return DecodePromptParts(json);
   if (type == "sent") {
     return TellSent{DecodeId(json), EngineOf(json),
                     GetUnsigned32(json.at("tokens"))};
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -44,7 +44,9 @@
   m_deadline = m_request.received + std::min(wait, m_route.timeout);
   m_service =
       RouteTable::PickService(m_route, StableBucketHash(m_meta.attempt.str()));
-  if (!m_context.node.view.EngineOf(m_service)) m_meta.adapter.reset();
+  if (m_context.node.view.EngineOf(m_service)) return;
+  m_meta.adapter.reset();
+  m_meta.shared_parts.clear();
 }
 
 Exchange::~Exchange() {
@@ -87,6 +89,7 @@
     return;
   }
   m_last_choice = now;
+  if (EndIfQuarantined()) return;
   if (m_meta.adapter && m_context.dispatcher.IsLarge()) {
     SeekAdmission(now);
     return;
@@ -186,7 +189,7 @@
 
 void Exchange::SendTo(const EndpointId& endpoint, TimeMs now) {
   const Endpoint* target = m_context.node.view.endpoints().Find(endpoint);
-  if (!target) return;
+  if (!target || EndIfQuarantined()) return;
   StopWaiting(now);
   Forwarding forwarding;
   forwarding.endpoint = endpoint;
@@ -205,6 +208,8 @@
       m_cutter.last_id().empty() ? m_meta.last_event_id : m_cutter.last_id();
   m_endpoint = endpoint;
   m_endpoint_domain = target->entry.domain;
+  m_endpoint_start_unix_ms = target->entry.start_unix_ms;
+  m_has_output = false;
   m_sent = now;
   ++m_sends;
   m_context.node.log.Event("request_sent")
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -38,8 +38,15 @@
       static_cast<double>(m_first_answer.ms()) / kMsPerSecond);
 }
 
+void Exchange::NoteOutput() {
+  if (m_has_output) return;
+  m_has_output = true;
+  m_context.prompts.OnOutput(m_meta.shared_parts);
+}
+
 void Exchange::PassWhole() {
   NoteFirstAnswer();
+  if (m_call->head().status / 100 == 2) NoteOutput();
   const bool healthy = m_call->head().status < 500;
   const std::string body = std::move(m_call->body());
   std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
@@ -74,6 +81,7 @@
     return;
   }
   m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
+  NoteOutput();
   if (!m_stream_started) StartStream();
   if (m_ended) return;
   NotePause();
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -123,6 +123,7 @@
 
 void Exchange::OnBroken() {
   ++m_runs;
+  NoteBrokenOff();
   const TimeMs now = m_context.node.clock.Now();
   m_context.node.log.Event("call_broken")
       .Text("request", m_meta.attempt.str())
@@ -142,6 +143,29 @@
   GiveUp("call broken", std::nullopt);
 }
 
+void Exchange::NoteBrokenOff() {
+  // What this node gave up by itself tells nothing of the engine.
+  const bool ended_by_engine = m_call->state() == CallState::kBroken ||
+                               m_call->state() == CallState::kComplete;
+  if (!ended_by_engine || m_has_output) return;
+  // Events that came together with the end were not passed on.
+  EventCutter unread;
+  unread.Feed(m_call->body());
+  if (!unread.TakeWhole().empty()) return;
+  m_context.prompts.OnBrokenOff({m_endpoint, m_endpoint_start_unix_ms},
+                                m_meta.shared_parts);
+}
+
+bool Exchange::EndIfQuarantined() {
+  // Output has shown that the prompt is sound.
+  if (m_stream_started) return false;
+  const auto remaining = m_context.prompts.Quarantine(m_meta.shared_parts);
+  if (!remaining) return false;
+  m_context.node.metrics.quarantined_prompts_refused.Add();
+  GiveUp("prompt crashes engines", *remaining);
+  return true;
+}
+
 void Exchange::OnSilent(TimeMs now) {
   if (m_route.kind != RequestKind::kSafe) return;
   const DurationMs patience =
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -20,9 +20,10 @@
 }  // namespace
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
-    NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions) {
+    NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
+    PromptGuard& prompts) {
   std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions));
+      new FrontServer(node, dispatcher, admissions, prompts));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -33,9 +34,9 @@
 }
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
-                         AdmissionClient& admissions)
-    : m_node(node),
-      m_context{node, dispatcher, admissions, m_idle, m_closing} {}
+                         AdmissionClient& admissions, PromptGuard& prompts)
+    : m_node(node), m_context{node,    dispatcher, admissions,
+                              prompts, m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
   auto connection =
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -72,6 +72,12 @@
           [this](const NodeId& node, const PeerMessage& message) {
             m_peers->Send(node, message);
           }),
+      m_prompts(
+          context,
+          [this](const NodeId& node, const PeerMessage& message) {
+            m_peers->Send(node, message);
+          },
+          [this](const PeerMessage& message) { m_peers->Broadcast(message); }),
       m_signals(context.io),
       m_timer(context.io) {}
 
@@ -90,7 +96,8 @@
                           OnPeerMessage(message, direct);
                         }),
        m_peers);
-  take(FrontServer::Create(m_context, m_dispatcher, m_admissions), m_front);
+  take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_prompts),
+       m_front);
   take(StatusServer::Create(m_context.io, m_context.clock,
                             settings.readiness_address,
                             [this](const std::string& path) {
@@ -200,6 +207,7 @@
                     large ? DurationMs(0) : kRetireTime});
   m_holder.OnTick(now);
   m_front->OnTick(now);
+  m_prompts.OnTick(now);
   if (large) {
     m_admission_server.OnTick(now);
     TellHolders(now);
@@ -292,6 +300,8 @@
     m_admissions.OnTellAdmission(*admission);
   } else if (const auto* sent = std::get_if<TellSent>(&message)) {
     m_admission_server.OnSent(*sent);
+  } else if (const auto* parts = std::get_if<TellPromptParts>(&message)) {
+    m_prompts.OnTellPromptParts(*parts);
   } else if (const auto* use = std::get_if<TellUse>(&message)) {
     m_dispatcher.OnPeerUse(*use);
     NoteUsed(use->use.used);
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -17,6 +17,12 @@
                                  "Events passed on to clients")),
       streams_resumed(r.GetCounter("yuccamoor_streams_resumed_total",
                                    "Streams continued at another engine")),
+      quarantined_prompts_refused(
+          r.GetCounter("yuccamoor_quarantined_prompts_refused_total",
+                       "Requests refused for a part that crashes engines")),
+      prompt_parts_quarantined(
+          r.GetCounter("yuccamoor_prompt_parts_quarantined_total",
+                       "Parts of prompts found to crash engines")),
       orders(r.GetCounter("yuccamoor_engine_orders_total",
                           "Orders given to engines")),
       order_conflicts(r.GetCounter("yuccamoor_engine_order_conflicts_total",
--- /dev/null
+++ b/unittests/coordination/fleet/prompt_quarantine_test.cc
@@ -0,0 +1,163 @@
+/// \file
+/// \brief Tests of finding the parts of prompts that crash engines.
+
+#include "yuccamoor/coordination/fleet/prompt_quarantine.h"
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace yuccamoor::fleet {
+namespace {
+
+using Parts = std::vector<PromptPartId>;
+
+const PromptPartId kDeadly("dead");
+const PromptPartId kShared("5c1e");
+
+EngineProcess Engine(int number, std::uint64_t start = 1) {
+  return {EndpointId("e" + std::to_string(number)), start};
+}
+
+// Crashes engines one second apart, without output in between.
+void CrashEngines(PromptQuarantine& quarantine, int count, TimeMs begin,
+                  int first = 0) {
+  for (int i = 0; i < count; ++i) {
+    quarantine.OnBrokenOff(Engine(first + i), {kDeadly},
+                           begin + DurationMs(1'000 * i));
+  }
+}
+
+bool IsQuarantined(const PromptQuarantine& quarantine, const PromptPartId& part,
+                   TimeMs now) {
+  return quarantine.Remaining({part}, now).has_value();
+}
+
+}  // namespace
+
+TEST_CASE("A part of prompts that engines broke off in a row is quarantined",
+          "[fleet][quarantine]") {
+  PromptQuarantine quarantine;
+  CrashEngines(quarantine, 2, TimeMs(0));
+  CHECK_FALSE(IsQuarantined(quarantine, kDeadly, TimeMs(1'500)));
+  CrashEngines(quarantine, 1, TimeMs(2'000), 2);
+  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(2'000)));
+  CHECK(quarantine.Remaining({kShared, kDeadly}, TimeMs(2'000)));
+  CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(2'000)));
+}
+
+TEST_CASE("Output clears the parts that sound and deadly prompts share",
+          "[fleet][quarantine]") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 5; ++i) {
+    const TimeMs now(1'000 * i);
+    quarantine.OnBrokenOff(Engine(i), {kShared, kDeadly}, now);
+    quarantine.OnOutput({kShared}, now + DurationMs(500));
+  }
+  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(5'000)));
+  CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(5'000)));
+}
+
+// Engines of one rack or failure domain fail together; the prompts that they
+// were sent have nothing to do with it.
+TEST_CASE("Engines that crash together make no prompt suspicious enough",
+          "[fleet][quarantine]") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 60; ++i) {
+    quarantine.OnBrokenOff(Engine(i), {kShared}, TimeMs(i * 4));
+  }
+  CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(300)));
+}
+
+TEST_CASE("One engine process counts once, whoever reports it",
+          "[fleet][quarantine]") {
+  PromptQuarantine quarantine;
+  for (int i = 0; i < 10; ++i) {
+    quarantine.OnBrokenOff(Engine(0), {kDeadly}, TimeMs(1'000 * i));
+  }
+  CHECK_FALSE(IsQuarantined(quarantine, kDeadly, TimeMs(10'000)));
+  quarantine.OnBrokenOff(Engine(0, 2), {kDeadly}, TimeMs(11'000));
+  quarantine.OnBrokenOff(Engine(0, 3), {kDeadly}, TimeMs(12'000));
+  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(12'000)));
+}
+
+TEST_CASE("Nodes that each saw one crash come to the same result",
+          "[fleet][quarantine]") {
+  std::vector<PromptQuarantine> nodes(3);
+  const auto tell_others = [&](std::size_t teller, TimeMs now) {
+    const PromptPartNews news = nodes[teller].TakeNews();
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      if (i != teller) nodes[i].OnNews(news, now);
+    }
+  };
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    const TimeMs now(1'000 * static_cast<std::int64_t>(i));
+    nodes[i].OnBrokenOff(Engine(static_cast<int>(i)), {kShared, kDeadly}, now);
+    tell_others(i, now);
+    nodes[0].OnOutput({kShared}, now + DurationMs(100));
+    tell_others(0, now + DurationMs(100));
+  }
+  for (const PromptQuarantine& node : nodes) {
+    CHECK(IsQuarantined(node, kDeadly, TimeMs(3'000)));
+    CHECK_FALSE(IsQuarantined(node, kShared, TimeMs(3'000)));
+  }
+}
+
+TEST_CASE("A quarantine ends, and the next crash renews it for longer",
+          "[fleet][quarantine]") {
+  PromptQuarantine quarantine;
+  CrashEngines(quarantine, 3, TimeMs(0));
+  const auto first = quarantine.Remaining({kDeadly}, TimeMs(2'000));
+  REQUIRE(first);
+  const TimeMs ended = TimeMs(2'000) + *first;
+  quarantine.Expire(ended);
+  CHECK_FALSE(IsQuarantined(quarantine, kDeadly, ended));
+  quarantine.OnBrokenOff(Engine(7), {kDeadly}, ended + DurationMs(500));
+  const auto second = quarantine.Remaining({kDeadly}, ended + DurationMs(500));
+  REQUIRE(second);
+  CHECK(*second == *first * 2);
+}
+
+TEST_CASE("A node that missed the crashes learns of the quarantine",
+          "[fleet][quarantine]") {
+  PromptQuarantine teller;
+  CrashEngines(teller, 3, TimeMs(0));
+  PromptQuarantine started;
+  started.OnNews(teller.Reminder(TimeMs(3'000)), TimeMs(3'000));
+  CHECK(started.Remaining({kDeadly}, TimeMs(3'000)) ==
+        teller.Remaining({kDeadly}, TimeMs(3'000)));
+  CHECK(started.TakeNews().empty());
+}
+
+TEST_CASE("A reminder does not bring back a part that has been cleared",
+          "[fleet][quarantine]") {
+  PromptQuarantine outdated;
+  CrashEngines(outdated, 3, TimeMs(0));
+  PromptQuarantine node;
+  node.OnNews(outdated.TakeNews(), TimeMs(2'000));
+  node.OnOutput({kDeadly}, TimeMs(2'500));
+  node.TakeNews();
+  node.OnNews(outdated.Reminder(TimeMs(3'000)), TimeMs(3'000));
+  CHECK_FALSE(IsQuarantined(node, kDeadly, TimeMs(3'000)));
+  // The other node is told.
+  outdated.OnNews(node.TakeNews(), TimeMs(3'000));
+  CHECK_FALSE(IsQuarantined(outdated, kDeadly, TimeMs(3'000)));
+}
+
+TEST_CASE("Parts without end take bounded memory and keep the quarantined ones",
+          "[fleet][quarantine]") {
+  constexpr std::size_t kBound = 10'000;
+  PromptQuarantine quarantine;
+  CrashEngines(quarantine, 3, TimeMs(0));
+  for (int i = 0; i < 12'000; ++i) {
+    quarantine.OnBrokenOff(Engine(100), {PromptPartId(std::to_string(i))},
+                           TimeMs(3'000 + i));
+  }
+  CHECK(quarantine.size() < kBound);
+  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(15'000)));
+  quarantine.Expire(TimeMs(10'000'000));
+  CHECK(quarantine.size() == 0);
+}
+
+}  // namespace yuccamoor::fleet
--- a/unittests/platform/dialect_test.cc
+++ b/unittests/platform/dialect_test.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "platform/request_dialect.h"
 
@@ -46,6 +48,25 @@
 
 }  // namespace
 
+TEST_CASE("All parts of a prompt but the last one may be shared",
+          "[platform][dialect]") {
+  const auto dialect = CreateRequestDialect();
+  const auto shared = [&](const std::string& prefix) {
+    fleet::HttpHead head;
+    head.fields = {{"Prompt-Prefix", prefix}};
+    return dialect->DecodeRequest(head).shared_parts;
+  };
+  CHECK(shared("5c:800,91:410,e4:250") ==
+        std::vector<fleet::PromptPartId>{fleet::PromptPartId("5c"),
+                                         fleet::PromptPartId("91")});
+  CHECK(shared("5c:800").empty());
+  CHECK(shared("").empty());
+  std::string endless;
+  for (int i = 0; i < 1'000; ++i) endless += std::to_string(i) + ":1,";
+  CHECK(shared(endless).size() == 64);
+  CHECK(shared(std::string(1'000, 'f') + ":1,e4:2").empty());
+}
+
 TEST_CASE("A client's request is read", "[platform][dialect]") {
   const auto dialect = CreateRequestDialect();
   const fleet::RequestMeta meta = dialect->DecodeRequest(ClientHead());
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -182,6 +182,24 @@
   CHECK(std::get<TellUse>(*used).requests_per_second == 2.5);
 }
 
+TEST_CASE("News of prompt parts come back as they were sent", "[fleet][peer]") {
+  TellPromptParts told;
+  told.node = NodeId("n1");
+  told.news.broken_off[{EndpointId("e1"), 7}] = {PromptPartId("5c"),
+                                                 PromptPartId("dead")};
+  told.news.cleared = {PromptPartId("5c")};
+  told.news.quarantined = {{PromptPartId("dead"), DurationMs(60'000)}};
+  const auto got = DecodePeerMessage(EncodePeerMessage(told));
+  REQUIRE(got);
+  const auto& parts = std::get<TellPromptParts>(*got);
+  CHECK(parts.node == told.node);
+  CHECK(parts.news.broken_off == told.news.broken_off);
+  CHECK(parts.news.cleared == told.news.cleared);
+  REQUIRE(parts.news.quarantined.size() == 1);
+  CHECK(parts.news.quarantined[0].part == PromptPartId("dead"));
+  CHECK(parts.news.quarantined[0].remaining == DurationMs(60'000));
+}
+
 TEST_CASE("A change that an older node does not know drops the message",
           "[fleet][peer]") {
   CHECK_FALSE(DecodePeerMessage(
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -202,6 +202,66 @@
   CHECK(Contains(got, "HTTP/1.1 502"));
 }
 
+// Requests with one part in their prompts crashed one engine after the other.
+TEST_CASE("Prompts with a part that crashes engines reach no further engine",
+          "[fleet][front][quarantine]") {
+  const ScriptedAnswer crash = SendAndReset("");
+  const ScriptedAnswer answer =
+      Send(kStreamHead + Chunk(Event(1)) + "0\r\n\r\n");
+  FrontWorld world({crash, answer, crash, answer, crash, answer}, {kOk});
+  world.UseEngines();
+  world.FillSecond();
+  const auto prompt = [](const std::string& parts) {
+    std::string request = RequestText("/stream/x");
+    return request.insert(request.find("\r\n") + 2,
+                          "Model: m\r\nToken-Count: 100,10\r\n"
+                          "Prompt-Prefix: " +
+                              parts + "\r\n");
+  };
+  for (const std::string own : {"1", "2", "3"}) {
+    const std::string lost =
+        world.Exchange(prompt("aa:10,dead:5," + own + ":3"), "\r\n\r\n");
+    CHECK(Contains(lost, "HTTP/1.1 502 "));
+    world.RestartFirst();
+    world.Run(DurationMs(400));
+    const std::string sound =
+        world.Exchange(prompt("aa:10,bb:5," + own + ":3"), "0\r\n\r\n");
+    CHECK(Contains(sound, Event(1)));
+  }
+  const std::string refused =
+      world.Exchange(prompt("aa:10,dead:5,4:3"), "\r\n\r\n");
+  CHECK(Contains(refused, "HTTP/1.1 503 "));
+  CHECK(Contains(refused, "Retry-After: "));
+  CHECK(world.requests_run() == 6);
+  const std::string sound =
+      world.Exchange(prompt("aa:10,bb:5,5:3"), "0\r\n\r\n");
+  CHECK(Contains(sound, Event(1)));
+}
+
+TEST_CASE("A stream without length or chunks is whole at an event's end only",
+          "[fleet][front]") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nResponse-Stamp: s1\r\n"
+      "Content-Type: text/event-stream\r\n\r\n";
+  SECTION("after an event") {
+    FrontWorld world({SendAndClose(head + Event(1) + Event(2))}, {kOk});
+    const std::string got =
+        world.Exchange(RequestText("/stream/x"), "0\r\n\r\n");
+    CHECK(Contains(got, Event(2)));
+    CHECK(got.ends_with("0\r\n\r\n"));
+  }
+  SECTION("within an event") {
+    const ScriptedAnswer broken = SendAndClose(head + Event(1) + "id: 2\nda");
+    FrontWorld world({broken}, {broken});
+    const std::string got =
+        world.Exchange(RequestText("/stream/x"), "0\r\n\r\n");
+    CHECK(Contains(got, Event(1)));
+    CHECK_FALSE(Contains(got, "id: 2"));
+    CHECK_FALSE(Contains(got, "0\r\n\r\n"));
+    CHECK(world.requests_run() == 1);
+  }
+}
+
 TEST_CASE("A client that leaves ends the work at the endpoint",
           "[fleet][front]") {
   FrontWorld world({Send(kStreamHead + Chunk(Event(1)))}, {kOk});
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -116,10 +116,14 @@
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}),
         admissions(context, dispatcher,
-                   [](const NodeId&, const PeerMessage&) {}) {
+                   [](const NodeId&, const PeerMessage&) {}),
+        prompts(
+            context, [](const NodeId&, const PeerMessage&) {},
+            [](const PeerMessage&) {}) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
     front =
-        std::move(FrontServer::Create(context, dispatcher, admissions)).value();
+        std::move(FrontServer::Create(context, dispatcher, admissions, prompts))
+            .value();
   }
 
   BootClock clock;
@@ -132,6 +136,7 @@
   NodeContext context;
   Dispatcher dispatcher;
   AdmissionClient admissions;
+  PromptGuard prompts;
   std::unique_ptr<FrontServer> front;
 };
 
@@ -170,6 +175,11 @@
   m_parts->view.Apply(ConfigWritten{config}, m_parts->clock.Now());
 }
 
+void FrontWorld::RestartFirst() {
+  Endpoint* first = m_parts->view.endpoints().Find(EndpointId("e1"));
+  ++first->entry.start_unix_ms;
+}
+
 void FrontWorld::FillSecond() {
   Endpoint* second = m_parts->view.endpoints().Find(EndpointId("e2"));
   second->peers_in_flight = second->entry.slots;
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -90,6 +90,8 @@
   void BeginShutdown();
   /// Makes both endpoints engines of the base model "m".
   void UseEngines();
+  /// Has the first endpoint look like another process under the same id.
+  void RestartFirst();
   /// Has the second endpoint look full.
   void FillSecond();
   /// Runs the event loop for a while.
