Have a starting node ask which parts of prompts are quarantined

A node that started, after a kill or a planned restart, knew of no quarantined part until another one reminded it, up to a second later, and sent such prompts until then.

Now a node asks as soon as it knows other nodes, which is before it says that it is ready, and each that knows quarantined parts answers. A reminder carries at most 512 parts, so that it fits into a datagram, and a part that one engine broke off in several prompts is told once.

--- a/include/yuccamoor/coordination/fleet/prompt_quarantine.h
+++ b/include/yuccamoor/coordination/fleet/prompt_quarantine.h
@@ -73,7 +73,8 @@
 
   /// Returns what the other nodes have to be told, and forgets that.
   PromptPartNews TakeNews();
-  /// Returns all quarantined parts, for nodes that have missed earlier news.
+  /// Returns the quarantined parts, as many as one message takes, for nodes
+  /// that have missed earlier news.
   PromptPartNews Reminder(TimeMs now) const;
   /// Forgets parts that have not been seen for a long time.
   void Expire(TimeMs now);
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -165,6 +165,8 @@
 struct TellPromptParts {
   NodeId node;
   PromptPartNews news;
+  /// Whether the node has just started and asks which parts are quarantined.
+  bool asks = false;
 };
 
 using PeerMessage =
--- a/include/yuccamoor/transport/fleet/prompt_guard.h
+++ b/include/yuccamoor/transport/fleet/prompt_guard.h
@@ -42,15 +42,21 @@
 
  private:
   void Log(const PromptPartNews& news);
+  /// Asks other nodes once, as soon as any is known. Clients may send prompts
+  /// as soon as the node is ready.
+  void AskOthers();
   void Remind(TimeMs now);
+  /// Sends the message to the next nodes in the order of their names.
+  void SendToSome(const TellPromptParts& told);
 
   NodeContext& m_context;
   SendToPeer m_send;
   Broadcast m_broadcast;
   PromptQuarantine m_quarantine;
   TimeMs m_reminded;
-  // The last node that was reminded.
-  NodeId m_last_reminded;
+  // The last node that a message went to.
+  NodeId m_last_told;
+  bool m_has_asked = false;
 };
 
 }  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/prompt_quarantine.cc
+++ b/lib/coordination/fleet/prompt_quarantine.cc
@@ -1,6 +1,7 @@
 #include "yuccamoor/coordination/fleet/prompt_quarantine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace yuccamoor::fleet {
 
@@ -20,6 +21,8 @@
 // Reminders that were under way when the part was cleared arrive by then.
 constexpr DurationMs kClearedMemory{10'000};
 constexpr std::size_t kMaxParts = 8'192;
+// As many as a datagram carries.
+constexpr std::size_t kMaxRemindedParts = 512;
 constexpr std::size_t kMaxEngines = 16;
 
 }  // namespace
@@ -27,9 +30,11 @@
 void PromptQuarantine::OnBrokenOff(const EngineProcess& engine,
                                    const std::vector<PromptPartId>& parts,
                                    TimeMs now) {
+  std::vector<PromptPartId>& told = m_news.broken_off[engine];
   for (const PromptPartId& part : parts) {
     AddCrash(engine, part, now);
-    m_news.broken_off[engine].push_back(part);
+    const bool known = std::find(told.begin(), told.end(), part) != told.end();
+    if (!known) told.push_back(part);
   }
 }
 
@@ -134,6 +139,7 @@
   for (const auto& [id, part] : m_parts) {
     if (!part.quarantined_until || *part.quarantined_until <= now) continue;
     news.quarantined.push_back({id, *part.quarantined_until - now});
+    if (news.quarantined.size() == kMaxRemindedParts) break;
   }
   return news;
 }
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -246,6 +246,7 @@
     item["remaining_ms"] = part.remaining.ms();
     quarantined.push_back(std::move(item));
   }
+  json["asks"] = told.asks;
   return json;
 }
 
@@ -318,6 +319,7 @@
     told.news.quarantined.push_back({item.at("part").get<PromptPartId>(),
                                      DurationOf(item.at("remaining_ms"))});
   }
+  told.asks = json.at("asks").get<bool>();
   return told;
 }
 
--- a/lib/transport/fleet/prompt_guard.cc
+++ b/lib/transport/fleet/prompt_guard.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "yuccamoor/coordination/fleet/fleet_size.h"
+
 namespace yuccamoor::fleet {
 
 namespace {
@@ -11,7 +13,7 @@
 // parts again.
 constexpr DurationMs kRemindInterval{1'000};
 // Reaches all nodes of a small fleet, and spreads through a large one in steps.
-constexpr std::size_t kRemindedNodes = 16;
+constexpr std::size_t kToldNodes = kMaxSmallFleetNodes;
 
 }  // namespace
 
@@ -41,6 +43,12 @@
         .Ms("remaining_ms", item.remaining);
   }
   m_quarantine.OnNews(told.news, now);
+  if (!told.asks) return;
+  const PromptPartNews reminder = m_quarantine.Reminder(now);
+  if (!reminder.empty()) {
+    m_send(told.node,
+           TellPromptParts{m_context.settings.node, reminder, false});
+  }
 }
 
 std::optional<DurationMs> PromptGuard::Quarantine(
@@ -49,10 +57,11 @@
 }
 
 void PromptGuard::OnTick(TimeMs now) {
+  if (!m_has_asked) AskOthers();
   const PromptPartNews news = m_quarantine.TakeNews();
   if (!news.empty()) {
     Log(news);
-    m_broadcast(TellPromptParts{m_context.settings.node, news});
+    m_broadcast(TellPromptParts{m_context.settings.node, news, false});
   }
   if (now - m_reminded < kRemindInterval) return;
   m_reminded = now;
@@ -77,19 +86,30 @@
   }
 }
 
+void PromptGuard::AskOthers() {
+  if (m_context.view.nodes().empty()) return;
+  m_has_asked = true;
+  TellPromptParts told;
+  told.node = m_context.settings.node;
+  told.asks = true;
+  SendToSome(told);
+}
+
 void PromptGuard::Remind(TimeMs now) {
-  const PromptPartNews news = m_quarantine.Reminder(now);
-  if (news.empty()) return;
-  const TellPromptParts told{m_context.settings.node, news};
+  TellPromptParts told;
+  told.node = m_context.settings.node;
+  told.news = m_quarantine.Reminder(now);
+  if (!told.news.empty()) SendToSome(told);
+}
+
+void PromptGuard::SendToSome(const TellPromptParts& told) {
   const auto& nodes = m_context.view.nodes();
-  const std::size_t count = std::min(nodes.size(), kRemindedNodes);
-  auto next = nodes.upper_bound(m_last_reminded);
+  const std::size_t count = std::min(nodes.size(), kToldNodes);
+  auto next = nodes.upper_bound(m_last_told);
   for (std::size_t i = 0; i < count; ++i) {
     if (next == nodes.end()) next = nodes.begin();
-    m_last_reminded = next->first;
-    if (m_last_reminded != m_context.settings.node) {
-      m_send(m_last_reminded, told);
-    }
+    m_last_told = next->first;
+    if (m_last_told != m_context.settings.node) m_send(m_last_told, told);
     ++next;
   }
 }
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -189,10 +189,12 @@
                                                  PromptPartId("dead")};
   told.news.cleared = {PromptPartId("5c")};
   told.news.quarantined = {{PromptPartId("dead"), DurationMs(60'000)}};
+  told.asks = true;
   const auto got = DecodePeerMessage(EncodePeerMessage(told));
   REQUIRE(got);
   const auto& parts = std::get<TellPromptParts>(*got);
   CHECK(parts.node == told.node);
+  CHECK(parts.asks);
   CHECK(parts.news.broken_off == told.news.broken_off);
   CHECK(parts.news.cleared == told.news.cleared);
   REQUIRE(parts.news.quarantined.size() == 1);
