Reach a node that has been registered since the last look at the list

PeerLink takes the registered nodes over every 100 ms at most. A node that starts broadcasts its first status before it has read the store, and what it sent within 100 ms after the read found nobody and was lost without a trace: here, its question for quarantined parts.

Send now looks again when the view knows the addressee and the link does not.

"A node that has just been registered is reached at once" fails without it (no datagram came). The tests of single parts of a node share their context.

--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -99,6 +99,11 @@
     return;
   }
   UpdateKnown();
+  if (!m_known.contains(node) && m_context.view.nodes().contains(node)) {
+    // Registered since the last update.
+    m_updated = TimeMs();
+    UpdateKnown();
+  }
   const auto it = m_known.find(node);
   if (it == m_known.end()) return;
   SendTo(it->second.address, EncodePeerMessage(message));
--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -3,8 +3,6 @@
 
 #include "yuccamoor/transport/fleet/store_session.h"
 
-#include <unistd.h>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
@@ -16,8 +14,8 @@
 #include <string_view>
 #include <utility>
 
-#include "platform/request_dialect.h"
 #include "platform/store_client.h"
+#include "transport/fleet/context_parts.h"
 #include "yuccamoor/protocol/request/base64.h"
 #include "yuccamoor/state/fleet/boot_clock.h"
 #include "yuccamoor/transport/fleet/http_caller.h"
@@ -106,29 +104,31 @@
   std::unique_ptr<Listener> m_listener;
 };
 
-/// A store session with what it needs.
+NodeSettings Settings() {
+  NodeSettings settings;
+  settings.node = NodeId("n1");
+  settings.max_propagation_delay = DurationMs(2'000);
+  return settings;
+}
+
+/// A store session with its store.
 class SessionWorld {
  public:
   SessionWorld()
-      : m_log(m_clock, STDERR_FILENO),
-        m_registry(m_clock),
-        m_metrics(m_registry),
-        m_dialect(platform::CreateRequestDialect()),
-        m_context{m_io,   m_clock, m_settings, *m_dialect,
-                  m_view, m_log,   m_metrics},
-        m_contact_timer(m_io),
-        m_store(m_io, [this] { StartContactTime(); }),
-        m_caller(m_io, m_clock),
+      : m_parts(m_clock, Settings()),
+        m_contact_timer(m_parts.io),
+        m_store(m_parts.io, [this] { StartContactTime(); }),
+        m_caller(m_parts.io, m_clock),
         m_client(m_caller, m_store.address(),
                  [](std::string_view, const Findings&) {}),
-        m_session(m_context, m_client, [](const TellChanges&) {}) {}
+        m_session(m_parts.context, m_client, [](const TellChanges&) {}) {}
 
   /// Starts the session. Returns the configuration's version when the contact
   /// time has passed since the connections fell silent.
   std::uint64_t VersionAfterContactTime(DurationMs contact_time) {
     m_contact_time = contact_time;
     m_session.Start([] {});
-    m_io.run();
+    m_parts.io.run();
     return m_final_version;
   }
 
@@ -137,31 +137,14 @@
     m_contact_timer.expires_after(
         std::chrono::milliseconds(m_contact_time.ms()));
     m_contact_timer.async_wait([this](boost::system::error_code) {
-      m_final_version = config_version();
-      m_io.stop();
+      const auto& routes = m_parts.view.routes();
+      m_final_version = routes ? routes->config().version.value() : 0;
+      m_parts.io.stop();
     });
   }
 
-  std::uint64_t config_version() const {
-    return m_view.routes() ? m_view.routes()->config().version.value() : 0;
-  }
-
-  static NodeSettings Settings() {
-    NodeSettings settings;
-    settings.node = NodeId("n1");
-    settings.max_propagation_delay = DurationMs(2'000);
-    return settings;
-  }
-
-  boost::asio::io_context m_io;
   BootClock m_clock;
-  NodeSettings m_settings = Settings();
-  LineLog m_log;
-  MetricsRegistry m_registry;
-  NodeMetrics m_metrics;
-  std::unique_ptr<RequestDialect> m_dialect;
-  FleetView m_view;
-  NodeContext m_context;
+  ContextParts m_parts;
   DurationMs m_contact_time{0};
   std::uint64_t m_final_version = 0;
   boost::asio::steady_timer m_contact_timer;
