Ask for quarantined parts as soon as other nodes are known

A starting node asked at its next tick. Clients' requests come within milliseconds of the read of the store that makes the node ready, and go first. It now asks when that read has named other nodes.

--- a/include/yuccamoor/transport/fleet/prompt_guard.h
+++ b/include/yuccamoor/transport/fleet/prompt_guard.h
@@ -29,6 +29,9 @@
                    const std::vector<PromptPartId>& parts);
   /// The first output came for a prompt with these parts.
   void OnOutput(const std::vector<PromptPartId>& parts);
+  /// Asks other nodes what is quarantined, once, as soon as any is known:
+  /// clients may send prompts from then on.
+  void OnNodesChanged();
   /// Another node has told what it knows.
   void OnTellPromptParts(const TellPromptParts& told);
 
@@ -42,9 +45,6 @@
 
  private:
   void Log(const PromptPartNews& news);
-  /// Asks other nodes once, as soon as any is known. Clients may send prompts
-  /// as soon as the node is ready.
-  void AskOthers();
   void Remind(TimeMs now);
   /// Sends the message to the next nodes in the order of their names.
   void SendToSome(const TellPromptParts& told);
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -134,6 +134,7 @@
     m_lease.Begin([this] { m_holder.OnViewChanged(); });
   }
   m_holder.OnViewChanged();
+  m_prompts.OnNodesChanged();
 }
 
 bool Node::IsReady() const {
--- a/lib/transport/fleet/prompt_guard.cc
+++ b/lib/transport/fleet/prompt_guard.cc
@@ -57,7 +57,6 @@
 }
 
 void PromptGuard::OnTick(TimeMs now) {
-  if (!m_has_asked) AskOthers();
   const PromptPartNews news = m_quarantine.TakeNews();
   if (!news.empty()) {
     Log(news);
@@ -86,8 +85,8 @@
   }
 }
 
-void PromptGuard::AskOthers() {
-  if (m_context.view.nodes().empty()) return;
+void PromptGuard::OnNodesChanged() {
+  if (m_has_asked || m_context.view.nodes().empty()) return;
   m_has_asked = true;
   TellPromptParts told;
   told.node = m_context.settings.node;
--- a/unittests/transport/fleet/prompt_guard_test.cc
+++ b/unittests/transport/fleet/prompt_guard_test.cc
@@ -3,47 +3,42 @@
 
 #include "yuccamoor/transport/fleet/prompt_guard.h"
 
-#include <unistd.h>
-
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
-#include <memory>
 #include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include "platform/request_dialect.h"
+#include "transport/fleet/context_parts.h"
 
 namespace yuccamoor::fleet {
 namespace {
 
+NodeSettings Settings() {
+  NodeSettings settings;
+  settings.node = NodeId("n1");
+  return settings;
+}
+
 /// A guard, and what it sends.
 class GuardWorld {
  public:
   GuardWorld()
-      : m_log(m_clock, STDERR_FILENO),
-        m_registry(m_clock),
-        m_metrics(m_registry),
-        m_dialect(platform::CreateRequestDialect()),
-        m_context{m_io,   m_clock, m_settings, *m_dialect,
-                  m_view, m_log,   m_metrics},
+      : m_parts(m_clock, Settings()),
         m_guard(
-            m_context,
+            m_parts.context,
             [this](const NodeId& node, const PeerMessage& message) {
               m_sent.emplace_back(node, std::get<TellPromptParts>(message));
             },
-            [](const PeerMessage&) {}) {
-    m_settings.node = NodeId("n1");
-  }
+            [](const PeerMessage&) {}) {}
 
   /// Registers a node.
   void AddNode(const std::string& name) {
-    m_view.Apply(RecordWritten{FleetView::NodeKey(NodeId(name)),
-                               EncodeNodeRecord({}), Revision(1)},
-                 m_clock.Now());
+    m_parts.view.Apply(RecordWritten{FleetView::NodeKey(NodeId(name)),
+                                     EncodeNodeRecord({}), Revision(1)},
+                       m_clock.Now());
   }
-  void Tick() { m_guard.OnTick(m_clock.Now()); }
+  /// Has three engines in a row crash under prompts with the part.
   void CrashEngines(const PromptPartId& part) {
     for (int i = 0; i < 3; ++i) {
       m_guard.OnBrokenOff({EndpointId("e" + std::to_string(i)), 1}, {part});
@@ -58,15 +53,8 @@
   }
 
  private:
-  boost::asio::io_context m_io;
   ManualClock m_clock;
-  NodeSettings m_settings;
-  LineLog m_log;
-  MetricsRegistry m_registry;
-  NodeMetrics m_metrics;
-  std::unique_ptr<RequestDialect> m_dialect;
-  FleetView m_view;
-  NodeContext m_context;
+  ContextParts m_parts;
   std::vector<std::pair<NodeId, TellPromptParts>> m_sent;
   PromptGuard m_guard;
 };
@@ -78,16 +66,16 @@
           "[fleet][quarantine]") {
   const PromptPartId deadly("dead");
   GuardWorld started;
-  started.Tick();
+  started.guard().OnNodesChanged();
   CHECK(started.TakeSent().empty());
   started.AddNode("n1");
   started.AddNode("n2");
-  started.Tick();
+  started.guard().OnNodesChanged();
   const auto asked = started.TakeSent();
   REQUIRE(asked.size() == 1);
   CHECK(asked[0].first == NodeId("n2"));
   CHECK(asked[0].second.asks);
-  started.Tick();
+  started.guard().OnNodesChanged();
   CHECK(started.TakeSent().empty());
 
   GuardWorld other;
