Name the part of a prompt for which a request was refused

From a refused request's id, logs led to "prompt crashes engines" but not to the part, and a node did not say that another one had lifted a quarantine.

--- a/include/yuccamoor/coordination/fleet/prompt_quarantine.h
+++ b/include/yuccamoor/coordination/fleet/prompt_quarantine.h
@@ -66,9 +66,8 @@
   /// Records what another node has told.
   void OnNews(const PromptPartNews& news, TimeMs now);
 
-  /// Returns how long the longest quarantine of one of the parts lasts, or
-  /// nothing if none is quarantined.
-  std::optional<DurationMs> Remaining(const std::vector<PromptPartId>& parts,
+  /// Returns the part that is quarantined for longest, or nothing if none is.
+  std::optional<QuarantinedPart> Find(const std::vector<PromptPartId>& parts,
                                       TimeMs now) const;
 
   /// Returns what the other nodes have to be told, and forgets that.
--- a/include/yuccamoor/transport/fleet/prompt_guard.h
+++ b/include/yuccamoor/transport/fleet/prompt_guard.h
@@ -35,9 +35,9 @@
   /// Another node has told what it knows.
   void OnTellPromptParts(const TellPromptParts& told);
 
-  /// Returns how long prompts with these parts must not be sent, or nothing if
-  /// they may be.
-  std::optional<DurationMs> Quarantine(
+  /// Returns the part because of which prompts with these parts must not be
+  /// sent, or nothing if they may be.
+  std::optional<QuarantinedPart> FindQuarantined(
       const std::vector<PromptPartId>& parts) const;
 
   /// Tells the other nodes what is new, and reminds some of them.
--- a/lib/coordination/fleet/prompt_quarantine.cc
+++ b/lib/coordination/fleet/prompt_quarantine.cc
@@ -23,6 +23,7 @@
 constexpr std::size_t kMaxParts = 8'192;
 // As many as a datagram carries.
 constexpr std::size_t kMaxRemindedParts = 512;
+// Enough to tell engine processes apart until a part is quarantined.
 constexpr std::size_t kMaxEngines = 16;
 
 }  // namespace
@@ -114,16 +115,16 @@
   return true;
 }
 
-std::optional<DurationMs> PromptQuarantine::Remaining(
+std::optional<QuarantinedPart> PromptQuarantine::Find(
     const std::vector<PromptPartId>& parts, TimeMs now) const {
   if (m_parts.empty()) return std::nullopt;
-  std::optional<DurationMs> longest;
+  std::optional<QuarantinedPart> longest;
   for (const PromptPartId& id : parts) {
     const auto it = m_parts.find(id);
     if (it == m_parts.end() || !it->second.quarantined_until) continue;
     const DurationMs remaining = *it->second.quarantined_until - now;
     if (remaining <= DurationMs(0)) continue;
-    longest = std::max(longest.value_or(remaining), remaining);
+    if (!longest || remaining > longest->remaining) longest = {id, remaining};
   }
   return longest;
 }
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -159,10 +159,14 @@
 bool Exchange::EndIfQuarantined() {
   // Output has shown that the prompt is sound.
   if (m_stream_started) return false;
-  const auto remaining = m_context.prompts.Quarantine(m_meta.shared_parts);
-  if (!remaining) return false;
+  const auto found = m_context.prompts.FindQuarantined(m_meta.shared_parts);
+  if (!found) return false;
   m_context.node.metrics.quarantined_prompts_refused.Add();
-  GiveUp("prompt crashes engines", *remaining);
+  m_context.node.log.Event("prompt_quarantined")
+      .Text("request", m_meta.attempt.str())
+      .Text("part", found->part.str())
+      .Ms("remaining_ms", found->remaining);
+  GiveUp("prompt crashes engines", found->remaining);
   return true;
 }
 
--- a/lib/transport/fleet/prompt_guard.cc
+++ b/lib/transport/fleet/prompt_guard.cc
@@ -36,12 +36,18 @@
 void PromptGuard::OnTellPromptParts(const TellPromptParts& told) {
   const TimeMs now = m_context.clock.Now();
   for (const QuarantinedPart& item : told.news.quarantined) {
-    if (m_quarantine.Remaining({item.part}, now)) continue;
+    if (m_quarantine.Find({item.part}, now)) continue;
     m_context.log.Event("prompt_part_quarantine_heard")
         .Text("part", item.part.str())
         .Text("node", told.node.str())
         .Ms("remaining_ms", item.remaining);
   }
+  for (const PromptPartId& part : told.news.cleared) {
+    if (!m_quarantine.Find({part}, now)) continue;
+    m_context.log.Event("prompt_part_quarantine_lifted")
+        .Text("part", part.str())
+        .Text("node", told.node.str());
+  }
   m_quarantine.OnNews(told.news, now);
   if (!told.asks) return;
   const PromptPartNews reminder = m_quarantine.Reminder(now);
@@ -51,9 +57,9 @@
   }
 }
 
-std::optional<DurationMs> PromptGuard::Quarantine(
+std::optional<QuarantinedPart> PromptGuard::FindQuarantined(
     const std::vector<PromptPartId>& parts) const {
-  return m_quarantine.Remaining(parts, m_context.clock.Now());
+  return m_quarantine.Find(parts, m_context.clock.Now());
 }
 
 void PromptGuard::OnTick(TimeMs now) {
--- a/unittests/coordination/fleet/prompt_quarantine_test.cc
+++ b/unittests/coordination/fleet/prompt_quarantine_test.cc
@@ -31,7 +31,7 @@
 
 bool IsQuarantined(const PromptQuarantine& quarantine, const PromptPartId& part,
                    TimeMs now) {
-  return quarantine.Remaining({part}, now).has_value();
+  return quarantine.Find({part}, now).has_value();
 }
 
 }  // namespace
@@ -43,7 +43,7 @@
   CHECK_FALSE(IsQuarantined(quarantine, kDeadly, TimeMs(1'500)));
   CrashEngines(quarantine, 1, TimeMs(2'000), 2);
   CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(2'000)));
-  CHECK(quarantine.Remaining({kShared, kDeadly}, TimeMs(2'000)));
+  CHECK(quarantine.Find({kShared, kDeadly}, TimeMs(2'000)));
   CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(2'000)));
 }
 
@@ -108,15 +108,15 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   CrashEngines(quarantine, 3, TimeMs(0));
-  const auto first = quarantine.Remaining({kDeadly}, TimeMs(2'000));
+  const auto first = quarantine.Find({kDeadly}, TimeMs(2'000));
   REQUIRE(first);
-  const TimeMs ended = TimeMs(2'000) + *first;
+  const TimeMs ended = TimeMs(2'000) + first->remaining;
   quarantine.Expire(ended);
   CHECK_FALSE(IsQuarantined(quarantine, kDeadly, ended));
   quarantine.OnBrokenOff(Engine(7), {kDeadly}, ended + DurationMs(500));
-  const auto second = quarantine.Remaining({kDeadly}, ended + DurationMs(500));
+  const auto second = quarantine.Find({kDeadly}, ended + DurationMs(500));
   REQUIRE(second);
-  CHECK(*second == *first * 2);
+  CHECK(second->remaining == first->remaining * 2);
 }
 
 TEST_CASE("A node that missed the crashes learns of the quarantine",
@@ -125,8 +125,11 @@
   CrashEngines(teller, 3, TimeMs(0));
   PromptQuarantine started;
   started.OnNews(teller.Reminder(TimeMs(3'000)), TimeMs(3'000));
-  CHECK(started.Remaining({kDeadly}, TimeMs(3'000)) ==
-        teller.Remaining({kDeadly}, TimeMs(3'000)));
+  const auto heard = started.Find({kDeadly}, TimeMs(3'000));
+  const auto known = teller.Find({kDeadly}, TimeMs(3'000));
+  REQUIRE(heard);
+  REQUIRE(known);
+  CHECK(heard->remaining == known->remaining);
   CHECK(started.TakeNews().empty());
 }
 
--- a/unittests/transport/fleet/prompt_guard_test.cc
+++ b/unittests/transport/fleet/prompt_guard_test.cc
@@ -87,7 +87,7 @@
   REQUIRE(answer.size() == 1);
   CHECK(answer[0].first == NodeId("n1"));
   started.guard().OnTellPromptParts(answer[0].second);
-  CHECK(started.guard().Quarantine({deadly}));
+  CHECK(started.guard().FindQuarantined({deadly}));
 }
 
 }  // namespace yuccamoor::fleet
