--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -46,9 +46,9 @@
 }
 
 const RequestLimits& FrontServer::limits() const {
-  static const RequestLimits kDefaults;
+  static const RequestLimits defaults;
   const auto& routes = m_node.view.routes();
-  return routes ? routes->config().limits : kDefaults;
+  return routes ? routes->config().limits : defaults;
 }
 
 void FrontServer::OnRequest(std::shared_ptr<FrontConnection> connection,
