--- a/unittests/coordination/fleet/prompt_quarantine_test.cc
+++ b/unittests/coordination/fleet/prompt_quarantine_test.cc
@@ -25,7 +25,7 @@
                   int first = 0) {
   for (int i = 0; i < count; ++i) {
     quarantine.OnBrokenOff(Engine(first + i), {kDeadly},
-                           begin + DurationMs(1'000 * i));
+                           begin + DurationMs(1'000) * i);
   }
 }
 
@@ -51,7 +51,7 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   for (int i = 0; i < 5; ++i) {
-    const TimeMs now(1'000 * i);
+    const TimeMs now = TimeMs(0) + DurationMs(1'000) * i;
     quarantine.OnBrokenOff(Engine(i), {kShared, kDeadly}, now);
     quarantine.OnOutput({kShared}, now + DurationMs(500));
   }
@@ -65,7 +65,7 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   for (int i = 0; i < 60; ++i) {
-    quarantine.OnBrokenOff(Engine(i), {kShared}, TimeMs(i * 4));
+    quarantine.OnBrokenOff(Engine(i), {kShared}, TimeMs(0) + DurationMs(4) * i);
   }
   CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(300)));
 }
@@ -74,7 +74,8 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   for (int i = 0; i < 10; ++i) {
-    quarantine.OnBrokenOff(Engine(0), {kDeadly}, TimeMs(1'000 * i));
+    quarantine.OnBrokenOff(Engine(0), {kDeadly},
+                           TimeMs(0) + DurationMs(1'000) * i);
   }
   CHECK_FALSE(IsQuarantined(quarantine, kDeadly, TimeMs(10'000)));
   quarantine.OnBrokenOff(Engine(0, 2), {kDeadly}, TimeMs(11'000));
