--- a/include/yuccamoor/coordination/fleet/prompt_quarantine.h
+++ b/include/yuccamoor/coordination/fleet/prompt_quarantine.h
@@ -101,6 +101,7 @@
   void Adopt(const QuarantinedPart& quarantined, TimeMs now);
   // Returns whether the part was suspected or quarantined.
   bool Clear(const PromptPartId& id, TimeMs now);
+  // Returns what is known of the part, which is new at first.
   Part& Touch(const PromptPartId& id, TimeMs now);
   void DropOldest();
 
