--- a/unittests/coordination/fleet/prompt_quarantine_test.cc
+++ b/unittests/coordination/fleet/prompt_quarantine_test.cc
@@ -13,7 +13,7 @@
 
 using Parts = std::vector<PromptPartId>;
 
-const PromptPartId kDeadly("dead");
+const PromptPartId kCrashing("dead");
 const PromptPartId kShared("5c1e");
 
 EngineProcess Engine(int number, std::uint64_t start = 1) {
@@ -24,7 +24,7 @@
 void CrashEngines(PromptQuarantine& quarantine, int count, TimeMs begin,
                   int first = 0) {
   for (int i = 0; i < count; ++i) {
-    quarantine.OnBrokenOff(Engine(first + i), {kDeadly},
+    quarantine.OnBrokenOff(Engine(first + i), {kCrashing},
                            begin + DurationMs(1'000) * i);
   }
 }
@@ -40,22 +40,22 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   CrashEngines(quarantine, 2, TimeMs(0));
-  CHECK_FALSE(IsQuarantined(quarantine, kDeadly, TimeMs(1'500)));
+  CHECK_FALSE(IsQuarantined(quarantine, kCrashing, TimeMs(1'500)));
   CrashEngines(quarantine, 1, TimeMs(2'000), 2);
-  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(2'000)));
-  CHECK(quarantine.Find({kShared, kDeadly}, TimeMs(2'000)));
+  CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(2'000)));
+  CHECK(quarantine.Find({kShared, kCrashing}, TimeMs(2'000)));
   CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(2'000)));
 }
 
-TEST_CASE("Output clears the parts that sound and deadly prompts share",
+TEST_CASE("Output clears the parts that sound and crashing prompts share",
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   for (int i = 0; i < 5; ++i) {
     const TimeMs now = TimeMs(0) + DurationMs(1'000) * i;
-    quarantine.OnBrokenOff(Engine(i), {kShared, kDeadly}, now);
+    quarantine.OnBrokenOff(Engine(i), {kShared, kCrashing}, now);
     quarantine.OnOutput({kShared}, now + DurationMs(500));
   }
-  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(5'000)));
+  CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(5'000)));
   CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(5'000)));
 }
 
@@ -74,13 +74,13 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   for (int i = 0; i < 10; ++i) {
-    quarantine.OnBrokenOff(Engine(0), {kDeadly},
+    quarantine.OnBrokenOff(Engine(0), {kCrashing},
                            TimeMs(0) + DurationMs(1'000) * i);
   }
-  CHECK_FALSE(IsQuarantined(quarantine, kDeadly, TimeMs(10'000)));
-  quarantine.OnBrokenOff(Engine(0, 2), {kDeadly}, TimeMs(11'000));
-  quarantine.OnBrokenOff(Engine(0, 3), {kDeadly}, TimeMs(12'000));
-  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(12'000)));
+  CHECK_FALSE(IsQuarantined(quarantine, kCrashing, TimeMs(10'000)));
+  quarantine.OnBrokenOff(Engine(0, 2), {kCrashing}, TimeMs(11'000));
+  quarantine.OnBrokenOff(Engine(0, 3), {kCrashing}, TimeMs(12'000));
+  CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(12'000)));
 }
 
 TEST_CASE("Nodes that each saw one crash come to the same result",
@@ -94,13 +94,14 @@
   };
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     const TimeMs now(1'000 * static_cast<std::int64_t>(i));
-    nodes[i].OnBrokenOff(Engine(static_cast<int>(i)), {kShared, kDeadly}, now);
+    nodes[i].OnBrokenOff(Engine(static_cast<int>(i)), {kShared, kCrashing},
+                         now);
     tell_others(i, now);
     nodes[0].OnOutput({kShared}, now + DurationMs(100));
     tell_others(0, now + DurationMs(100));
   }
   for (const PromptQuarantine& node : nodes) {
-    CHECK(IsQuarantined(node, kDeadly, TimeMs(3'000)));
+    CHECK(IsQuarantined(node, kCrashing, TimeMs(3'000)));
     CHECK_FALSE(IsQuarantined(node, kShared, TimeMs(3'000)));
   }
 }
@@ -109,13 +110,13 @@
           "[fleet][quarantine]") {
   PromptQuarantine quarantine;
   CrashEngines(quarantine, 3, TimeMs(0));
-  const auto first = quarantine.Find({kDeadly}, TimeMs(2'000));
+  const auto first = quarantine.Find({kCrashing}, TimeMs(2'000));
   REQUIRE(first);
   const TimeMs ended = TimeMs(2'000) + first->remaining;
   quarantine.Expire(ended);
-  CHECK_FALSE(IsQuarantined(quarantine, kDeadly, ended));
-  quarantine.OnBrokenOff(Engine(7), {kDeadly}, ended + DurationMs(500));
-  const auto second = quarantine.Find({kDeadly}, ended + DurationMs(500));
+  CHECK_FALSE(IsQuarantined(quarantine, kCrashing, ended));
+  quarantine.OnBrokenOff(Engine(7), {kCrashing}, ended + DurationMs(500));
+  const auto second = quarantine.Find({kCrashing}, ended + DurationMs(500));
   REQUIRE(second);
   CHECK(second->remaining == first->remaining * 2);
 }
@@ -126,8 +127,8 @@
   CrashEngines(teller, 3, TimeMs(0));
   PromptQuarantine started;
   started.OnNews(teller.Reminder(TimeMs(3'000)), TimeMs(3'000));
-  const auto heard = started.Find({kDeadly}, TimeMs(3'000));
-  const auto known = teller.Find({kDeadly}, TimeMs(3'000));
+  const auto heard = started.Find({kCrashing}, TimeMs(3'000));
+  const auto known = teller.Find({kCrashing}, TimeMs(3'000));
   REQUIRE(heard);
   REQUIRE(known);
   CHECK(heard->remaining == known->remaining);
@@ -140,13 +141,13 @@
   CrashEngines(outdated, 3, TimeMs(0));
   PromptQuarantine node;
   node.OnNews(outdated.TakeNews(), TimeMs(2'000));
-  node.OnOutput({kDeadly}, TimeMs(2'500));
+  node.OnOutput({kCrashing}, TimeMs(2'500));
   node.TakeNews();
   node.OnNews(outdated.Reminder(TimeMs(3'000)), TimeMs(3'000));
-  CHECK_FALSE(IsQuarantined(node, kDeadly, TimeMs(3'000)));
+  CHECK_FALSE(IsQuarantined(node, kCrashing, TimeMs(3'000)));
   // The other node is told.
   outdated.OnNews(node.TakeNews(), TimeMs(3'000));
-  CHECK_FALSE(IsQuarantined(outdated, kDeadly, TimeMs(3'000)));
+  CHECK_FALSE(IsQuarantined(outdated, kCrashing, TimeMs(3'000)));
 }
 
 TEST_CASE("Parts without end take bounded memory and keep the quarantined ones",
@@ -159,7 +160,7 @@
                            TimeMs(3'000 + i));
   }
   CHECK(quarantine.size() < kBound);
-  CHECK(IsQuarantined(quarantine, kDeadly, TimeMs(15'000)));
+  CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(15'000)));
   quarantine.Expire(TimeMs(10'000'000));
   CHECK(quarantine.size() == 0);
 }
--- a/unittests/transport/fleet/prompt_guard_test.cc
+++ b/unittests/transport/fleet/prompt_guard_test.cc
@@ -64,7 +64,7 @@
 // Nodes that had just started crashed engines until they were reminded.
 TEST_CASE("A node that starts asks which parts are quarantined",
           "[fleet][quarantine]") {
-  const PromptPartId deadly("dead");
+  const PromptPartId crashing("dead");
   GuardWorld started;
   started.guard().OnNodesChanged();
   CHECK(started.TakeSent().empty());
@@ -81,13 +81,13 @@
   GuardWorld other;
   other.guard().OnTellPromptParts(asked[0].second);
   CHECK(other.TakeSent().empty());
-  other.CrashEngines(deadly);
+  other.CrashEngines(crashing);
   other.guard().OnTellPromptParts(asked[0].second);
   const auto answer = other.TakeSent();
   REQUIRE(answer.size() == 1);
   CHECK(answer[0].first == NodeId("n1"));
   started.guard().OnTellPromptParts(answer[0].second);
-  CHECK(started.guard().FindQuarantined({deadly}));
+  CHECK(started.guard().FindQuarantined({crashing}));
 }
 
 }  // namespace yuccamoor::fleet
