Read and log what endpoints state of the requests that they take

Nothing read Server-Limit, Server-Leaving or an endpoint's Retry-After, so no log could tell whether a node sends on although it has read a limit, or has not read one. Responses that state any of these are logged as endpoint_intake, one line a response. No decision changes.

--- a/include/yuccamoor/protocol/fleet/request_dialect.h
+++ b/include/yuccamoor/protocol/fleet/request_dialect.h
@@ -13,6 +13,7 @@
 #include "yuccamoor/protocol/fleet/http_head.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
+#include "yuccamoor/state/fleet/intake_statement.h"
 
 namespace yuccamoor::fleet {
 
@@ -52,6 +53,7 @@
   /// The endpoint's own id, where it says it.
   EndpointId endpoint;
   std::optional<EndpointLoad> load;
+  IntakeStatement intake;
   /// The endpoint closes this connection after the response.
   bool closing = false;
   /// How long the connection may stay idle, where the endpoint says it.
--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -52,6 +52,8 @@
   bool reused() const { return m_reused; }
   HttpHead& head() { return m_parser->head(); }
   const ResponseMeta& meta() const { return m_meta; }
+  /// Whether the response's head has come.
+  bool has_head() const { return m_has_head; }
   /// Body bytes that nobody has taken yet.
   std::string& body() { return m_parser->body(); }
 
@@ -92,6 +94,7 @@
   Progress m_progress;
   CallState m_state = CallState::kConnecting;
   bool m_reused = false;
+  bool m_has_head = false;
   bool m_expect_no_body = false;
   bool m_detached = false;
   // Another response came on this connection: it is not used again.
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -82,6 +82,9 @@
   void NoteBrokenOff();
   /// Reports the first output for the prompt from an engine.
   void NoteOutput();
+  /// Takes up what the response's head states of the requests that the
+  /// endpoint takes.
+  void NoteIntake();
   void OnProgress();
   void OnAnswering();
   void OnComplete();
@@ -158,6 +161,8 @@
   DurationMs m_longest_pause_end{0};
   EventCutter m_cutter;
   bool m_stream_started = false;
+  // Whether what the current call's head states was taken up.
+  bool m_intake_noted = false;
   // Whether the current call has brought output.
   bool m_has_output = false;
   bool m_answered_first = false;
--- a/include/yuccamoor/transport/observability/line_log.h
+++ b/include/yuccamoor/transport/observability/line_log.h
@@ -33,6 +33,9 @@
     Line& Number(std::string_view key, T value) {
       return Raw(key, std::to_string(value));
     }
+    Line& Real(std::string_view key, double value) {
+      return Raw(key, std::to_string(value));
+    }
     Line& Ms(std::string_view key, DurationMs value) {
       return Number(key, value.ms());
     }
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -122,6 +122,7 @@
   const bool foreign = !m_meta.attempt.empty() && m_meta.attempt != m_attempt;
   if (!informational && !foreign) {
     m_state = CallState::kAnswering;
+    m_has_head = true;
     return true;
   }
   m_tainted = m_tainted || foreign;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -209,6 +209,7 @@
   m_endpoint = endpoint;
   m_endpoint_domain = target->entry.domain;
   m_endpoint_start_unix_ms = target->entry.start_unix_ms;
+  m_intake_noted = false;
   m_has_output = false;
   m_sent = now;
   ++m_sends;
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -17,8 +17,23 @@
 
 }  // namespace
 
+void Exchange::NoteIntake() {
+  if (m_intake_noted || !m_call->has_head()) return;
+  m_intake_noted = true;
+  const IntakeStatement& intake = m_call->meta().intake;
+  if (!intake.limited && !intake.leaving && !intake.retry_after) return;
+  m_context.node.log.Event("endpoint_intake")
+      .Text("request", m_meta.attempt.str())
+      .Text("endpoint", m_endpoint.str())
+      .Number("limited", intake.limited ? 1 : 0)
+      .Real("requests_per_second", intake.requests_per_second.value_or(-1))
+      .Number("leaving", intake.leaving ? 1 : 0)
+      .Ms("retry_after_ms", intake.retry_after.value_or(DurationMs(-1)));
+}
+
 void Exchange::OnProgress() {
   if (m_ended || !m_call) return;
+  NoteIntake();
   switch (m_call->state()) {
     case CallState::kConnecting:
     case CallState::kSent:
--- a/unittests/platform/dialect_test.cc
+++ b/unittests/platform/dialect_test.cc
@@ -67,6 +67,46 @@
   CHECK(shared(std::string(1'000, 'f') + ":1,e4:2").empty());
 }
 
+TEST_CASE("What an endpoint states of the requests that it takes is read",
+          "[platform][dialect][intake]") {
+  const auto dialect = CreateRequestDialect();
+  const auto intake = [&](int status, const std::string& name,
+                          const std::string& value) {
+    fleet::HttpHead head;
+    head.status = status;
+    head.fields = {{name, value}};
+    return dialect->DecodeResponse(head).intake;
+  };
+  SECTION("a limit") {
+    CHECK(intake(200, "Server-Limit", "1.5").requests_per_second == 1.5);
+    CHECK(intake(503, "server-limit", "0").requests_per_second == 0.0);
+    CHECK_FALSE(intake(200, "Other", "1").limited);
+  }
+  SECTION("a limit that cannot be read") {
+    for (const std::string text :
+         {"", "x", "-1", "1.5x", "nan", "inf", "0x10", "1e3", "1,5"}) {
+      CAPTURE(text);
+      CHECK(intake(200, "Server-Limit", text).limited);
+      CHECK_FALSE(intake(200, "Server-Limit", text).requests_per_second);
+    }
+    const std::string endless(10'000, '9');
+    CHECK_FALSE(intake(200, "Server-Limit", endless).requests_per_second);
+  }
+  SECTION("leaving") {
+    CHECK(intake(200, "Server-Leaving", "1").leaving);
+    CHECK_FALSE(intake(200, "Server-Leaving", "0").leaving);
+    CHECK_FALSE(intake(200, "Other", "1").leaving);
+  }
+  SECTION("a pause") {
+    CHECK(intake(503, "Retry-After", "2").retry_after == DurationMs(2'000));
+    CHECK(intake(503, "Retry-After", "0.25").retry_after == DurationMs(250));
+    CHECK_FALSE(intake(200, "Retry-After", "2").retry_after);
+    CHECK_FALSE(intake(503, "Retry-After", "Sat, 5 Dec").retry_after);
+    CHECK(intake(503, "Retry-After", "99999999999999").retry_after ==
+          DurationMs(86'400'000));
+  }
+}
+
 TEST_CASE("A client's request is read", "[platform][dialect]") {
   const auto dialect = CreateRequestDialect();
   const fleet::RequestMeta meta = dialect->DecodeRequest(ClientHead());
