Keep all nodes together within the limit that an endpoint names

Cause: nothing acted on the limit. A node that did so by itself would not have been enough: the limit is one for all nodes, with as little as 1.3 requests a second, and requests are spread unevenly.

Change: each endpoint has one node that issues permits for its requests: its holder, or the node that rendezvous hashing selects. A request to an endpoint with a limit asks for a permit, which may be free a little later, or goes elsewhere; if nothing else serves it in time it is refused at once with the time of the next permit. Permits follow the generic cell rate algorithm. Without an answer a node uses its own share of the limit; a new issuer grants half of it for as long as an earlier one may still issue. A limit ends with the first answer without it to a request that was sent after it was named, and with the endpoint's process. EngineProcess is EndpointProcess now, as two modules use it.

--- a/include/yuccamoor/coordination/fleet/endpoint_choice.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_choice.h
@@ -32,6 +32,9 @@
   FailureDomainId domain;
   /// Endpoints that have already failed this request.
   std::vector<EndpointId> excluded;
+  /// If no engine that takes requests now holds the adapter, one that takes the
+  /// next one by then is chosen before the adapter is loaded elsewhere.
+  TimeMs wait_until;
   /// Differs between requests. If set, plain endpoints with nearly the same
   /// load are chosen at random: nodes that know little of each other's requests
   /// would otherwise all choose the same one.
@@ -40,7 +43,8 @@
 
 /// The result of ChooseEndpoint.
 struct EndpointChoice {
-  /// The endpoint to send the request to now; empty if there is none.
+  /// The endpoint to send the request to; empty if there is none. It may take
+  /// the request a little later only.
   std::optional<EndpointId> send_to;
   /// Engines that should load the adapter, best first; empty if no load is
   /// needed. If send_to is set too, the load adds a copy.
--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/endpoint_intake.h"
 #include "yuccamoor/coordination/request/circuit_breaker.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
@@ -43,6 +44,7 @@
   /// The estimated time at which all prompts sent to it are prefilled.
   TimeMs prefill_until;
   CircuitBreaker breaker;
+  EndpointIntake intake;
 
   std::uint32_t load() const { return in_flight + peers_in_flight; }
   bool HasModel(const ModelId& model) const;
--- a/include/yuccamoor/coordination/fleet/prompt_quarantine.h
+++ b/include/yuccamoor/coordination/fleet/prompt_quarantine.h
@@ -17,15 +17,6 @@
 
 namespace yuccamoor::fleet {
 
-/// One process of an engine: a restart is another one.
-struct EngineProcess {
-  EndpointId engine;
-  /// As EndpointEntry::start_unix_ms.
-  std::uint64_t start_unix_ms = 0;
-
-  friend auto operator<=>(const EngineProcess&, const EngineProcess&) = default;
-};
-
 /// A part in quarantine, for how much longer.
 struct QuarantinedPart {
   PromptPartId part;
@@ -35,7 +26,7 @@
 /// What nodes tell each other about parts of prompts.
 struct PromptPartNews {
   /// Parts of prompts that were without output when an engine broke off.
-  std::map<EngineProcess, std::vector<PromptPartId>> broken_off;
+  std::map<EndpointProcess, std::vector<PromptPartId>> broken_off;
   /// Suspected parts of prompts that have got output.
   std::vector<PromptPartId> cleared;
   std::vector<QuarantinedPart> quarantined;
@@ -59,7 +50,7 @@
  public:
   /// Records that an engine broke off a prompt with these parts before any
   /// output, and that other nodes are to be told.
-  void OnBrokenOff(const EngineProcess& engine,
+  void OnBrokenOff(const EndpointProcess& engine,
                    const std::vector<PromptPartId>& parts, TimeMs now);
   /// Records output for a prompt with these parts.
   void OnOutput(const std::vector<PromptPartId>& parts, TimeMs now);
@@ -85,7 +76,7 @@
   struct Part {
     // The engine processes that broke off prompts with it since its last
     // output, and how many of these crashes count.
-    std::vector<EngineProcess> engines;
+    std::vector<EndpointProcess> engines;
     std::uint32_t crashes = 0;
     TimeMs last_crash;
     std::optional<TimeMs> quarantined_until;
@@ -95,7 +86,7 @@
     TimeMs touched;
   };
 
-  void AddCrash(const EngineProcess& engine, const PromptPartId& id,
+  void AddCrash(const EndpointProcess& engine, const PromptPartId& id,
                 TimeMs now);
   void Quarantine(const PromptPartId& id, Part& part, TimeMs now);
   void Adopt(const QuarantinedPart& quarantined, TimeMs now);
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -19,6 +19,7 @@
 #include "yuccamoor/coordination/fleet/order_right.h"
 #include "yuccamoor/coordination/fleet/prompt_quarantine.h"
 #include "yuccamoor/coordination/fleet/prompt_queue.h"
+#include "yuccamoor/protocol/fleet/permit_messages.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 
 namespace yuccamoor::fleet {
@@ -172,7 +173,8 @@
 using PeerMessage =
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
                  TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
-                 TellAdmission, TellSent, TellUse, TellPromptParts>;
+                 TellAdmission, TellSent, TellUse, TellPromptParts, AskPermit,
+                 TellPermit, TellLimit>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/state/fleet/endpoint_entry.h
+++ b/include/yuccamoor/state/fleet/endpoint_entry.h
@@ -57,6 +57,16 @@
   AdapterSet adapters;
 };
 
+/// One process of an endpoint: a restart under the same id is another one.
+struct EndpointProcess {
+  EndpointId endpoint;
+  /// As EndpointEntry::start_unix_ms.
+  std::uint64_t start_unix_ms = 0;
+
+  friend auto operator<=>(const EndpointProcess&,
+                          const EndpointProcess&) = default;
+};
+
 /// An engine's status report. Some hundred milliseconds old when it is used.
 struct EngineReport {
   /// As EndpointEntry::start_unix_ms.
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -17,6 +17,7 @@
 #include "yuccamoor/transport/fleet/endpoint_call.h"
 #include "yuccamoor/transport/fleet/front_connection.h"
 #include "yuccamoor/transport/fleet/node_context.h"
+#include "yuccamoor/transport/fleet/permit_client.h"
 #include "yuccamoor/transport/fleet/prompt_guard.h"
 
 namespace yuccamoor::fleet {
@@ -27,6 +28,7 @@
   Dispatcher& dispatcher;
   AdmissionClient& admissions;
   PromptGuard& prompts;
+  PermitClient& permits;
   IdleConnections& idle;
   /// Set while the node shuts down: responses end their connections.
   const bool& closing;
@@ -75,7 +77,24 @@
   void SendUnadmitted(TimeMs now);
   void StopWaiting(TimeMs now);
   EndpointQuery MakeQuery(TimeMs now) const;
+  /// Sends the request to the endpoint, as soon as that takes one more.
   void SendTo(const EndpointId& endpoint, TimeMs now);
+  /// Sends the request to an engine that its holder offers, or to another one
+  /// if that wants nothing from this node.
+  void SendAdmitted(const EndpointId& engine, TimeMs now);
+  /// The latest time at which the request is worth sending.
+  TimeMs LatestSend(TimeMs now) const;
+  /// Asks for a permit to send, free by \p latest.
+  void SeekPermit(const EndpointId& endpoint, TimeMs latest, TimeMs now);
+  void OnPermit(const PermitDecision& decision);
+  /// Handles that no endpoint takes the request before it is worthless. The
+  /// next one opens at \p opens_at.
+  void OnClosed(TimeMs opens_at, TimeMs now);
+  /// Whether the request waits for a permit, or for the time of one.
+  bool AwaitsPermit() const { return m_permit || m_permitted_from; }
+  /// Sends if the time of a permit has come.
+  void UsePermit(TimeMs now);
+  void Send(const Endpoint& target, TimeMs now);
   /// Ends a request whose prompt would crash an engine. Returns whether it did.
   bool EndIfQuarantined();
   /// Reports a prompt whose engine ended before any output for it.
@@ -119,15 +138,21 @@
   void NoteFirstAnswer();
 
   DurationMs Held(TimeMs now) const { return now - m_request.received; }
+  /// The part of the wait that a client honours.
+  DurationMs HonouredRetryAfter(DurationMs wait, TimeMs now) const;
   bool IsIdempotent() const;
   bool ResumesStream() const;
 
   // From an adapter's arrival to the first event, if no other prompt is ahead.
   static constexpr DurationMs kPrefillTime{120};
+  // The same, with other prompts ahead.
+  static constexpr DurationMs kFirstEventTime{250};
   // Without an engine whose holder answers for this long, none will load.
   static constexpr DurationMs kNobodyLoadsTime{500};
   static constexpr DurationMs kNobodyRetryAfter{1'500};
   static constexpr DurationMs kNoEndpointRetryAfter{300};
+  // A longer wait for a permit is worse than another engine's load.
+  static constexpr DurationMs kLongestPermitWait{400};
   // Less time than this is no offer to an endpoint.
   static constexpr DurationMs kShortestOffer{15};
 
@@ -141,6 +166,11 @@
   TimeMs m_deadline;
   std::unique_ptr<EndpointCall> m_call;
   std::unique_ptr<AdmissionTicket> m_ticket;
+  // A question for a permit to send to m_permit_endpoint.
+  std::unique_ptr<PermitTicket> m_permit;
+  EndpointId m_permit_endpoint;
+  // Set once the permit is granted.
+  std::optional<TimeMs> m_permitted_from;
   EndpointId m_endpoint;
   FailureDomainId m_endpoint_domain;
   std::uint64_t m_endpoint_start_unix_ms = 0;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -18,7 +18,7 @@
  public:
   static Result<std::unique_ptr<FrontServer>> Create(
       NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-      PromptGuard& prompts);
+      PromptGuard& prompts, PermitClient& permits);
 
   void OnTick(TimeMs now);
 
@@ -41,7 +41,8 @@
 
  private:
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
-              AdmissionClient& admissions, PromptGuard& prompts);
+              AdmissionClient& admissions, PromptGuard& prompts,
+              PermitClient& permits);
 
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -19,6 +19,7 @@
 #include "yuccamoor/transport/fleet/front_server.h"
 #include "yuccamoor/transport/fleet/lease_keeper.h"
 #include "yuccamoor/transport/fleet/peer_link.h"
+#include "yuccamoor/transport/fleet/permit_server.h"
 #include "yuccamoor/transport/fleet/prompt_guard.h"
 #include "yuccamoor/transport/fleet/status_server.h"
 #include "yuccamoor/transport/fleet/store_session.h"
@@ -74,6 +75,8 @@
   AdmissionClient m_admissions;
   AdmissionServer m_admission_server;
   PromptGuard m_prompts;
+  PermitClient m_permits;
+  PermitServer m_permit_server;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<FrontServer> m_front;
   std::unique_ptr<StatusServer> m_ready;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -23,6 +23,8 @@
   /// Requests refused, and parts found, because of prompts that crash engines.
   Counter& quarantined_prompts_refused;
   Counter& prompt_parts_quarantined;
+  /// Permits that requests to endpoints with a limit asked for in vain.
+  Counter& permits_refused;
   Counter& orders;
   Counter& order_conflicts;
   Counter& store_calls;
--- a/include/yuccamoor/transport/fleet/prompt_guard.h
+++ b/include/yuccamoor/transport/fleet/prompt_guard.h
@@ -25,7 +25,7 @@
   PromptGuard(NodeContext& context, SendToPeer send, Broadcast broadcast);
 
   /// An engine broke off a prompt with these parts before any output.
-  void OnBrokenOff(const EngineProcess& engine,
+  void OnBrokenOff(const EndpointProcess& engine,
                    const std::vector<PromptPartId>& parts);
   /// The first output came for a prompt with these parts.
   void OnOutput(const std::vector<PromptPartId>& parts);
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -19,6 +19,9 @@
 // Load ratio (requests per slot) by which a plain endpoint of the client's
 // failure domain may exceed one of another domain and still be preferred.
 constexpr double kOtherDomainPenalty = 0.35;
+// When plain endpoints that take no request now are compared, this wait counts
+// as much as one request per slot.
+constexpr double kWaitMsPerLoadRatio = 100;
 
 using Candidates = std::vector<const Endpoint*>;
 
@@ -31,14 +34,21 @@
                           const EndpointQuery& query, TimeMs now) {
   Candidates healthy;
   Candidates breaker_blocked;
+  Candidates closed;
   for (const auto& [id, endpoint] : table.all()) {
     if (endpoint.entry.service != query.service) continue;
     if (!EndpointTable::Usable(endpoint, now)) continue;
     if (IsExcluded(query, id)) continue;
-    const bool breaker_allows = endpoint.breaker.Allows(now);
-    (breaker_allows ? healthy : breaker_blocked).push_back(&endpoint);
+    if (endpoint.intake.opens_at() > now) {
+      closed.push_back(&endpoint);
+    } else if (endpoint.breaker.Allows(now)) {
+      healthy.push_back(&endpoint);
+    } else {
+      breaker_blocked.push_back(&endpoint);
+    }
   }
-  return healthy.empty() ? breaker_blocked : healthy;
+  if (!healthy.empty()) return healthy;
+  return breaker_blocked.empty() ? closed : breaker_blocked;
 }
 
 double LoadRatio(const Endpoint& endpoint) {
@@ -57,12 +67,14 @@
 }
 
 const Endpoint* FindLeastLoaded(const Candidates& candidates,
-                                const EndpointQuery& query) {
+                                const EndpointQuery& query, TimeMs now) {
   const Endpoint* best = nullptr;
   double best_cost = 0;
   for (const Endpoint* endpoint : candidates) {
     double cost = LoadRatio(*endpoint) + SpreadCost(query, *endpoint);
     if (endpoint->entry.domain != query.domain) cost += kOtherDomainPenalty;
+    cost += static_cast<double>(endpoint->intake.TimeToOpen(now).ms()) /
+            kWaitMsPerLoadRatio;
     if (!best || cost < best_cost) {
       best = endpoint;
       best_cost = cost;
@@ -91,8 +103,8 @@
 
 // Returns the engines that may load the adapter, best first, in rendezvous
 // order. Engines come last that hold an older version (their running requests
-// would delay the replacement), lack the base model or are far busier than the
-// others.
+// would delay the replacement), lack the base model, limit their requests or
+// are far busier than the others.
 std::vector<EndpointId> RankLoadCandidates(const Candidates& candidates,
                                            const AdapterRef& adapter,
                                            double average) {
@@ -108,7 +120,8 @@
         endpoint->load() > average * kOverloadFactor + kOverloadMargin;
     const bool holds_older_version = endpoint->adapters.contains(adapter);
     const bool lacks_model = !endpoint->HasModel(adapter.model);
-    ranked.push_back({busy || holds_older_version || lacks_model,
+    const bool limited = endpoint->intake.limit().has_value();
+    ranked.push_back({busy || holds_older_version || lacks_model || limited,
                       RendezvousScore(name, *endpoint), endpoint});
   }
   std::sort(ranked.begin(), ranked.end(),
@@ -168,8 +181,10 @@
   const Endpoint* best = nullptr;
   double least_cost = 0;
   for (const Endpoint* holder : holders) {
-    const auto backlog = static_cast<double>(PrefillBacklog(*holder, now).ms());
-    const double cost = holder->load() + backlog / kWaitMsPerRequest;
+    const DurationMs wait =
+        PrefillBacklog(*holder, now) + holder->intake.TimeToOpen(now);
+    const double cost =
+        holder->load() + static_cast<double>(wait.ms()) / kWaitMsPerRequest;
     if (best && cost >= least_cost) continue;
     best = holder;
     least_cost = cost;
@@ -177,13 +192,30 @@
   return best;
 }
 
-EndpointChoice ChooseEngine(const Candidates& candidates,
+// Returns the engines that hold the adapter and take the next request soon.
+Candidates FindOpeningHolders(const EndpointTable& table,
+                              const EndpointQuery& query, TimeMs now) {
+  Candidates opening;
+  for (const auto& [id, endpoint] : table.all()) {
+    if (endpoint.entry.service != query.service) continue;
+    if (!EndpointTable::Usable(endpoint, now)) continue;
+    if (IsExcluded(query, id) || !endpoint.breaker.Allows(now)) continue;
+    if (endpoint.intake.opens_at() <= query.wait_until) {
+      opening.push_back(&endpoint);
+    }
+  }
+  return FindHolders(opening, *query.adapter, query.version);
+}
+
+EndpointChoice ChooseEngine(const EndpointTable& table,
+                            const Candidates& candidates,
                             const EndpointQuery& query, TimeMs now) {
   EndpointChoice choice;
   choice.any_usable = true;
   const AdapterRef& adapter = *query.adapter;
   const double average = AverageLoad(candidates);
-  const Candidates holders = FindHolders(candidates, adapter, query.version);
+  Candidates holders = FindHolders(candidates, adapter, query.version);
+  if (holders.empty()) holders = FindOpeningHolders(table, query, now);
   const bool has_holder = !holders.empty();
   // While both versions are accepted, older holders share the requests, so that
   // the few engines with the newer version are not overloaded.
@@ -226,10 +258,10 @@
                               const EndpointQuery& query, TimeMs now) {
   const Candidates candidates = FindCandidates(table, query, now);
   if (candidates.empty()) return {};
-  if (query.adapter) return ChooseEngine(candidates, query, now);
+  if (query.adapter) return ChooseEngine(table, candidates, query, now);
   EndpointChoice choice;
   choice.any_usable = true;
-  choice.send_to = FindLeastLoaded(candidates, query)->entry.id;
+  choice.send_to = FindLeastLoaded(candidates, query, now)->entry.id;
   return choice;
 }
 
--- a/lib/coordination/fleet/prompt_quarantine.cc
+++ b/lib/coordination/fleet/prompt_quarantine.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-void PromptQuarantine::OnBrokenOff(const EngineProcess& engine,
+void PromptQuarantine::OnBrokenOff(const EndpointProcess& engine,
                                    const std::vector<PromptPartId>& parts,
                                    TimeMs now) {
   std::vector<PromptPartId>& told = m_news.broken_off[engine];
@@ -55,7 +55,7 @@
   for (const QuarantinedPart& part : news.quarantined) Adopt(part, now);
 }
 
-void PromptQuarantine::AddCrash(const EngineProcess& engine,
+void PromptQuarantine::AddCrash(const EndpointProcess& engine,
                                 const PromptPartId& id, TimeMs now) {
   Part& part = Touch(id, now);
   const bool known = std::find(part.engines.begin(), part.engines.end(),
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -1,6 +1,7 @@
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 
 #include "yuccamoor/protocol/fleet/adapter_codec.h"
+#include "yuccamoor/protocol/fleet/message_fields.h"
 #include "yuccamoor/protocol/fleet/store_change_codec.h"
 #include "yuccamoor/protocol/json.h"
 
@@ -233,7 +234,7 @@
   Json& broken_off = json["broken_off"] = Json::array();
   for (const auto& [engine, parts] : told.news.broken_off) {
     Json item;
-    item["engine"] = engine.engine.str();
+    item["engine"] = engine.endpoint.str();
     item["start"] = engine.start_unix_ms;
     item["parts"] = EncodeParts(parts);
     broken_off.push_back(std::move(item));
@@ -250,15 +251,9 @@
   return json;
 }
 
-// Durations of messages are added to times. Throws for longer ones.
-DurationMs DurationOf(const Json& json) {
-  constexpr std::int64_t kLongestMs = 3'600'000;
-  const auto ms = json.get<std::int64_t>();
-  if (ms < -kLongestMs || ms > kLongestMs) {
-    throw Json::other_error::create(501, "duration out of range", &json);
-  }
-  return DurationMs(ms);
-}
+Json Encode(const AskPermit& ask) { return EncodePermitMessage(ask); }
+Json Encode(const TellPermit& told) { return EncodePermitMessage(told); }
+Json Encode(const TellLimit& told) { return EncodePermitMessage(told); }
 
 AskAdmission DecodeAskAdmission(const Json& json) {
   AskAdmission ask;
@@ -310,8 +305,8 @@
   TellPromptParts told;
   told.node = json.at("node").get<NodeId>();
   for (const Json& item : json.at("broken_off")) {
-    const EngineProcess engine{item.at("engine").get<EndpointId>(),
-                               GetUnsigned(item.at("start"))};
+    const EndpointProcess engine{item.at("engine").get<EndpointId>(),
+                                 GetUnsigned(item.at("start"))};
     told.news.broken_off[engine] = DecodeParts(item.at("parts"));
   }
   told.news.cleared = DecodeParts(json.at("cleared"));
@@ -372,6 +367,9 @@
   if (type == "admission") return DecodeAdmission(json);
   if (type == "use") return DecodeUse(json);
   if (type == "prompt_parts") return DecodePromptParts(json);
+  if (type == "ask_permit") return DecodeAskPermit(json);
+  if (type == "permit") return DecodeTellPermit(json);
+  if (type == "limit") return DecodeTellLimit(json);
   if (type == "sent") {
     return TellSent{DecodeId(json), EngineOf(json),
                     GetUnsigned32(json.at("tokens"))};
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -12,6 +12,15 @@
 namespace {
 
 constexpr DurationMs kSweepInterval{1'000};
+// A request that would wait longer for an engine to take it is sent elsewhere.
+constexpr DurationMs kLongestTimeToOpen{400};
+
+// An engine that takes no request now is as one that prefills until it does.
+PrefillLoad LoadOf(const Endpoint& engine, TimeMs now) {
+  PrefillLoad load = PrefillLoadOf(engine, now);
+  load.backlog = std::max(load.backlog, engine.intake.TimeToOpen(now));
+  return load;
+}
 
 PendingPrompt PromptOf(const AskAdmission& ask, TimeMs now) {
   return {ask.id, ask.prompt_tokens, ask.priority, now + ask.send_within};
@@ -46,7 +55,8 @@
   const Endpoint* engine = m_context.view.endpoints().Find(ask.engine);
   // An answer without an offer sends the request on to another engine at once.
   const bool serves = engine && m_holder.Holds(ask.engine) &&
-                      EndpointTable::Usable(*engine, now);
+                      EndpointTable::Usable(*engine, now) &&
+                      engine->intake.TimeToOpen(now) <= kLongestTimeToOpen;
   if (serves) {
     told.answer = Answer(ask, *engine, now);
   }
@@ -99,7 +109,7 @@
   // It must not be unloaded before the request has come.
   m_holder.OnUsed(ask.engine, ask.adapter, 0);
   PromptQueue& queue = m_queues[ask.engine];
-  const PrefillLoad load = PrefillLoadOf(engine, now);
+  const PrefillLoad load = LoadOf(engine, now);
   const PendingPrompt prompt = PromptOf(ask, now);
   quote.prompt_wait = ask.enqueue ? queue.Enqueue(prompt, load, now)
                                   : queue.Quote(prompt, load, now);
@@ -163,8 +173,7 @@
   for (auto& [id, queue] : m_queues) {
     const Endpoint* engine = m_context.view.endpoints().Find(id);
     if (!engine || queue.empty()) continue;
-    for (const AdmissionId& admitted :
-         queue.Admit(PrefillLoadOf(*engine, now), now)) {
+    for (const AdmissionId& admitted : queue.Admit(LoadOf(*engine, now), now)) {
       TellAdmission told;
       told.number = admitted.number;
       told.answer.quote.engine = id;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -18,8 +18,6 @@
 constexpr std::size_t kMaxPendingToClient = 262'144;
 // Most of the prompts that an engine was sent have been prefilled by then.
 constexpr DurationMs kBusyEngineRetryAfter{400};
-// From an adapter's arrival to the first event, with other prompts ahead.
-constexpr DurationMs kFirstEventTime{250};
 // Clients honour a Retry-After of up to this part of their time left.
 constexpr std::int64_t kRetryAfterPart = 3;
 constexpr DurationMs kDefaultDeadline{30'000};
@@ -76,6 +74,7 @@
     query.spread = StableBucketHash(m_meta.attempt.str());
   }
   if (!m_meta.adapter) return query;
+  query.wait_until = LatestSend(now);
   query.version = m_context.node.view.NewestRevision(*m_meta.adapter);
   query.accept_older_version =
       m_context.node.view.AcceptsOlderRevision(*m_meta.adapter, now);
@@ -83,7 +82,7 @@
 }
 
 void Exchange::Dispatch(TimeMs now) {
-  if (m_ended || m_call || now < m_next_choice) return;
+  if (m_ended || m_call || AwaitsPermit() || now < m_next_choice) return;
   if (m_deadline - now < kShortestOffer) {
     OnDeadline();
     return;
@@ -171,12 +170,15 @@
       .Text("adapter", ToString(*m_meta.adapter))
       .Ms("expected_in_ms", expected - now)
       .Ms("latest_in_ms", latest - now);
-  const DurationMs longest = (m_deadline - now) / kRetryAfterPart;
-  const DurationMs wait = std::max(expected - now, DurationMs(0));
-  Refuse(reason, std::min(wait, longest));
+  Refuse(reason, HonouredRetryAfter(expected - now, now));
   return true;
 }
 
+DurationMs Exchange::HonouredRetryAfter(DurationMs wait, TimeMs now) const {
+  const DurationMs longest = (m_deadline - now) / kRetryAfterPart;
+  return std::min(std::max(wait, DurationMs(0)), longest);
+}
+
 void Exchange::StopWaiting(TimeMs now) {
   if (!m_waiting_since) return;
   const DurationMs waited = now - *m_waiting_since;
@@ -187,28 +189,26 @@
   m_waiting_since.reset();
 }
 
-void Exchange::SendTo(const EndpointId& endpoint, TimeMs now) {
-  const Endpoint* target = m_context.node.view.endpoints().Find(endpoint);
-  if (!target || EndIfQuarantined()) return;
+void Exchange::Send(const Endpoint& target, TimeMs now) {
   StopWaiting(now);
   Forwarding forwarding;
-  forwarding.endpoint = endpoint;
+  forwarding.endpoint = target.entry.id;
   forwarding.deadline = m_deadline - now;
   if (m_meta.adapter) {
     forwarding.priority =
         std::min(kLowestPriority, kPriorityBase + m_route.priority);
-    const auto held = target->adapters.find(*m_meta.adapter);
+    const auto held = target.adapters.find(*m_meta.adapter);
     const AdapterRevision newest =
         m_context.node.view.NewestRevision(*m_meta.adapter);
     const bool in_place =
-        held != target->adapters.end() && held->second >= newest;
+        held != target.adapters.end() && held->second >= newest;
     if (in_place) forwarding.version = newest;
   }
   forwarding.last_event_id =
       m_cutter.last_id().empty() ? m_meta.last_event_id : m_cutter.last_id();
-  m_endpoint = endpoint;
-  m_endpoint_domain = target->entry.domain;
-  m_endpoint_start_unix_ms = target->entry.start_unix_ms;
+  m_endpoint = target.entry.id;
+  m_endpoint_domain = target.entry.domain;
+  m_endpoint_start_unix_ms = target.entry.start_unix_ms;
   m_intake_noted = false;
   m_has_output = false;
   m_sent = now;
@@ -216,21 +216,21 @@
   m_context.node.log.Event("request_sent")
       .Text("request", m_meta.attempt.str())
       .Text("route", m_route.name)
-      .Text("endpoint", endpoint.str())
-      .Number("load", target->load())
+      .Text("endpoint", m_endpoint.str())
+      .Number("load", target.load())
       .Number("prompt_tokens", m_meta.prompt_tokens)
       .Ms("held_ms", Held(now))
-      .Ms("adapters_age_ms", now - target->adapters_reported_at)
+      .Ms("adapters_age_ms", now - target.adapters_reported_at)
       .Number("config", m_routes->config().version.value());
-  m_context.dispatcher.OnBegin(endpoint, m_meta.adapter);
+  m_context.dispatcher.OnBegin(m_endpoint, m_meta.adapter);
   if (m_meta.adapter && m_ticket) {
-    m_ticket->OnSent(endpoint);
+    m_ticket->OnSent(m_endpoint);
   } else if (m_meta.adapter) {
-    m_context.dispatcher.OnPrompt(endpoint, m_meta.prompt_tokens);
+    m_context.dispatcher.OnPrompt(m_endpoint, m_meta.prompt_tokens);
   }
-  m_call = std::make_unique<EndpointCall>(
-      m_context.node.io, m_context.idle, m_context.node.dialect,
-      target->entry.address, m_meta.attempt);
+  m_call = std::make_unique<EndpointCall>(m_context.node.io, m_context.idle,
+                                          m_context.node.dialect,
+                                          target.entry.address, m_meta.attempt);
   m_call->Start(m_context.node.dialect.EncodeRequest(
                     m_request.head, m_request.body, forwarding),
                 m_request.head.method == "HEAD", now, [this] { OnProgress(); });
@@ -255,6 +255,10 @@
     OnDeadline();
     return;
   }
+  if (AwaitsPermit()) {
+    UsePermit(now);
+    return;
+  }
   if (!m_call) {
     const bool holding_back = m_meta.adapter && !m_waiting_since;
     if (now - m_last_choice >= kChooseAgain || holding_back ||
--- a/lib/transport/fleet/exchange_admission.cc
+++ b/lib/transport/fleet/exchange_admission.cc
@@ -25,13 +25,13 @@
 }
 
 void Exchange::OnAdmissionStep(const AdmissionStep& step) {
-  if (m_ended || m_call) return;
+  if (m_ended || m_call || AwaitsPermit()) return;
   FollowStep(step, m_context.node.clock.Now());
 }
 
 void Exchange::FollowStep(const AdmissionStep& step, TimeMs now) {
   if (step.send_to) {
-    SendTo(*step.send_to, now);
+    SendAdmitted(*step.send_to, now);
     return;
   }
   if (step.unanswered) {
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -163,6 +163,8 @@
 void Exchange::End(Outcome outcome, const char* reason) {
   if (m_ended) return;
   m_ended = true;
+  m_permit.reset();
+  m_permitted_from.reset();
   StopWaiting(m_context.node.clock.Now());
   NodeMetrics& metrics = m_context.node.metrics;
   const char* word = "answered";
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -21,6 +21,7 @@
   if (m_intake_noted || !m_call->has_head()) return;
   m_intake_noted = true;
   const IntakeStatement& intake = m_call->meta().intake;
+  m_context.permits.OnStatement(m_endpoint, intake, m_sent);
   if (!intake.limited && !intake.leaving && !intake.retry_after) return;
   m_context.node.log.Event("endpoint_intake")
       .Text("request", m_meta.attempt.str())
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -21,9 +21,9 @@
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-    PromptGuard& prompts) {
+    PromptGuard& prompts, PermitClient& permits) {
   std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions, prompts));
+      new FrontServer(node, dispatcher, admissions, prompts, permits));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -34,9 +34,10 @@
 }
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
-                         AdmissionClient& admissions, PromptGuard& prompts)
-    : m_node(node), m_context{node,    dispatcher, admissions,
-                              prompts, m_idle,     m_closing} {}
+                         AdmissionClient& admissions, PromptGuard& prompts,
+                         PermitClient& permits)
+    : m_node(node), m_context{node,    dispatcher, admissions, prompts,
+                              permits, m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
   auto connection =
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -78,6 +78,17 @@
             m_peers->Send(node, message);
           },
           [this](const PeerMessage& message) { m_peers->Broadcast(message); }),
+      m_permits(
+          context,
+          [this](const NodeId& node, const PeerMessage& message) {
+            m_peers->Send(node, message);
+          },
+          [this](const PeerMessage& message) { m_peers->Broadcast(message); }),
+      m_permit_server(
+          context, [this] { return m_session.IsFresh(m_context.clock.Now()); },
+          [this](const NodeId& node, const PeerMessage& message) {
+            m_peers->Send(node, message);
+          }),
       m_signals(context.io),
       m_timer(context.io) {}
 
@@ -96,7 +107,8 @@
                           OnPeerMessage(message, direct);
                         }),
        m_peers);
-  take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_prompts),
+  take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_prompts,
+                           m_permits),
        m_front);
   take(StatusServer::Create(m_context.io, m_context.clock,
                             settings.readiness_address,
@@ -207,6 +219,8 @@
                     large ? EngineUseReports::kRepeatInterval : kTellInterval,
                     large ? DurationMs(0) : kRetireTime});
   m_holder.OnTick(now);
+  m_permits.OnTick(now);
+  m_permit_server.OnTick(now);
   m_front->OnTick(now);
   m_prompts.OnTick(now);
   if (large) {
@@ -303,6 +317,12 @@
     m_admission_server.OnSent(*sent);
   } else if (const auto* parts = std::get_if<TellPromptParts>(&message)) {
     m_prompts.OnTellPromptParts(*parts);
+  } else if (const auto* asks = std::get_if<AskPermit>(&message)) {
+    m_permit_server.OnAsk(*asks);
+  } else if (const auto* permit = std::get_if<TellPermit>(&message)) {
+    m_permits.OnTellPermit(*permit);
+  } else if (const auto* limit = std::get_if<TellLimit>(&message)) {
+    m_permits.OnTellLimit(*limit);
   } else if (const auto* use = std::get_if<TellUse>(&message)) {
     m_dispatcher.OnPeerUse(*use);
     NoteUsed(use->use.used);
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -23,6 +23,9 @@
       prompt_parts_quarantined(
           r.GetCounter("yuccamoor_prompt_parts_quarantined_total",
                        "Parts of prompts found to crash engines")),
+      permits_refused(
+          r.GetCounter("yuccamoor_permits_refused_total",
+                       "Requests kept from an endpoint by its limit")),
       orders(r.GetCounter("yuccamoor_engine_orders_total",
                           "Orders given to engines")),
       order_conflicts(r.GetCounter("yuccamoor_engine_order_conflicts_total",
--- a/lib/transport/fleet/prompt_guard.cc
+++ b/lib/transport/fleet/prompt_guard.cc
@@ -23,7 +23,7 @@
       m_send(std::move(send)),
       m_broadcast(std::move(broadcast)) {}
 
-void PromptGuard::OnBrokenOff(const EngineProcess& engine,
+void PromptGuard::OnBrokenOff(const EndpointProcess& engine,
                               const std::vector<PromptPartId>& parts) {
   if (parts.empty()) return;
   m_quarantine.OnBrokenOff(engine, parts, m_context.clock.Now());
@@ -77,7 +77,7 @@
 void PromptGuard::Log(const PromptPartNews& news) {
   for (const auto& [engine, parts] : news.broken_off) {
     m_context.log.Event("prompts_broken_off")
-        .Text("engine", engine.engine.str())
+        .Text("engine", engine.endpoint.str())
         .Number("parts_suspected", parts.size());
   }
   for (const PromptPartId& part : news.cleared) {
--- a/unittests/coordination/fleet/endpoint_choice_test.cc
+++ b/unittests/coordination/fleet/endpoint_choice_test.cc
@@ -130,4 +130,35 @@
         1);
 }
 
+TEST_CASE(
+    "Endpoints that take no request now come last, the next to open first",
+    "[fleet][choice][intake]") {
+  EndpointTable table = Engines(3);
+  for (const char* engine : {"e1", "e2", "e3"}) SetHeld(table, engine, "a1");
+  const auto close = [&table](const char* engine, TimeMs until) {
+    table.Find(EndpointId(engine))->intake.OnNoPermit(until);
+  };
+  close("e1", TimeMs(400));
+  close("e2", TimeMs(300));
+  CHECK(ChooseEndpoint(table, Query("a1"), TimeMs(0)).send_to ==
+        EndpointId("e3"));
+  close("e3", TimeMs(500));
+  CHECK(ChooseEndpoint(table, Query("a1"), TimeMs(0)).send_to ==
+        EndpointId("e2"));
+  CHECK(ChooseEndpoint(table, Query("a1"), TimeMs(450)).send_to !=
+        EndpointId("e3"));
+}
+
+TEST_CASE("Adapters are loaded on engines without a limit first",
+          "[fleet][choice][intake]") {
+  EndpointTable table = Engines(3);
+  const auto first =
+      ChooseEndpoint(table, Query("a1"), TimeMs(0)).load_candidates.front();
+  table.Find(first)->intake.OnToldLimit(2.0, TimeMs(0));
+  const auto ranked =
+      ChooseEndpoint(table, Query("a1"), TimeMs(0)).load_candidates;
+  REQUIRE(ranked.size() == 3);
+  CHECK(ranked.back() == first);
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/coordination/fleet/prompt_quarantine_test.cc
+++ b/unittests/coordination/fleet/prompt_quarantine_test.cc
@@ -16,7 +16,7 @@
 const PromptPartId kCrashing("dead");
 const PromptPartId kShared("5c1e");
 
-EngineProcess Engine(int number, std::uint64_t start = 1) {
+EndpointProcess Engine(int number, std::uint64_t start = 1) {
   return {EndpointId("e" + std::to_string(number)), start};
 }
 
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -202,6 +202,45 @@
   CHECK(parts.news.quarantined[0].remaining == DurationMs(60'000));
 }
 
+TEST_CASE("Questions for permits come back as they were sent",
+          "[fleet][peer][permits]") {
+  AskPermit ask;
+  ask.node = NodeId("n1");
+  ask.number = 7;
+  ask.process = {EndpointId("e1"), 5};
+  ask.per_second = 1.25;
+  ask.named_ago = DurationMs(40);
+  ask.max_wait = DurationMs(300);
+  ask.forwarded = true;
+  const auto asked = DecodePeerMessage(EncodePeerMessage(ask));
+  REQUIRE(asked);
+  const auto& question = std::get<AskPermit>(*asked);
+  CHECK(question.node == ask.node);
+  CHECK(question.number == 7);
+  CHECK(question.process == ask.process);
+  CHECK(question.per_second == 1.25);
+  CHECK(question.named_ago == ask.named_ago);
+  CHECK(question.max_wait == ask.max_wait);
+  CHECK(question.forwarded);
+
+  const TellPermit permit{7, {true, DurationMs(120)}};
+  const auto told = DecodePeerMessage(EncodePeerMessage(permit));
+  REQUIRE(told);
+  CHECK(std::get<TellPermit>(*told).number == 7);
+  CHECK(std::get<TellPermit>(*told).decision.granted);
+  CHECK(std::get<TellPermit>(*told).decision.wait == DurationMs(120));
+
+  for (const std::optional<double> rate : {std::optional(0.5), {}}) {
+    const TellLimit limit{{EndpointId("e1"), 5}, rate};
+    const auto got = DecodePeerMessage(EncodePeerMessage(limit));
+    REQUIRE(got);
+    CHECK(std::get<TellLimit>(*got).process == limit.process);
+    CHECK(std::get<TellLimit>(*got).per_second == rate);
+  }
+  CHECK_FALSE(DecodePeerMessage(
+      R"({"type":"limit","endpoint":"e1","start":5,"per_second":-1})"));
+}
+
 TEST_CASE("A change that an older node does not know drops the message",
           "[fleet][peer]") {
   CHECK_FALSE(DecodePeerMessage(
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "transport/fleet/front_world.h"
+#include "yuccamoor/state/fleet/boot_clock.h"
 
 namespace yuccamoor::fleet {
 namespace {
@@ -238,6 +239,48 @@
   CHECK(Contains(sound, Event(1)));
 }
 
+// An endpoint got far more requests than the limit that it had named.
+TEST_CASE("An endpoint that names a limit gets no more requests than that",
+          "[fleet][front][intake]") {
+  const std::string limit = "Server-Limit: 2.0\r\n";
+  FrontWorld world({Send(AnswerText(200, "body", limit))}, {kOk});
+  const TimeMs begin = BootClock().Now();
+  for (int i = 0; i < 40; ++i) {
+    const std::string got = world.Exchange(RequestText("/safe/x"), "body");
+    CHECK(Contains(got, "HTTP/1.1 200 "));
+  }
+  const DurationMs time = BootClock().Now() - begin;
+  const auto allowed = static_cast<std::size_t>(2 + time.ms() * 2 / 1'000);
+  CHECK(world.first().requests().size() <= allowed);
+  CHECK(world.requests_run() == 40);
+}
+
+TEST_CASE("A limit is over once an answer does not name it",
+          "[fleet][front][intake]") {
+  const std::string limit = "Server-Limit: 20\r\n";
+  FrontWorld world({Send(AnswerText(200, "body", limit)), kOk}, {kOk});
+  for (int i = 0; i < 60; ++i) {
+    world.Exchange(RequestText("/safe/x"), "body");
+  }
+  CHECK(world.first().requests().size() >= 40);
+}
+
+TEST_CASE("A request that all endpoints' limits exclude is refused at once",
+          "[fleet][front][intake]") {
+  const ScriptedAnswer limited =
+      Send(AnswerText(200, "body", "Server-Limit: 0.5\r\n"));
+  FrontWorld world({limited}, {limited});
+  const std::string one = RequestText("/unsafe/x");
+  CHECK(Contains(world.Exchange(one, "body"), "HTTP/1.1 200 "));
+  CHECK(Contains(world.Exchange(one, "body"), "HTTP/1.1 200 "));
+  const TimeMs begin = BootClock().Now();
+  const std::string refused = world.Exchange(one, "\r\n\r\n");
+  CHECK(Contains(refused, "HTTP/1.1 503 "));
+  CHECK(Contains(refused, "Retry-After: "));
+  CHECK(BootClock().Now() - begin < DurationMs(400));
+  CHECK(world.requests_run() == 2);
+}
+
 TEST_CASE("A stream without length or chunks is whole at an event's end only",
           "[fleet][front]") {
   const std::string head =
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -118,12 +118,15 @@
         admissions(context, dispatcher,
                    [](const NodeId&, const PeerMessage&) {}),
         prompts(
+            context, [](const NodeId&, const PeerMessage&) {},
+            [](const PeerMessage&) {}),
+        permits(
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
-    front =
-        std::move(FrontServer::Create(context, dispatcher, admissions, prompts))
-            .value();
+    front = std::move(FrontServer::Create(context, dispatcher, admissions,
+                                          prompts, permits))
+                .value();
   }
 
   BootClock clock;
@@ -137,6 +140,7 @@
   Dispatcher dispatcher;
   AdmissionClient admissions;
   PromptGuard prompts;
+  PermitClient permits;
   std::unique_ptr<FrontServer> front;
 };
 
@@ -190,6 +194,7 @@
   while (m_parts->clock.Now() < end) {
     m_io.restart();
     m_io.run_for(kStep);
+    m_parts->permits.OnTick(m_parts->clock.Now());
     m_parts->front->OnTick(m_parts->clock.Now());
   }
 }
