Send nothing to an endpoint during the pause that it asks for

An endpoint's 503 with Retry-After means that it wants nothing from that node for so long. The pause is part of what a node knows of an endpoint's intake, beside its limit: the endpoint is chosen when nothing else takes the request, and only if the pause ends in time; else the caller is told when it does.

--- a/lib/coordination/fleet/endpoint_intake.cc
+++ b/lib/coordination/fleet/endpoint_intake.cc
@@ -6,6 +6,9 @@
 
 LimitChange EndpointIntake::OnStatement(const IntakeStatement& stated,
                                         TimeMs sent, TimeMs now) {
+  if (stated.retry_after) {
+    m_paused_until = std::max(m_paused_until, now + *stated.retry_after);
+  }
   if (stated.requests_per_second) {
     return SetLimit(*stated.requests_per_second, now);
   }
--- a/unittests/coordination/fleet/endpoint_intake_test.cc
+++ b/unittests/coordination/fleet/endpoint_intake_test.cc
@@ -57,4 +57,22 @@
   CHECK_FALSE(intake.limit());
 }
 
+TEST_CASE("An endpoint opens when its pause and the wait for a permit are over",
+          "[fleet][intake]") {
+  EndpointIntake intake;
+  IntakeStatement pause;
+  pause.retry_after = DurationMs(500);
+  intake.OnStatement(pause, TimeMs(0), TimeMs(100));
+  CHECK(intake.opens_at() == TimeMs(600));
+  pause.retry_after = DurationMs(100);
+  intake.OnStatement(pause, TimeMs(0), TimeMs(200));
+  CHECK(intake.opens_at() == TimeMs(600));
+  intake.OnStatement(Limited(1), TimeMs(250), TimeMs(300));
+  intake.OnNoPermit(TimeMs(900));
+  CHECK(intake.opens_at() == TimeMs(900));
+  CHECK(intake.paused_until() == TimeMs(600));
+  intake.OnStatement({}, TimeMs(400), TimeMs(500));
+  CHECK(intake.opens_at() == TimeMs(600));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -281,6 +281,38 @@
   CHECK(world.requests_run() == 2);
 }
 
+// An endpoint that had refused a request with a pause got more at once.
+TEST_CASE("An endpoint gets nothing during the pause that it asks for",
+          "[fleet][front][intake]") {
+  const ScriptedAnswer pause =
+      Send(AnswerText(503, "", "Not-Run: 1\r\nRetry-After: 0.6\r\n"));
+  FrontWorld world({pause, kOk}, {kOk});
+  const std::string one = RequestText("/unsafe/x");
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Contains(world.Exchange(one, "body"), "HTTP/1.1 200 "));
+  }
+  CHECK(world.first().requests().size() == 1);
+  CHECK(world.second().requests().size() == 5);
+  world.Run(DurationMs(700));
+  CHECK(Contains(world.Exchange(one, "body"), "HTTP/1.1 200 "));
+  CHECK(world.first().requests().size() == 2);
+}
+
+TEST_CASE("A request that no endpoint wants for long is refused at once",
+          "[fleet][front][intake]") {
+  const ScriptedAnswer pause =
+      Send(AnswerText(503, "", "Not-Run: 1\r\nRetry-After: 30\r\n"));
+  FrontWorld world({pause}, {pause});
+  const std::string refused =
+      world.Exchange(RequestText("/unsafe/x"), "\r\n\r\n", DurationMs(500));
+  CHECK(Contains(refused, "HTTP/1.1 503 "));
+  CHECK(world.requests_run() == 2);
+  CHECK(Contains(
+      world.Exchange(RequestText("/unsafe/x"), "\r\n\r\n", DurationMs(500)),
+      "Retry-After: "));
+  CHECK(world.requests_run() == 2);
+}
+
 TEST_CASE("A stream without length or chunks is whole at an event's end only",
           "[fleet][front]") {
   const std::string head =
