Send nothing more to an endpoint that says in an answer that it leaves

Only the store's entry told that an endpoint leaves. An answer with Server-Leaving tells it sooner, and to nodes that the store does not reach (test "An endpoint that says that it is leaving gets no more requests": five requests instead of one before this change).

--- a/lib/transport/fleet/permit_client.cc
+++ b/lib/transport/fleet/permit_client.cc
@@ -35,6 +35,7 @@
                                const IntakeStatement& stated, TimeMs sent) {
   Endpoint* known = m_context.view.endpoints().Find(endpoint);
   if (!known) return;
+  if (stated.leaving) m_context.view.endpoints().MarkLeaving(endpoint);
   const TimeMs now = m_context.clock.Now();
   const LimitChange change = known->intake.OnStatement(stated, sent, now);
   LogLimit(endpoint, change, "response");
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -313,6 +313,20 @@
   CHECK(world.requests_run() == 2);
 }
 
+// An endpoint that had said in an answer that it was leaving got requests
+// until its entry in the store said so too.
+TEST_CASE("An endpoint that says that it is leaving gets no more requests",
+          "[fleet][front][intake]") {
+  FrontWorld world({Send(AnswerText(200, "body", "Server-Leaving: 1\r\n"))},
+                   {kOk});
+  for (int i = 0; i < 5; ++i) {
+    const std::string got = world.Exchange(RequestText("/unsafe/x"), "body");
+    CHECK(Contains(got, "HTTP/1.1 200 "));
+  }
+  CHECK(world.first().requests().size() == 1);
+  CHECK(world.second().requests().size() == 4);
+}
+
 TEST_CASE("A stream without length or chunks is whole at an event's end only",
           "[fleet][front]") {
   const std::string head =
