Log the era of the store's content

The store names the era of its content in each answer; nothing read it. A log could not tell whether a node that misses changes has read the store anew since it was restored. New eras are logged as store_restored, and store_read says the era of what was read. No decision changes.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -20,6 +20,12 @@
 /// A lease granted by the store. Records bound to it are removed when it ends.
 using StoreLease = NumberId<struct StoreLeaseTag>;
 
+/// The era of the store's content. A new one begins when the store comes back
+/// with an older copy: what the nodes have written since that copy is gone,
+/// leases too, and revisions and leases are numbered again from there. Zero if
+/// the store names none.
+using StoreEra = NumberId<struct StoreEraTag>;
+
 /// The operator wrote a configuration.
 struct ConfigWritten {
   FleetConfig config;
@@ -75,8 +81,9 @@
 struct StoreReadResult {
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<StoreChange> changes;
-  /// The revision to pass to the next Watch.
+  /// The revision to pass to the next Watch, and the era that it belongs to.
   Revision read_revision;
+  StoreEra era;
 };
 
 /// How long a watch takes.
@@ -103,6 +110,10 @@
  public:
   virtual ~FleetStore() = default;
 
+  /// Has \p on_new_era called with each era after the first one that an answer
+  /// shows, before that answer's own callback.
+  virtual void ListenForEras(std::function<void(StoreEra)> on_new_era) = 0;
+
   /// Reads everything. Each page is linearizable, but the pages together are
   /// not a snapshot, so the changes after read_revision must be read as well.
   virtual void ReadAll(std::function<void(StoreReadResult)> done) = 0;
--- a/include/yuccamoor/transport/fleet/http_caller.h
+++ b/include/yuccamoor/transport/fleet/http_caller.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "yuccamoor/protocol/fleet/http_head.h"
 #include "yuccamoor/state/clock.h"
@@ -33,7 +35,11 @@
   bool sent = false;
   /// Zero if no whole response came.
   int status = 0;
+  std::vector<HeaderField> fields;
   std::string body;
+
+  /// The value of the response's field, or an empty text.
+  std::string_view Find(std::string_view name) const;
 };
 
 /// Makes calls, keeping idle connections. Single-threaded.
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -1,5 +1,6 @@
 #include "yuccamoor/transport/fleet/http_caller.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -129,6 +130,7 @@
     end.sent = m_sent;
     if (answered) {
       end.status = m_parser->head().status;
+      end.fields = m_parser->head().fields;
       end.body = std::move(m_parser->body());
     }
     const bool keep =
@@ -161,6 +163,14 @@
   bool m_ended = false;
 };
 
+std::string_view HttpCallEnd::Find(std::string_view name) const {
+  const auto field = std::find_if(fields.begin(), fields.end(),
+                                  [name](const HeaderField& item) {
+                                    return SameHeaderName(item.name, name);
+                                  });
+  return field == fields.end() ? std::string_view() : field->value;
+}
+
 HttpCaller::HttpCaller(boost::asio::io_context& io, const Clock& clock)
     : m_io(io), m_clock(clock) {}
 
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -136,6 +136,9 @@
   m_signals.add(SIGINT);
   m_signals.add(SIGHUP);
   AwaitSignal();
+  m_platform.store.ListenForEras([this](StoreEra era) {
+    m_context.log.Event("store_restored").Number("era", era.value());
+  });
   m_session.Start([this] { OnViewChanged(); });
   Tick();
 }
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -99,6 +99,7 @@
   m_context.view.Reset(reading.changes, now);
   m_context.log.Event("store_read")
       .Number("revision", reading.read_revision.value())
+      .Number("era", reading.era.value())
       .Number("items", reading.changes.size());
   m_as_of = reading.read_revision;
   m_has_view = true;
