Read everything and confirm the lease once the store was restored

Cause: revisions were taken as rising for ever. Such a node watches from a revision that the restored store has given out again meanwhile; the watch goes on without a 410, and what was written between the copy and that revision is never read. Changes that nodes pass on compared revisions of different eras, and a lease was renewed under a number that may be another node's by now.

Answers of an earlier era count as none. What nodes tell each other says its era. A lease counts in a new era only once the node's own record, read there, names it; otherwise the node gets a new one at once.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -48,6 +48,8 @@
   std::string key;
   std::string value;
   Revision revision;
+  /// The era in which it was read or written: its revision is unique there.
+  StoreEra era{};
 };
 /// One of the nodes' own records was removed.
 struct RecordRemoved {
@@ -102,6 +104,7 @@
 struct WriteReply {
   StoreStatus status = StoreStatus::kUnknown;
   Revision revision;
+  StoreEra era;
 };
 
 /// Asynchronous calls to the store. Each callback is invoked exactly once, on
@@ -111,7 +114,8 @@
   virtual ~FleetStore() = default;
 
   /// Has \p on_new_era called with each era after the first one that an answer
-  /// shows, before that answer's own callback.
+  /// shows, before that answer's own callback. Answers of earlier eras that
+  /// come later count as none: what they say may be gone.
   virtual void ListenForEras(std::function<void(StoreEra)> on_new_era) = 0;
 
   /// Reads everything. Each page is linearizable, but the pages together are
--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -35,6 +35,9 @@
 std::string EncodeNodeRecord(const NodeRecord& record);
 NodeRecord DecodeNodeRecord(std::string_view text);
 
+/// Returns the fencing number of the holder whose record was written so.
+Epoch FencingNumber(StoreEra era, Revision revision);
+
 /// The node that may give orders to an engine.
 struct HolderRecord {
   NodeId node;
@@ -65,6 +68,9 @@
   /// is about to be applied. Endpoints write their entries again all the time;
   /// what they hold is reported by their holders.
   bool IsNews(const StoreChange& change) const;
+  /// Notes that the store came back with an older copy. A full read follows;
+  /// endpoints that it lacks may still register again.
+  void OnStoreRestored(TimeMs now);
   /// Replaces nodes, holders and endpoints by the result of a full read: those
   /// that it does not contain are removed.
   void Reset(const std::vector<StoreChange>& changes, TimeMs now);
--- a/include/yuccamoor/coordination/fleet/watch_plan.h
+++ b/include/yuccamoor/coordination/fleet/watch_plan.h
@@ -50,6 +50,10 @@
   /// missed changes.
   void RequestRead(TimeMs now);
 
+  /// How soon to read everything anew once the store was restored. Spreads the
+  /// reads of a large fleet.
+  DurationMs RestoredReadDelay() const;
+
   /// When the next own read is due.
   TimeMs NextRead() const;
   /// The times of the next watch. A connection may fall silent for good while
@@ -66,6 +70,7 @@
   bool HasFailed() const;
   DurationMs ReaderPause() const;
   DurationMs SmallFleetPause() const;
+  DurationMs RequestSpread() const;
   // How long this node waits for a reader before it reads by itself.
   DurationMs FollowerTimeout() const;
 
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -153,6 +153,8 @@
   /// second one, that are news to other nodes.
   Revision after;
   Revision read;
+  /// The era that both belong to.
+  StoreEra era;
   /// Whether all of them are contained. If not, the receiver has to read them
   /// itself.
   bool complete = true;
--- a/include/yuccamoor/transport/fleet/lease_keeper.h
+++ b/include/yuccamoor/transport/fleet/lease_keeper.h
@@ -19,12 +19,18 @@
 /// repeated after a pause.
 class LeaseKeeper {
  public:
-  LeaseKeeper(NodeContext& context, FleetStore& store);
-
-  /// Takes over the lease of this VM's earlier process if the view shows one,
-  /// else gets a new one. Called once, with the first view of the store.
   /// \p on_change is called when the lease is taken over or lost.
-  void Begin(std::function<void()> on_change);
+  LeaseKeeper(NodeContext& context, FleetStore& store,
+              std::function<void()> on_change);
+
+  /// Takes over the lease that this node's record in the view names, if there
+  /// is one, else gets a new one. Called with the first view of each era.
+  void Begin();
+  /// The store came back with an older copy. The lease may be gone, and its
+  /// number given to another node: it counts only if the record that is read
+  /// anew names it.
+  void OnStoreRestored();
+  bool has_begun() const { return m_has_begun; }
 
   /// The lease, while its records surely stand if nobody takes them away.
   std::optional<StoreLease> lease() const { return m_lease; }
@@ -34,8 +40,9 @@
   bool adopted() const { return m_adopted; }
 
   /// Claims the right to give orders to an engine, under the lease.
+  /// \p done gets the holder's record, or nothing if it was not written.
   void Claim(const EndpointId& engine,
-             std::function<void(std::optional<Epoch>)> done);
+             std::function<void(std::optional<RecordWritten>)> done);
 
  private:
   void Adopt(StoreLease lease);
@@ -44,12 +51,16 @@
   void Register();
   void Renew();
   void Lose(const char* reason);
+  void Drop(const char* reason);
   void KeepAfter(DurationMs pause);
 
   NodeContext& m_context;
   FleetStore& m_store;
   std::function<void()> m_on_change;
   boost::asio::steady_timer m_timer;
+  bool m_has_begun = false;
+  // Answers to calls of earlier eras are passed over.
+  std::uint64_t m_era_count = 0;
   bool m_adopted = false;
   bool m_registered = false;
   std::uint32_t m_register_conflicts = 0;
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -83,7 +83,6 @@
   std::unique_ptr<StatusServer> m_metrics_server;
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_timer;
-  bool m_lease_begun = false;
   TimeMs m_told;
   TimeMs m_flushed;
   std::uint64_t m_counted_drops = 0;
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -28,6 +28,8 @@
 
   /// Starts reading. \p on_change is called after each change of the view.
   void Start(std::function<void()> on_change);
+  /// The store came back with an older copy: everything is read anew.
+  void OnStoreRestored(StoreEra era);
   /// Handles changes that another node has read.
   void OnTellChanges(const TellChanges& told);
   /// Whether the store has answered lately, this node or the one that reads
@@ -36,6 +38,7 @@
 
  private:
   void ScheduleRead();
+  void ReadAfter(DurationMs pause);
   void Read();
   // \p after is the revision after which changes were read, or nothing if
   // everything was.
@@ -60,7 +63,10 @@
   boost::asio::steady_timer m_timer;
   WatchPlan m_plan;
   Revision m_as_of;
+  // The era of the view's revision.
+  StoreEra m_era;
   bool m_has_view = false;
+  // The view cannot be continued by changes: everything has to be read.
   bool m_history_gone = false;
   bool m_reading = false;
   bool m_reachable = true;
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -26,6 +27,10 @@
 
 }  // namespace
 
+Epoch FencingNumber(StoreEra /*era*/, Revision revision) {
+  return Epoch(revision.value());
+}
+
 std::string EncodeNodeRecord(const NodeRecord& record) {
   return ToString(record.peer_address) + " " +
          std::to_string(record.lease.value()) + " " + record.domain.str();
@@ -74,6 +79,11 @@
          Differ(known->entry, written->entry);
 }
 
+void FleetView::OnStoreRestored(TimeMs now) {
+  m_never_held_engines.clear();
+  m_endpoints.OnStoreRecovered(now);
+}
+
 void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now) {
   m_nodes.clear();
   m_holders.clear();
@@ -136,7 +146,8 @@
   }
   if (key.starts_with(kHolderPrefix)) {
     const EndpointId engine(std::string(key.substr(kHolderPrefix.size())));
-    m_holders[engine] = {NodeId(change.value), Epoch(change.revision.value())};
+    m_holders[engine] = {NodeId(change.value),
+                         FencingNumber(change.era, change.revision)};
     m_never_held_engines.erase(engine);
     m_once_held_engines.insert(engine);
     return ViewUpdate::kHolderChanged;
--- a/lib/coordination/fleet/watch_plan.cc
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -72,10 +72,16 @@
 void WatchPlan::OnReceived(TimeMs now) { m_last_received = now; }
 
 void WatchPlan::RequestRead(TimeMs now) {
-  if (m_requested) return;
-  const auto spread =
-      static_cast<std::int64_t>(Score(m_self) % kRequestSpreadMs);
-  m_requested = now + DurationMs(spread);
+  if (!m_requested) m_requested = now + RequestSpread();
+}
+
+DurationMs WatchPlan::RequestSpread() const {
+  return DurationMs(
+      static_cast<std::int64_t>(Score(m_self) % kRequestSpreadMs));
+}
+
+DurationMs WatchPlan::RestoredReadDelay() const {
+  return IsLarge() ? RequestSpread() : DurationMs(0);
 }
 
 bool WatchPlan::IsLarge() const { return m_nodes > kMaxSmallFleetNodes; }
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -140,6 +140,7 @@
   json["node"] = told.node.str();
   json["after"] = told.after.value();
   json["read"] = told.read.value();
+  json["era"] = told.era.value();
   json["complete"] = told.complete;
   json["after_outage"] = told.after_outage;
   json["changes"] = EncodeStoreChanges(told.changes);
@@ -151,6 +152,7 @@
   told.node = json.at("node").get<NodeId>();
   told.after = json.at("after").get<Revision>();
   told.read = json.at("read").get<Revision>();
+  told.era = json.at("era").get<StoreEra>();
   told.complete = json.at("complete").get<bool>();
   told.after_outage = json.at("after_outage").get<bool>();
   told.changes = DecodeStoreChanges(json.at("changes"));
--- a/lib/protocol/fleet/store_change_codec.cc
+++ b/lib/protocol/fleet/store_change_codec.cc
@@ -46,7 +46,8 @@
   return {{"change", "record"},
           {"key", change.key},
           {"value", change.value},
-          {"revision", change.revision.value()}};
+          {"revision", change.revision.value()},
+          {"era", change.era.value()}};
 }
 
 Json Encode(const RecordRemoved& change) {
@@ -81,9 +82,9 @@
     return EndpointRemoved{json.at("id").get<EndpointId>()};
   }
   if (kind == "record") {
-    return RecordWritten{json.at("key").get<std::string>(),
-                         json.at("value").get<std::string>(),
-                         json.at("revision").get<Revision>()};
+    return RecordWritten{
+        json.at("key").get<std::string>(), json.at("value").get<std::string>(),
+        json.at("revision").get<Revision>(), json.at("era").get<StoreEra>()};
   }
   if (kind == "record_removed") {
     return RecordRemoved{json.at("key").get<std::string>()};
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -156,19 +156,18 @@
                          m_context.view.NeverHeldEngines(), now);
   if (!engine) return;
   m_claiming = true;
-  m_lease.Claim(*engine, [this, engine = *engine](std::optional<Epoch> fence) {
-    m_claiming = false;
-    if (!fence) {
-      m_claims.OnClaimFailed(engine, m_context.clock.Now());
-      return;
-    }
-    RecordWritten record;
-    record.key = FleetView::HolderKey(engine);
-    record.value = m_context.settings.node.str();
-    record.revision = Revision(fence->value());
-    if (!m_held.contains(engine)) TakeUp(engine, *fence);
-    m_context.view.Apply(record, m_context.clock.Now());
-  });
+  m_lease.Claim(
+      *engine, [this, engine = *engine](std::optional<RecordWritten> record) {
+        m_claiming = false;
+        if (!record) {
+          m_claims.OnClaimFailed(engine, m_context.clock.Now());
+          return;
+        }
+        if (!m_held.contains(engine)) {
+          TakeUp(engine, FencingNumber(record->era, record->revision));
+        }
+        m_context.view.Apply(*std::move(record), m_context.clock.Now());
+      });
 }
 
 EngineHolder::Held* EngineHolder::FindHeld(const EndpointId& engine,
--- a/lib/transport/fleet/lease_keeper.cc
+++ b/lib/transport/fleet/lease_keeper.cc
@@ -17,20 +17,26 @@
 
 }  // namespace
 
-LeaseKeeper::LeaseKeeper(NodeContext& context, FleetStore& store)
-    : m_context(context), m_store(store), m_timer(context.io) {}
+LeaseKeeper::LeaseKeeper(NodeContext& context, FleetStore& store,
+                         std::function<void()> on_change)
+    : m_context(context),
+      m_store(store),
+      m_on_change(std::move(on_change)),
+      m_timer(context.io) {}
 
 void LeaseKeeper::KeepAfter(DurationMs pause) {
   m_timer.expires_after(std::chrono::milliseconds(pause.ms()));
-  m_timer.async_wait([this](boost::system::error_code error) {
-    if (!error) Keep();
-  });
+  m_timer.async_wait(
+      [this, era = m_era_count](boost::system::error_code error) {
+        // An expired timer's handler may run although it was cancelled.
+        if (!error && era == m_era_count) Keep();
+      });
 }
 
 // A process that starts again on its VM within the lease's time goes on with
 // the lease: the VM is still the holder of its engines.
-void LeaseKeeper::Begin(std::function<void()> on_change) {
-  m_on_change = std::move(on_change);
+void LeaseKeeper::Begin() {
+  m_has_begun = true;
   const auto& nodes = m_context.view.nodes();
   const auto record = nodes.find(m_context.settings.node);
   const bool same_vm =
@@ -44,25 +50,37 @@
   }
 }
 
+void LeaseKeeper::OnStoreRestored() {
+  if (!m_has_begun) return;
+  m_has_begun = false;
+  ++m_era_count;
+  m_timer.cancel();
+  Drop("store restored");
+}
+
 void LeaseKeeper::Adopt(StoreLease lease) {
   m_context.metrics.store_calls.Add();
   const TimeMs sent = m_context.clock.Now();
-  m_store.RenewLease(lease, kRenewTimeout,
-                     [this, lease, sent](StoreStatus status) {
-                       m_context.log.Event("lease_adopted")
-                           .Number("lease", lease.value())
-                           .Text("outcome", ToText(status));
-                       if (status != StoreStatus::kOk) {
-                         Keep();
-                         return;
-                       }
-                       m_lease = lease;
-                       m_renewed = sent;
-                       m_registered = true;
-                       m_adopted = true;
-                       if (m_on_change) m_on_change();
-                       KeepAfter(kRenewInterval);
-                     });
+  m_store.RenewLease(
+      lease, kRenewTimeout,
+      [this, lease, sent, era = m_era_count](StoreStatus status) {
+        if (era != m_era_count) return;
+        m_context.log.Event("lease_adopted")
+            .Number("lease", lease.value())
+            .Text("outcome", ToText(status));
+        if (status != StoreStatus::kOk) {
+          Keep();
+          return;
+        }
+        m_lease = lease;
+        m_renewed = sent;
+        m_registered = true;
+        // Since the copy was made that names this node, another one may have
+        // held the engines.
+        m_adopted = m_era_count == 0;
+        m_on_change();
+        KeepAfter(kRenewInterval);
+      });
 }
 
 void LeaseKeeper::Keep() {
@@ -78,7 +96,9 @@
 void LeaseKeeper::Grant() {
   m_context.metrics.store_calls.Add();
   const TimeMs sent = m_context.clock.Now();
-  m_store.GrantLease(kLeaseTtl, [this, sent](const LeaseReply& reply) {
+  m_store.GrantLease(kLeaseTtl, [this, sent,
+                                 era = m_era_count](const LeaseReply& reply) {
+    if (era != m_era_count) return;
     if (reply.status != StoreStatus::kOk) {
       KeepAfter(kRetryPause);
       return;
@@ -97,7 +117,8 @@
       FleetView::NodeKey(m_context.settings.node),
       EncodeNodeRecord({m_context.settings.peer_address, *m_lease,
                         m_context.settings.domain}),
-      *m_lease, [this](const WriteReply& reply) {
+      *m_lease, [this, era = m_era_count](const WriteReply& reply) {
+        if (era != m_era_count) return;
         if (reply.status == StoreStatus::kLeaseEnded) {
           Lose("lease ended");
           return;
@@ -120,47 +141,63 @@
 void LeaseKeeper::Renew() {
   m_context.metrics.store_calls.Add();
   const TimeMs sent = m_context.clock.Now();
-  m_store.RenewLease(*m_lease, kRenewTimeout, [this, sent](StoreStatus status) {
-    if (status == StoreStatus::kLeaseEnded) {
-      Lose("lease ended");
-      return;
-    }
-    if (status != StoreStatus::kOk) {
-      KeepAfter(kRetryPause);
-      return;
-    }
-    m_renewed = sent;
-    KeepAfter(m_registered ? kRenewInterval : kRetryPause);
-  });
+  m_store.RenewLease(*m_lease, kRenewTimeout,
+                     [this, sent, era = m_era_count](StoreStatus status) {
+                       if (era != m_era_count) return;
+                       if (status == StoreStatus::kLeaseEnded) {
+                         Lose("lease ended");
+                         return;
+                       }
+                       if (status != StoreStatus::kOk) {
+                         KeepAfter(kRetryPause);
+                         return;
+                       }
+                       m_renewed = sent;
+                       KeepAfter(m_registered ? kRenewInterval : kRetryPause);
+                     });
 }
 
 void LeaseKeeper::Lose(const char* reason) {
+  Drop(reason);
+  KeepAfter(kRetryPause);
+}
+
+void LeaseKeeper::Drop(const char* reason) {
   m_context.log.Event("lease_lost").Text("reason", reason);
   m_lease.reset();
   m_registered = false;
-  if (m_on_change) m_on_change();
-  KeepAfter(kRetryPause);
+  m_register_conflicts = 0;
+  m_on_change();
 }
 
-void LeaseKeeper::Claim(const EndpointId& engine,
-                        std::function<void(std::optional<Epoch>)> done) {
+void LeaseKeeper::Claim(
+    const EndpointId& engine,
+    std::function<void(std::optional<RecordWritten>)> done) {
   if (!m_lease) {
     done(std::nullopt);
     return;
   }
   m_context.metrics.store_calls.Add();
+  RecordWritten record;
+  record.key = FleetView::HolderKey(engine);
+  record.value = m_context.settings.node.str();
   m_store.CreateRecord(
-      FleetView::HolderKey(engine), m_context.settings.node.str(), *m_lease,
-      [this, engine, done = std::move(done)](const WriteReply& reply) {
+      record.key, record.value, *m_lease,
+      [this, engine, record, era = m_era_count,
+       done = std::move(done)](const WriteReply& reply) {
         m_context.log.Event("engine_claim")
             .Text("engine", engine.str())
             .Text("outcome", ToText(reply.status))
             .Number("revision", reply.revision.value());
-        if (reply.status != StoreStatus::kOk) {
+        // A record of an earlier era is gone.
+        if (reply.status != StoreStatus::kOk || era != m_era_count) {
           done(std::nullopt);
           return;
         }
-        done(Epoch(reply.revision.value()));
+        RecordWritten written = record;
+        written.revision = reply.revision;
+        written.era = reply.era;
+        done(std::move(written));
       });
 }
 
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -43,7 +43,7 @@
     : m_context(context),
       m_registry(registry),
       m_platform(std::move(platform)),
-      m_lease(context, m_platform.store),
+      m_lease(context, m_platform.store, [this] { m_holder.OnViewChanged(); }),
       m_session(
           context, m_platform.store,
           [this](const TellChanges& told) { m_peers->SendToDomain(told); }),
@@ -137,17 +137,15 @@
   m_signals.add(SIGHUP);
   AwaitSignal();
   m_platform.store.ListenForEras([this](StoreEra era) {
-    m_context.log.Event("store_restored").Number("era", era.value());
+    m_session.OnStoreRestored(era);
+    m_lease.OnStoreRestored();
   });
   m_session.Start([this] { OnViewChanged(); });
   Tick();
 }
 
 void Node::OnViewChanged() {
-  if (!m_lease_begun) {
-    m_lease_begun = true;
-    m_lease.Begin([this] { m_holder.OnViewChanged(); });
-  }
+  if (!m_lease.has_begun()) m_lease.Begin();
   m_holder.OnViewChanged();
   m_prompts.OnNodesChanged();
 }
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -43,8 +43,10 @@
 
 void StoreSession::ScheduleRead() {
   if (m_reading) return;
-  const DurationMs pause =
-      std::max(DurationMs(0), m_plan.NextRead() - m_context.clock.Now());
+  ReadAfter(std::max(DurationMs(0), m_plan.NextRead() - m_context.clock.Now()));
+}
+
+void StoreSession::ReadAfter(DurationMs pause) {
   m_timer.expires_after(std::chrono::milliseconds(pause.ms()));
   m_timer.async_wait([this](boost::system::error_code error) {
     if (!error) Read();
@@ -69,6 +71,19 @@
                 });
 }
 
+void StoreSession::OnStoreRestored(StoreEra era) {
+  if (!m_has_view || era <= m_era) return;
+  const TimeMs now = m_context.clock.Now();
+  m_context.log.Event("store_restored")
+      .Number("era", era.value())
+      .Number("revision_before", m_as_of.value());
+  m_history_gone = true;
+  m_recovered = now;
+  m_context.view.OnStoreRestored(now);
+  // A watch that is under way ends soon, and is followed by the read.
+  if (!m_reading) ReadAfter(m_plan.RestoredReadDelay());
+}
+
 void StoreSession::OnReading(const StoreReadResult& reading,
                              std::optional<Revision> after) {
   m_reading = false;
@@ -89,6 +104,10 @@
     ScheduleRead();
     return;
   }
+  if (after && m_history_gone) {
+    ReadAfter(m_plan.RestoredReadDelay());
+    return;
+  }
   const bool changed =
       after ? OnWatched(reading, *after, now) : OnReadAll(reading, now);
   m_plan.OnRead(changed ? ReadOutcome::kChanged : ReadOutcome::kUnchanged, now);
@@ -102,6 +121,7 @@
       .Number("era", reading.era.value())
       .Number("items", reading.changes.size());
   m_as_of = reading.read_revision;
+  m_era = reading.era;
   m_has_view = true;
   m_history_gone = false;
   OnViewChanged();
@@ -126,6 +146,7 @@
   told.node = m_context.settings.node;
   told.after = after;
   told.read = m_as_of;
+  told.era = m_era;
   told.after_outage = m_recovered && now - *m_recovered < kOutageNoticeTime;
   told.complete = std::all_of(news.begin(), news.end(), IsPassedOn) &&
                   EncodedSize(news) <= kMaxPassedOnBytes;
@@ -134,7 +155,9 @@
 }
 
 void StoreSession::OnTellChanges(const TellChanges& told) {
-  if (!m_has_view || told.read < m_as_of) return;
+  OnStoreRestored(told.era);
+  if (!m_has_view || m_history_gone) return;
+  if (told.era < m_era || told.read < m_as_of) return;
   const TimeMs now = m_context.clock.Now();
   m_plan.OnReceived(now);
   m_last_answer = now;
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -126,4 +126,15 @@
   CHECK(DecodeNodeRecord("nonsense").peer_address.port == 0);
 }
 
+TEST_CASE("Endpoints that a restored store lacks may register again",
+          "[fleet][view][restore]") {
+  FleetView view;
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(0));
+  view.OnStoreRestored(TimeMs(1'000));
+  view.Reset({}, TimeMs(1'010));
+  REQUIRE(view.endpoints().Find(EndpointId("e1")));
+  view.endpoints().Expire(TimeMs(9'000));
+  CHECK_FALSE(view.endpoints().Find(EndpointId("e1")));
+}
+
 }  // namespace yuccamoor::fleet
