Have fencing numbers rise over restores of the store

Cause: the fencing number was the revision of the holder's record, and a restored store numbers from its copy's revision on.

Change: the number is made of the era and the revision, the era first. It stays exact in a JSON reader with doubles for 8,192 eras of a million million revisions; without an era it is the revision as before. An engine that registers within 5 s after a restore no longer counts as one that never had a holder, since a holder of the earlier era may not know yet.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -35,7 +35,8 @@
 std::string EncodeNodeRecord(const NodeRecord& record);
 NodeRecord DecodeNodeRecord(std::string_view text);
 
-/// Returns the fencing number of the holder whose record was written so.
+/// Returns the fencing number of the holder whose record was written so. The
+/// numbers of a later era are higher, although its revisions may be lower.
 Epoch FencingNumber(StoreEra era, Revision revision);
 
 /// The node that may give orders to an engine.
@@ -130,6 +131,8 @@
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
   std::set<EndpointId> m_never_held_engines;
+  // Engines that register before may have had a holder in an earlier era.
+  TimeMs m_never_held_from;
   // Engines of which a holder was seen, also if they or it have gone since.
   std::set<EndpointId> m_once_held_engines;
 };
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -16,6 +16,9 @@
 // Requests may start on an older version for five seconds after a newer one was
 // published. The remainder covers the delays of the watch and of the engine.
 constexpr DurationMs kOlderRevisionGrace{2'000};
+// After the store was restored, engines register again, and holders of the
+// earlier era that do not know yet have given their last orders by then.
+constexpr DurationMs kEarlierHolderTime{5'000};
 
 // Whether the entries differ in more than what engines' holders report.
 bool Differ(const EndpointEntry& a, const EndpointEntry& b) {
@@ -27,8 +30,11 @@
 
 }  // namespace
 
-Epoch FencingNumber(StoreEra /*era*/, Revision revision) {
-  return Epoch(revision.value());
+Epoch FencingNumber(StoreEra era, Revision revision) {
+  // Revisions stay below this for decades, and the sum of thousands of eras
+  // stays exact in any JSON reader.
+  constexpr std::uint64_t kRevisionsPerEra = 1ULL << 40;
+  return Epoch(era.value() * kRevisionsPerEra + revision.value());
 }
 
 std::string EncodeNodeRecord(const NodeRecord& record) {
@@ -81,6 +87,7 @@
 
 void FleetView::OnStoreRestored(TimeMs now) {
   m_never_held_engines.clear();
+  m_never_held_from = now + kEarlierHolderTime;
   m_endpoints.OnStoreRecovered(now);
 }
 
@@ -121,7 +128,8 @@
   const bool was_leaving = known && known->leaving;
   const bool leaving = change.entry.draining;
   if (m_endpoints.Put(std::move(change.entry), now)) {
-    if (!known && !m_once_held_engines.contains(id)) {
+    if (!known && !m_once_held_engines.contains(id) &&
+        now >= m_never_held_from) {
       m_never_held_engines.insert(id);
     }
     return ViewUpdate::kEndpointAdded;
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -126,6 +126,35 @@
   CHECK(DecodeNodeRecord("nonsense").peer_address.port == 0);
 }
 
+// After the store came back with an older copy, a holder's orders bore a lower
+// fencing number than those before.
+TEST_CASE("Fencing numbers rise although a restored store's revisions fall",
+          "[fleet][view][restore]") {
+  FleetView view;
+  const auto fence_of = [&view](std::uint64_t revision, std::uint64_t era) {
+    RecordWritten record = Holder("e1", "n1", revision);
+    record.era = StoreEra(era);
+    view.Apply(record, TimeMs(0));
+    return view.holders().at(EndpointId("e1")).fence;
+  };
+  const Epoch before = fence_of(103, 1);
+  CHECK(fence_of(104, 1) > before);
+  CHECK(fence_of(95, 2) > before);
+  CHECK(fence_of(95, 0) == Epoch(95));
+}
+
+// Engines that had got orders in the earlier era looked as if they never had.
+TEST_CASE("Engines that register after a restore may have had a holder",
+          "[fleet][view][restore]") {
+  FleetView view;
+  view.OnStoreRestored(TimeMs(1'000));
+  view.Reset({}, TimeMs(1'000));
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(2'500));
+  CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
+  view.Apply(EndpointWritten{EngineEntry("e2")}, TimeMs(9'000));
+  CHECK(view.WasNeverHeld(EndpointId("e2")));
+}
+
 TEST_CASE("Endpoints that a restored store lacks may register again",
           "[fleet][view][restore]") {
   FleetView view;
