Remember endpoints that left while an old copy lists them as ready

An endpoint that had announced that it was leaving and whose entry was gone was forgotten. A restored store lists it as ready again for a moment, and it would get requests (the test fails before: the endpoint counts as usable). Found by looking for the same cause elsewhere; no play has shown it.

--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -91,7 +91,12 @@
   static bool Usable(const Endpoint& endpoint, TimeMs now);
 
  private:
+  void Erase(Map::iterator endpoint, TimeMs now);
+
   Map m_endpoints;
+  // Endpoints that were removed while they were leaving, and until when this
+  // is remembered: an entry that says otherwise is an old copy.
+  std::map<EndpointProcess, TimeMs> m_left;
   std::optional<TimeMs> m_reregister_deadline;
 };
 
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -11,6 +11,8 @@
 constexpr DurationMs kReregisterTimeout{2'200};
 // A holder reports its adapters several times a second.
 constexpr DurationMs kHolderStatusLifetime{1'500};
+// Longer than the copies of the store are old.
+constexpr DurationMs kLeftMemory{600'000};
 constexpr DurationMs kMinConnectBackoff{150};
 constexpr DurationMs kMaxConnectBackoff{1'200};
 
@@ -37,8 +39,10 @@
 bool EndpointTable::Put(EndpointEntry entry, TimeMs now) {
   const auto it = m_endpoints.find(entry.id);
   if (it == m_endpoints.end()) {
-    const EndpointId id = entry.id;
-    m_endpoints.emplace(id, Endpoint(std::move(entry)));
+    const EndpointProcess process{entry.id, entry.start_unix_ms};
+    Endpoint added(std::move(entry));
+    added.leaving = added.leaving || m_left.contains(process);
+    m_endpoints.emplace(process.endpoint, std::move(added));
     return true;
   }
   Endpoint& known = it->second;
@@ -65,7 +69,15 @@
     it->second.reregister_deadline = *m_reregister_deadline;
     return;
   }
-  m_endpoints.erase(it);
+  Erase(it, now);
+}
+
+void EndpointTable::Erase(Map::iterator endpoint, TimeMs now) {
+  if (endpoint->second.leaving) {
+    m_left[{endpoint->first, endpoint->second.entry.start_unix_ms}] =
+        now + kLeftMemory;
+  }
+  m_endpoints.erase(endpoint);
 }
 
 void EndpointTable::RetainOnly(const std::vector<EndpointId>& listed,
@@ -84,10 +96,12 @@
 }
 
 void EndpointTable::Expire(TimeMs now) {
-  std::erase_if(m_endpoints, [now](const auto& item) {
-    const auto& deadline = item.second.reregister_deadline;
-    return deadline && now >= *deadline;
-  });
+  for (auto it = m_endpoints.begin(); it != m_endpoints.end();) {
+    const auto endpoint = it++;
+    const auto& deadline = endpoint->second.reregister_deadline;
+    if (deadline && now >= *deadline) Erase(endpoint, now);
+  }
+  std::erase_if(m_left, [now](const auto& item) { return now >= item.second; });
 }
 
 void EndpointTable::MarkLeaving(const EndpointId& id) {
--- a/unittests/coordination/fleet/endpoint_table_test.cc
+++ b/unittests/coordination/fleet/endpoint_table_test.cc
@@ -63,4 +63,23 @@
   CHECK(EndpointTable::Usable(*table.Find(id), TimeMs(300)));
 }
 
+// An endpoint that had left was listed as ready again by an old copy of the
+// store, and got requests.
+TEST_CASE("An endpoint that was leaving stays so when its entry comes back",
+          "[fleet][table][restore]") {
+  EndpointTable table;
+  EndpointEntry entry = EngineEntry("e1");
+  table.Put(entry, TimeMs(0));
+  entry.draining = true;
+  table.Put(entry, TimeMs(100));
+  table.Remove(entry.id, TimeMs(200));
+  entry.draining = false;
+  table.Put(entry, TimeMs(300));
+  CHECK_FALSE(EndpointTable::Usable(*table.Find(entry.id), TimeMs(300)));
+  // A new process under the same id.
+  ++entry.start_unix_ms;
+  table.Put(entry, TimeMs(400));
+  CHECK(EndpointTable::Usable(*table.Find(entry.id), TimeMs(400)));
+}
+
 }  // namespace yuccamoor::fleet
