Survive odd entries of other writers in the list of endpoints

Another operator's report: one odd entry ended the machines that read the list. Here a value nested some hundred thousand deep ended the process: parts of the parsed value were copied, which recurses (test "An entry that is nested without end names no endpoint": segmentation fault before). Numbers out of range were refused already.

--- a/include/yuccamoor/protocol/json.h
+++ b/include/yuccamoor/protocol/json.h
@@ -50,6 +50,11 @@
 void to_json(Json& json, const AdapterVersion& target);
 void from_json(const Json& json, AdapterVersion& target);
 
+/// Parses JSON text that another program wrote. Throws Json::exception for text
+/// that is no JSON, or that is nested deeper than any message: values are
+/// copied and written by recursion.
+Json ParseUntrusted(std::string_view text);
+
 /// Parses JSON text. A syntax error is one finding with line and column, in
 /// \p source.
 Result<Json> ParseJson(std::string_view text, const std::string& source);
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -413,7 +413,7 @@
 
 std::optional<PeerMessage> DecodePeerMessage(std::string_view datagram) {
   try {
-    return Decode(Json::parse(datagram));
+    return Decode(ParseUntrusted(datagram));
   } catch (const Json::exception&) {
     // Any sender can reach the port: what is no message is nobody's.
     return std::nullopt;
--- a/lib/protocol/json.cc
+++ b/lib/protocol/json.cc
@@ -24,8 +24,36 @@
   return place;
 }
 
+// Whether arrays and objects are nested deeper than any message needs.
+bool IsNestedTooDeep(std::string_view text) {
+  constexpr std::size_t kMaxDepth = 64;
+  std::size_t depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxDepth) return true;
+    } else if ((c == ']' || c == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
+Json ParseUntrusted(std::string_view text) {
+  if (IsNestedTooDeep(text)) {
+    throw Json::other_error::create(501, "nested too deep", nullptr);
+  }
+  return Json::parse(text);
+}
+
 std::uint64_t GetUnsigned(const Json& json) {
   if (!json.is_number_unsigned()) {
     throw Json::type_error::create(302, "whole number expected", &json);
@@ -63,12 +91,12 @@
 
 Result<Json> ParseJson(std::string_view text, const std::string& source) {
   try {
-    return Json::parse(text);
+    return ParseUntrusted(text);
   } catch (const Json::parse_error& error) {
     return Findings(Finding{PlaceOfByte(text, error.byte, source),
                             "JSON syntax error", error.what()});
   } catch (const Json::exception& error) {
-    // A number that no double holds; the parser tells no place for it.
+    // A number that no double holds, or too deep a nesting: there is no place.
     return Findings(Finding{Place{source, "", 0, 0}, "unreadable JSON value",
                             error.what()});
   }
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -34,10 +34,12 @@
 }
 
 // Returns the entry with one field set to another JSON value.
-std::string EntryWith(const char* field, const char* value) {
+std::string EntryWith(const char* field, const std::string& value) {
   Json json = Json::parse(kEntry);
-  json[field] = Json::parse(value);
-  return json.dump();
+  json.erase(field);
+  std::string text = json.dump();
+  text.pop_back();
+  return text + ",\"" + field + "\":" + value + "}";
 }
 
 }  // namespace
@@ -70,6 +72,57 @@
       id, EntryWith("models", R"([{"name":"m","adapters":["a1@x"]}])")));
 }
 
+// Nodes that read the list of endpoints ended again and again.
+TEST_CASE("An entry that is nested without end names no endpoint",
+          "[platform][codec][odd]") {
+  const EndpointId id("i-1");
+  constexpr std::size_t kDepth = 400'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  CHECK_FALSE(DecodeEndpoint(id, nested));
+  CHECK_FALSE(DecodeEndpoint(id, EntryWith("models", nested)));
+  CHECK_FALSE(DecodeEndpoint(
+      id, EntryWith("models", R"([{"name":"m","adapters":)" + nested + "}]")));
+  CHECK_FALSE(DecodeAdapterRevision(nested));
+  CHECK_FALSE(DecodeReport(R"({"seq":1,"coming":)" + nested + "}"));
+}
+
+TEST_CASE("An entry with a figure out of range names no endpoint",
+          "[platform][codec][odd]") {
+  const EndpointId id("i-1");
+  const std::string digits(100'000, '9');
+  for (const std::string& number :
+       {std::string("1e999"), std::string("4294967296"),
+        std::string("99999999999999999999"), digits}) {
+    CAPTURE(number.substr(0, 30));
+    CHECK_FALSE(DecodeEndpoint(id, EntryWith("slots", number)));
+  }
+  CHECK_FALSE(DecodeEndpoint(id, EntryWith("born", "1e999")));
+  CHECK_FALSE(DecodeEndpoint(
+      id, EntryWith("models",
+                    R"([{"name":"m","adapters":["a1@)" + digits + R"("]}])")));
+}
+
+// Requests were sent to an address that no connection can be made to.
+TEST_CASE("An entry with an address out of range names no endpoint",
+          "[platform][codec][odd]") {
+  const EndpointId id("i-1");
+  for (const std::string address :
+       {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:", "10.0.0.9",
+        "300.0.0.9:80", "host:80", ":80", ""}) {
+    CAPTURE(address);
+    CHECK_FALSE(DecodeEndpoint(id, EntryWith("addr", '"' + address + '"')));
+  }
+  CHECK(DecodeEndpoint(id, EntryWith("addr", R"("10.0.0.9:65535")")));
+}
+
+// Its id would become part of requests' heads.
+TEST_CASE("An entry under an id that no header can carry names no endpoint",
+          "[platform][codec][odd]") {
+  CHECK_FALSE(DecodeEndpoint(EndpointId("i\r\nHost: x"), kEntry));
+  CHECK_FALSE(DecodeEndpoint(EndpointId(""), kEntry));
+}
+
 TEST_CASE("A configuration is read", "[platform][codec]") {
   const auto decoded = DecodeConfig(kConfig);
   REQUIRE(decoded);
