Keep a failed endpoint's text out of a stream that has begun

Cause: when a call ends badly within a stream, what it has left unread is passed on, whatever the response's status. Now only a success carries events, also where parts of prompts are judged by whether output had come.

--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -120,6 +120,8 @@
   void PassWhole();
   void ReadStream(TimeMs now);
   void PassEvents();
+  /// Whether the call's response is a stream of events and no failure.
+  bool CarriesEvents() const;
   /// Handles an event that does not end like a broken connection.
   void OnEndlessEvent();
   void NotePause();
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -55,9 +55,11 @@
 }
 
 void Exchange::OnAnswering() {
-  const bool success = m_call->head().status / 100 == 2;
-  if (m_route.kind != RequestKind::kStream || !success) return;
-  PassEvents();
+  if (m_route.kind == RequestKind::kStream && CarriesEvents()) PassEvents();
+}
+
+bool Exchange::CarriesEvents() const {
+  return m_call->has_head() && m_call->head().status / 100 == 2;
 }
 
 void Exchange::OnComplete() {
@@ -147,7 +149,7 @@
       .Number("reused", m_call->reused() ? 1 : 0)
       .Number("events", m_cutter.events())
       .Ms("after_ms", now - m_sent);
-  if (m_stream_started) PassEvents();
+  if (m_stream_started && CarriesEvents()) PassEvents();
   if (m_ended) return;
   m_cutter.DropPartial();
   EndCall(false, true);
@@ -166,7 +168,7 @@
   if (!ended_by_engine || m_has_output) return;
   // Events that came together with the end were not passed on.
   EventCutter unread;
-  unread.Feed(m_call->body());
+  if (CarriesEvents()) unread.Feed(m_call->body());
   if (!unread.TakeWhole().empty()) return;
   m_context.prompts.OnBrokenOff({m_endpoint, m_endpoint_start_unix_ms},
                                 m_meta.shared_parts);
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -327,6 +327,38 @@
   CHECK(world.second().requests().size() == 4);
 }
 
+// Clients found the text of a failure in the middle of their streams.
+TEST_CASE(
+    "A failure of the endpoint that goes on with a stream is not part of it",
+    "[fleet][front][resume]") {
+  const ScriptedAnswer broken = SendAndReset(kStreamHead + Chunk(Event(1)));
+  const std::string boom = "id: 2\ndata: boom\n\nid: 3\ndata: boom\n\n";
+  ScriptedAnswer failure = Send(AnswerText(500, boom));
+  SECTION("whole") {}
+  SECTION("broken off") {
+    failure = SendAndReset(AnswerText(500, boom + "more"));
+    failure.text.resize(failure.text.size() - 2);
+  }
+  SECTION("in chunks") {
+    failure = SendAndReset(
+        "HTTP/1.1 500 X\r\nAttempt-Id: 9c41\r\nResponse-Stamp: s1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        Chunk(boom));
+  }
+  SECTION("not run") {
+    failure = Send(AnswerText(503, boom, "Not-Run: 1\r\n"));
+  }
+  SECTION("no answer at all") { failure = SendAndClose(boom); }
+  FrontWorld world({broken, failure}, {failure});
+  const std::string got =
+      world.Exchange(RequestText("/resumable/x"), "0\r\n\r\n");
+  CHECK(Contains(got, Event(1)));
+  CHECK_FALSE(Contains(got, "boom"));
+  CHECK_FALSE(Contains(got, "500"));
+  CHECK_FALSE(Contains(got, "0\r\n\r\n"));
+  CHECK(world.requests_run() >= 2);
+}
+
 TEST_CASE("A stream without length or chunks is whole at an event's end only",
           "[fleet][front]") {
   const std::string head =
