Take no refusal that an endpoint repeats for a new one

A refusal on a kept connection that names no request was believed too.

Cause: responses are matched by the request's id, which is the same each time the request is sent. A connection on which a request was refused is not kept now, and a refusal without an id on a kept connection leaves the outcome unknown.

--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -77,6 +77,7 @@
   void ReadAvailable();
   void Parse(bool at_end);
   bool TakeHead();
+  bool IsDoubtfulRefusal() const;
   void Move(CallState state);
   void Report();
 
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -103,6 +103,7 @@
     if (m_parser->has_head() && m_state == CallState::kSent && !TakeHead()) {
       continue;
     }
+    if (m_state == CallState::kBroken) return;
     if (m_parser->complete()) {
       m_state = CallState::kComplete;
       return;
@@ -118,6 +119,10 @@
 // passed over.
 bool EndpointCall::TakeHead() {
   m_meta = m_dialect.DecodeResponse(m_parser->head());
+  if (IsDoubtfulRefusal()) {
+    m_state = CallState::kBroken;
+    return true;
+  }
   const bool informational = m_parser->head().status < 200;
   const bool foreign = !m_meta.attempt.empty() && m_meta.attempt != m_attempt;
   if (!informational && !foreign) {
@@ -131,6 +136,13 @@
   return false;
 }
 
+// A faulty endpoint may repeat an earlier refusal on a kept connection. One
+// that does not name this request may be such.
+bool EndpointCall::IsDoubtfulRefusal() const {
+  return m_reused && m_meta.not_run && m_meta.attempt.empty() &&
+         !m_attempt.empty();
+}
+
 void EndpointCall::Move(CallState state) {
   m_state = state;
   Report();
@@ -155,9 +167,12 @@
 
 void EndpointCall::Recycle(TimeMs now) {
   m_progress = nullptr;
+  // The same request may be sent there again. A repeated refusal on this
+  // connection could not be told from a new one.
   const bool clean = m_state == CallState::kComplete && !m_tainted &&
                      m_in.empty() && m_written == m_out.size() &&
-                     m_parser->keep_alive() && !m_meta.closing;
+                     m_parser->keep_alive() && !m_meta.closing &&
+                     !m_meta.not_run;
   if (!clean || !m_socket) {
     Abort();
     return;
--- a/unittests/transport/fleet/front_server_test.cc
+++ b/unittests/transport/fleet/front_server_test.cc
@@ -327,6 +327,32 @@
   CHECK(world.second().requests().size() == 4);
 }
 
+// A repeated refusal was taken for that of the same request, which the
+// endpoint was running: the client was told that it had not run, or it ran at
+// a second endpoint.
+TEST_CASE("A refusal that is written once more is not taken for a new one",
+          "[fleet][front][refusal]") {
+  const std::string refusal = AnswerText(503, "", "Not-Run: 1\r\n");
+  FrontWorld world({{EndpointAct::kSendAndRepeat, refusal}, kOk},
+                   {Send(refusal)});
+  const std::string got = world.Exchange(RequestText("/unsafe/x"), "body");
+  CHECK(Contains(got, "HTTP/1.1 200 "));
+  // Both endpoints refuse; then the first one runs the request.
+  CHECK(world.first().requests().size() == 2);
+  CHECK(world.second().requests().size() == 1);
+}
+
+TEST_CASE("A refusal without the request's id on a kept connection is none",
+          "[fleet][front][refusal]") {
+  const std::string unnamed =
+      "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  FrontWorld world({kOk, Send(unnamed)}, {kOk});
+  const std::string one = RequestText("/unsafe/x");
+  CHECK(Contains(world.Exchange(one, "body"), "HTTP/1.1 200 "));
+  CHECK(Contains(world.Exchange(one, "\r\n\r\n"), "HTTP/1.1 502 "));
+  CHECK(world.requests_run() == 2);
+}
+
 // Clients found the text of a failure in the middle of their streams.
 TEST_CASE(
     "A failure of the endpoint that goes on with a stream is not part of it",
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -71,7 +71,7 @@
     : m_script(std::move(script)) {
   m_listener = std::move(Listener::Create(io, {kIp, 0}, [this](auto socket) {
                  m_connections.push_back(
-                     {std::make_unique<Socket>(std::move(socket)), ""});
+                     {std::make_unique<Socket>(std::move(socket)), "", ""});
                  Await(m_connections.back());
                })).value();
 }
@@ -98,9 +98,18 @@
   const std::size_t turn = std::min(m_requests.size(), m_script.size() - 1);
   m_requests.push_back(std::move(connection.in));
   connection.in.clear();
+  if (!connection.repeated.empty()) {
+    connection.socket->Write(connection.repeated);
+    return;
+  }
   const ScriptedAnswer& answer = m_script[turn];
   connection.socket->Write(answer.text);
-  if (answer.act == EndpointAct::kSend) return;
+  if (answer.act == EndpointAct::kSendAndRepeat) {
+    connection.repeated = answer.text;
+  }
+  const bool keeps = answer.act == EndpointAct::kSend ||
+                     answer.act == EndpointAct::kSendAndRepeat;
+  if (keeps) return;
   connection.socket->Close(answer.act == EndpointAct::kSendAndReset);
 }
 
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -24,6 +24,9 @@
   kSendAndClose,
   /// Sends the text and resets.
   kSendAndReset,
+  /// Sends the text, and once more where the response to the next request on
+  /// the connection belongs.
+  kSendAndRepeat,
 };
 
 /// One answer of a script; the last one serves all further requests.
@@ -49,6 +52,8 @@
   struct Connection {
     std::unique_ptr<Socket> socket;
     std::string in;
+    // What the next request on the connection is answered with, if not empty.
+    std::string repeated;
   };
 
   void Await(Connection& connection);
