Log what the store's first answer after a silence brings

store_regained told the length of the silence only. It now tells how long the answered call waited, the revisions before and after, and the number of changes, so that a read that began late, an answer that is old, and a store that answers late can be told apart.

--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -53,7 +53,7 @@
   void OnOutageNotice(TimeMs now);
   void OnViewChanged();
   // \p call names the call in logs.
-  void NoteAnswer(StoreStatus status, const char* call);
+  void NoteAnswer(const StoreReadResult& reading, const char* call);
   void LogNews(const StoreChange& change, ViewUpdate news);
 
   NodeContext& m_context;
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -88,7 +88,7 @@
                              std::optional<Revision> after) {
   m_reading = false;
   const TimeMs now = m_context.clock.Now();
-  NoteAnswer(reading.status, after ? "watch" : "read");
+  NoteAnswer(reading, after ? "watch" : "read");
   if (reading.status == StoreStatus::kCompacted) {
     m_context.log.Event("store_history_gone")
         .Number("after_revision", m_as_of.value());
@@ -249,8 +249,10 @@
   }
 }
 
-void StoreSession::NoteAnswer(StoreStatus status, const char* call) {
+void StoreSession::NoteAnswer(const StoreReadResult& reading,
+                              const char* call) {
   const TimeMs now = m_context.clock.Now();
+  const StoreStatus status = reading.status;
   const bool answered =
       status != StoreStatus::kUnknown && status != StoreStatus::kRefused;
   if (!answered) {
@@ -269,7 +271,12 @@
   m_last_answer = now;
   if (m_reachable) return;
   m_reachable = true;
-  m_context.log.Event("store_regained").Ms("silence_ms", silence);
+  m_context.log.Event("store_regained")
+      .Ms("silence_ms", silence)
+      .Ms("waited_ms", now - m_read_began)
+      .Number("revision_before", m_as_of.value())
+      .Number("revision", reading.read_revision.value())
+      .Number("changes", reading.changes.size());
   if (silence < kOutage) return;
   m_recovered = now;
   m_context.view.endpoints().OnStoreRecovered(now);
