Show that a configuration is late after a silent store is back

A store that is silent for the time of four watches answers new calls from the moment on at which the fourth one has come. 3 s later, when the node counts as connected again, it must know the change; it knows version 1 instead of 2.

--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -41,11 +41,16 @@
 }
 
 /// A store that holds version 1 of a configuration. When it is first watched,
-/// it takes version 2, and all open connections fall silent for good.
+/// it takes version 2, and all open connections fall silent for good. So do the
+/// connections of as many further watches as the outage lasts.
 class SilencedStore {
  public:
-  SilencedStore(boost::asio::io_context& io, std::function<void()> on_silence)
-      : m_on_silence(std::move(on_silence)),
+  /// \p on_end is called when the last watch of the outage has come; new
+  /// connections work from then on.
+  SilencedStore(boost::asio::io_context& io, int watches_in_outage,
+                std::function<void()> on_end)
+      : m_watches_left(watches_in_outage),
+        m_on_end(std::move(on_end)),
         m_listener(
             std::move(Listener::Create(io, {kIp, 0}, [this](auto socket) {
               Accept(std::move(socket));
@@ -86,10 +91,9 @@
   void Answer(Connection& connection) {
     const bool watch = connection.in.starts_with("GET /kv-watch");
     connection.in.clear();
-    if (watch && !m_silenced) {
-      m_silenced = true;
+    if (watch && m_watches_left > 0) {
       for (Connection& open : m_connections) open.silent = true;
-      m_on_silence();
+      if (--m_watches_left == 0) m_on_end();
     }
     if (connection.silent) return;
     const std::string body =
@@ -98,9 +102,9 @@
     connection.socket->Write(Reply(body));
   }
 
-  std::function<void()> m_on_silence;
+  int m_watches_left;
+  std::function<void()> m_on_end;
   std::list<Connection> m_connections;
-  bool m_silenced = false;
   std::unique_ptr<Listener> m_listener;
 };
 
@@ -114,17 +118,17 @@
 /// A store session with its store.
 class SessionWorld {
  public:
-  SessionWorld()
+  explicit SessionWorld(int watches_in_outage)
       : m_parts(m_clock, Settings()),
         m_contact_timer(m_parts.io),
-        m_store(m_parts.io, [this] { StartContactTime(); }),
+        m_store(m_parts.io, watches_in_outage, [this] { StartContactTime(); }),
         m_caller(m_parts.io, m_clock),
         m_client(m_caller, m_store.address(),
                  [](std::string_view, const Findings&) {}),
         m_session(m_parts.context, m_client, [](const TellChanges&) {}) {}
 
   /// Starts the session. Returns the configuration's version when the contact
-  /// time has passed since the connections fell silent.
+  /// time has passed since new connections work.
   std::uint64_t VersionAfterContactTime(DurationMs contact_time) {
     m_contact_time = contact_time;
     m_session.Start([] {});
@@ -160,7 +164,16 @@
 // for longer than the time after which the node counts as connected again.
 TEST_CASE("A configuration is applied although the watch fell silent",
           "[fleet][store]") {
-  SessionWorld world;
+  SessionWorld world(1);
+  CHECK(world.VersionAfterContactTime(DurationMs(3'000)) == 2);
+}
+
+// A watch that began just before a silent store came back waited for longer
+// than the time after which the node counts as connected again, and clients on
+// new routes got 404 until then.
+TEST_CASE("A configuration is applied soon after a silent store is back",
+          "[fleet][store]") {
+  SessionWorld world(4);
   CHECK(world.VersionAfterContactTime(DurationMs(3'000)) == 2);
 }
 
