Ask a silent store anew at intervals while an overdue read goes on

Cause: a node cannot tell a slow store from a silent one, and took every silence for slowness: each watch without an answer was waited for longer than the one before (1.5, 2, 3, 3 s), and nothing else was asked meanwhile. A watch that began just before the store was back was lost, and the node learned of it 3 s later.

Change: a read that is overdue goes on, and further ones, on new connections and without waiting for changes, begin beside it each quarter of the maximum propagation delay (0.5 s of 2 s). The first answer counts. A slow store still has several seconds for each answer. After a silence the node reads without pause until an answer brings no change. A full read is made in the same way, where its pages had 1.5 s each. So the time from the store's return to the next read is one interval, whatever the outage's length.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -88,12 +88,14 @@
   StoreEra era;
 };
 
-/// How long a watch takes.
-struct WatchTimes {
-  /// The store answers by then, also without changes.
+/// How a read of the store is made.
+struct ReadOptions {
+  /// The store answers a watch within this time, also without changes.
   DurationMs wait{0};
-  /// Without an answer by then, the call has failed.
+  /// Without an answer within this time, a call has failed.
   DurationMs timeout{0};
+  /// Whether to use a new connection, as kept ones may have fallen silent.
+  bool new_connection = false;
 };
 
 struct LeaseReply {
@@ -120,9 +122,10 @@
 
   /// Reads everything. Each page is linearizable, but the pages together are
   /// not a snapshot, so the changes after read_revision must be read as well.
-  virtual void ReadAll(std::function<void(StoreReadResult)> done) = 0;
+  virtual void ReadAll(ReadOptions options,
+                       std::function<void(StoreReadResult)> done) = 0;
   /// Waits for changes after the revision.
-  virtual void Watch(Revision after, WatchTimes times,
+  virtual void Watch(Revision after, ReadOptions options,
                      std::function<void(StoreReadResult)> done) = 0;
 
   virtual void GrantLease(DurationMs ttl,
--- a/include/yuccamoor/coordination/fleet/watch_plan.h
+++ b/include/yuccamoor/coordination/fleet/watch_plan.h
@@ -7,6 +7,12 @@
 /// with nodes times endpoints. Instead, two readers of each failure domain
 /// watch and pass on what changed. The other nodes follow them, and read by
 /// themselves once they have not heard from a reader for a while.
+///
+/// A node cannot tell a slow store, which needs patience, from one that has
+/// fallen silent, which has to be asked anew. Therefore it does both: a read
+/// that is overdue goes on, and further ones begin beside it at regular
+/// intervals. The first answer counts. So the time from the store's return to
+/// the next read is one interval, however long the outage was.
 
 #ifndef YUCCAMOOR_COORDINATION_FLEET_WATCH_PLAN_H_
 #define YUCCAMOOR_COORDINATION_FLEET_WATCH_PLAN_H_
@@ -31,6 +37,9 @@
   kChanged,
 };
 
+/// Whether the store has given what was asked for.
+bool IsAnswer(ReadOutcome outcome);
+
 /// Schedules one node's reads. In a small fleet every node is a reader.
 class WatchPlan {
  public:
@@ -42,7 +51,10 @@
   /// Determines the readers anew. All nodes with the same view of the
   /// registered nodes agree on them.
   void SetNodes(const std::map<NodeId, NodeRecord>& nodes);
-  /// Records the end of this node's own read.
+  /// Records the beginning of this node's own read, beside those under way.
+  void OnReadBegun(TimeMs now);
+  /// Records the end of this node's own read. After an answer, the others under
+  /// way do not count any more.
   void OnRead(ReadOutcome outcome, TimeMs now);
   /// Records that changes were received from a reader.
   void OnReceived(TimeMs now);
@@ -50,16 +62,18 @@
   /// missed changes.
   void RequestRead(TimeMs now);
 
-  /// How soon to read everything anew once the store was restored. Spreads the
-  /// reads of a large fleet.
-  DurationMs RestoredReadDelay() const;
+  /// Records that the store was restored: everything has to be read, and the
+  /// reads under way do not count any more. Spreads the reads of a large fleet.
+  void OnStoreRestored(TimeMs now);
 
-  /// When the next own read is due.
+  /// When the next own read is due, also while others are under way.
   TimeMs NextRead() const;
-  /// The times of the next watch. A connection may fall silent for good while
-  /// new ones work: the node notices that, and reads again, within the maximum
+  /// How to make the next read. A connection may fall silent for good while new
+  /// ones work: the node notices that, and reads again, within the maximum
   /// propagation delay.
-  WatchTimes NextWatch() const;
+  ReadOptions NextReadOptions() const;
+  /// Reads under way that count.
+  std::size_t reads_under_way() const { return m_under_way; }
   /// Whether to pass changes on to the node's failure domain after a read that
   /// ends at \p now: as a reader, or in place of readers that are not heard.
   bool PassesOn(TimeMs now) const;
@@ -67,7 +81,13 @@
  private:
   bool IsLarge() const;
   bool IsReader() const;
+  bool IsFollower() const { return IsLarge() && !IsReader(); }
   bool HasFailed() const;
+  // How long a read may take until it is overdue.
+  DurationMs Patience() const;
+  // When the next read begins beside those under way.
+  TimeMs NextReadBeside() const;
+  TimeMs NextReadAfterLast() const;
   DurationMs ReaderPause() const;
   DurationMs SmallFleetPause() const;
   DurationMs RequestSpread() const;
@@ -83,8 +103,12 @@
   std::size_t m_rank = 0;
   TimeMs m_last_read;
   ReadOutcome m_last_outcome = ReadOutcome::kUnchanged;
-  // Reads without answer since the last one with an answer.
-  int m_unanswered = 0;
+  TimeMs m_last_begun;
+  std::size_t m_under_way = 0;
+  bool m_is_silent = false;
+  // The store may have taken changes during its silence or since: the node
+  // reads without pause until an answer brings none.
+  bool m_catches_up = false;
   std::optional<TimeMs> m_last_received;
   std::optional<TimeMs> m_requested;
 };
--- a/include/yuccamoor/transport/fleet/http_caller.h
+++ b/include/yuccamoor/transport/fleet/http_caller.h
@@ -27,6 +27,9 @@
   std::vector<HeaderField> fields;
   std::string body;
   DurationMs timeout{1'000};
+  /// Whether to use a new connection and close the idle ones, which may have
+  /// fallen silent.
+  bool new_connection = false;
 };
 
 /// The end of a call.
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -5,6 +5,7 @@
 #define YUCCAMOOR_TRANSPORT_FLEET_STORE_SESSION_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -37,12 +38,21 @@
   bool IsFresh(TimeMs now) const;
 
  private:
+  // A read under way.
+  struct Call {
+    std::uint64_t number = 0;
+    TimeMs began;
+    // The revision after which changes are read, or nothing if everything is.
+    std::optional<Revision> after;
+  };
+
   void ScheduleRead();
-  void ReadAfter(DurationMs pause);
   void Read();
-  // \p after is the revision after which changes were read, or nothing if
-  // everything was.
-  void OnReading(const StoreReadResult& reading, std::optional<Revision> after);
+  // Sends the call to the store.
+  void Send(const Call& call);
+  void OnReading(const StoreReadResult& reading, const Call& call);
+  // Returns the read's outcome, after what it has brought was taken up.
+  ReadOutcome TakeReading(const StoreReadResult& reading, const Call& call);
   // Both return whether the view changed by more than repeated entries.
   bool OnReadAll(const StoreReadResult& reading, TimeMs now);
   bool OnWatched(const StoreReadResult& reading, Revision after, TimeMs now);
@@ -52,8 +62,8 @@
                      TimeMs now);
   void OnOutageNotice(TimeMs now);
   void OnViewChanged();
-  // \p call names the call in logs.
-  void NoteAnswer(const StoreReadResult& reading, const char* call);
+  void NoteAnswer(const StoreReadResult& reading, const Call& call);
+  void NoteNoAnswer(const char* reason, const Call& call);
   void LogNews(const StoreChange& change, ViewUpdate news);
 
   NodeContext& m_context;
@@ -68,9 +78,13 @@
   bool m_has_view = false;
   // The view cannot be continued by changes: everything has to be read.
   bool m_history_gone = false;
-  bool m_reading = false;
+  // The number of the next read. Those before m_first_counted are passed over:
+  // a later one, or one that the store answered sooner, has gone beyond them.
+  std::uint64_t m_next_number = 0;
+  std::uint64_t m_first_counted = 0;
+  // The first read under way.
+  Call m_first_call;
   bool m_reachable = true;
-  TimeMs m_read_began;
   // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
   // When the store was last seen to be back after an outage.
--- a/lib/coordination/fleet/watch_plan.cc
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -15,11 +15,13 @@
 constexpr std::size_t kReadersPerDomain = 2;
 constexpr DurationMs kRetryPause{250};
 // A watch waits for changes for a part of the maximum propagation delay, and
-// the answer may take another part longer.
+// is overdue if the answer takes another part longer. Further reads follow each
+// other at intervals of that part.
 constexpr std::int64_t kWatchPart = 2;
-constexpr std::int64_t kAnswerPart = 4;
-// A slow store's answers may take this long.
-constexpr DurationMs kLongestAnswerTime{2'000};
+constexpr std::int64_t kOverduePart = 4;
+// Bounds the connections to a store that does not answer. A store is served by
+// this many at once although it takes as many intervals for each answer.
+constexpr std::size_t kMaxReadsUnderWay = 8;
 // Pauses let several changes come together. They are parts of the maximum
 // propagation delay.
 constexpr std::int64_t kSmallFleetPausePart = 3;
@@ -62,11 +64,30 @@
   }
 }
 
+bool IsAnswer(ReadOutcome outcome) {
+  return outcome == ReadOutcome::kUnchanged || outcome == ReadOutcome::kChanged;
+}
+
+void WatchPlan::OnReadBegun(TimeMs now) {
+  if (m_under_way > 0) m_is_silent = true;
+  ++m_under_way;
+  m_last_begun = now;
+}
+
 void WatchPlan::OnRead(ReadOutcome outcome, TimeMs now) {
+  const bool was_away = m_is_silent || HasFailed();
   m_last_read = now;
   m_last_outcome = outcome;
-  m_unanswered = outcome == ReadOutcome::kUnanswered ? m_unanswered + 1 : 0;
   m_requested.reset();
+  if (!IsAnswer(outcome)) {
+    if (m_under_way > 0) --m_under_way;
+    m_is_silent = m_is_silent || outcome == ReadOutcome::kUnanswered;
+    m_catches_up = false;
+    return;
+  }
+  m_under_way = 0;
+  m_is_silent = false;
+  m_catches_up = outcome == ReadOutcome::kChanged && (was_away || m_catches_up);
 }
 
 void WatchPlan::OnReceived(TimeMs now) { m_last_received = now; }
@@ -80,22 +101,33 @@
       static_cast<std::int64_t>(Score(m_self) % kRequestSpreadMs));
 }
 
-DurationMs WatchPlan::RestoredReadDelay() const {
-  return IsLarge() ? RequestSpread() : DurationMs(0);
+void WatchPlan::OnStoreRestored(TimeMs now) {
+  m_under_way = 0;
+  m_catches_up = false;
+  m_requested = IsLarge() ? now + RequestSpread() : now;
 }
 
 bool WatchPlan::IsLarge() const { return m_nodes > kMaxSmallFleetNodes; }
 
 bool WatchPlan::IsReader() const { return m_rank < kReadersPerDomain; }
 
-WatchTimes WatchPlan::NextWatch() const {
-  const DurationMs wait = m_max_propagation_delay / kWatchPart;
-  DurationMs answer_time = m_max_propagation_delay / kAnswerPart;
-  // Several reads in a row without answer mean a slow store.
-  for (int i = 0; i < m_unanswered && answer_time < kLongestAnswerTime; ++i) {
-    answer_time = std::min(answer_time * 2, kLongestAnswerTime);
+ReadOptions WatchPlan::NextReadOptions() const {
+  const DurationMs interval = m_max_propagation_delay / kOverduePart;
+  const bool is_overdue = m_is_silent || m_under_way > 0;
+  ReadOptions options;
+  // What the node asks for after a silence is there already.
+  if (!is_overdue && !m_catches_up) {
+    options.wait = m_max_propagation_delay / kWatchPart;
   }
-  return {wait, wait + answer_time};
+  options.timeout = options.wait + interval * kMaxReadsUnderWay;
+  options.new_connection = is_overdue;
+  return options;
+}
+
+DurationMs WatchPlan::Patience() const {
+  const DurationMs interval = m_max_propagation_delay / kOverduePart;
+  if (m_is_silent || m_catches_up) return interval;
+  return m_max_propagation_delay / kWatchPart + interval;
 }
 
 bool WatchPlan::HasFailed() const {
@@ -127,14 +159,26 @@
 }
 
 TimeMs WatchPlan::NextRead() const {
-  if (!IsLarge()) return m_last_read + SmallFleetPause();
-  TimeMs next;
-  if (IsReader()) {
-    next = m_last_read + ReaderPause();
+  return m_under_way > 0 ? NextReadBeside() : NextReadAfterLast();
+}
+
+TimeMs WatchPlan::NextReadBeside() const {
+  if (m_under_way >= kMaxReadsUnderWay) return TimeMs::Never();
+  const TimeMs next = m_last_begun + Patience();
+  if (!IsFollower() || !m_last_received) return next;
+  return std::max(next, *m_last_received + FollowerTimeout());
+}
+
+TimeMs WatchPlan::NextReadAfterLast() const {
+  if (m_catches_up) return m_last_read;
+  TimeMs next = m_last_read;
+  if (!IsLarge()) {
+    next = next + SmallFleetPause();
+  } else if (IsReader()) {
+    next = next + ReaderPause();
   } else {
-    const TimeMs last =
-        std::max(m_last_read, m_last_received.value_or(TimeMs()));
-    next = last + FollowerTimeout();
+    next =
+        std::max(next, m_last_received.value_or(TimeMs())) + FollowerTimeout();
   }
   return m_requested ? std::min(next, *m_requested) : next;
 }
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -51,8 +51,9 @@
         [self = shared_from_this()](boost::system::error_code error) {
           if (!error) self->OnTimeout();
         });
-    m_socket =
-        m_caller.m_idle.Take(ToString(m_call.address), m_caller.m_clock.Now());
+    const std::string address = ToString(m_call.address);
+    if (m_call.new_connection) m_caller.m_idle.Drop(address);
+    m_socket = m_caller.m_idle.Take(address, m_caller.m_clock.Now());
     if (m_socket) {
       m_reused = true;
       WriteMore();
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -42,33 +42,52 @@
 }
 
 void StoreSession::ScheduleRead() {
-  if (m_reading) return;
-  ReadAfter(std::max(DurationMs(0), m_plan.NextRead() - m_context.clock.Now()));
-}
-
-void StoreSession::ReadAfter(DurationMs pause) {
+  const TimeMs now = m_context.clock.Now();
+  const TimeMs next = m_plan.NextRead();
+  if (next == TimeMs::Never()) {
+    m_timer.cancel();
+    return;
+  }
+  const DurationMs pause = std::max(DurationMs(0), next - now);
   m_timer.expires_after(std::chrono::milliseconds(pause.ms()));
   m_timer.async_wait([this](boost::system::error_code error) {
-    if (!error) Read();
+    if (error) return;
+    // An expired timer's handler may run although the read was put off.
+    if (m_context.clock.Now() >= m_plan.NextRead()) {
+      Read();
+    } else {
+      ScheduleRead();
+    }
   });
 }
 
 void StoreSession::Read() {
-  // An expired timer's handler may run although the read was put off.
-  if (m_reading) return;
-  m_reading = true;
-  m_read_began = m_context.clock.Now();
+  Call call;
+  call.number = m_next_number++;
+  call.began = m_context.clock.Now();
+  if (m_has_view && !m_history_gone) call.after = m_as_of;
+  const bool is_first = m_plan.reads_under_way() == 0;
+  if (is_first) {
+    m_first_call = call;
+  } else {
+    NoteNoAnswer("overdue", m_first_call);
+  }
+  Send(call);
+  m_plan.OnReadBegun(call.began);
+  ScheduleRead();
+}
+
+void StoreSession::Send(const Call& call) {
   m_context.metrics.store_calls.Add();
-  if (!m_has_view || m_history_gone) {
-    m_store.ReadAll([this](const StoreReadResult& reading) {
-      OnReading(reading, std::nullopt);
-    });
-    return;
+  const ReadOptions options = m_plan.NextReadOptions();
+  const auto done = [this, call](const StoreReadResult& reading) {
+    OnReading(reading, call);
+  };
+  if (call.after) {
+    m_store.Watch(*call.after, options, done);
+  } else {
+    m_store.ReadAll(options, done);
   }
-  m_store.Watch(m_as_of, m_plan.NextWatch(),
-                [this, after = m_as_of](const StoreReadResult& reading) {
-                  OnReading(reading, after);
-                });
 }
 
 void StoreSession::OnStoreRestored(StoreEra era) {
@@ -80,38 +99,43 @@
   m_history_gone = true;
   m_recovered = now;
   m_context.view.OnStoreRestored(now);
-  // A watch that is under way ends soon, and is followed by the read.
-  if (!m_reading) ReadAfter(m_plan.RestoredReadDelay());
+  m_first_counted = m_next_number;
+  m_plan.OnStoreRestored(now);
+  ScheduleRead();
 }
 
-void StoreSession::OnReading(const StoreReadResult& reading,
-                             std::optional<Revision> after) {
-  m_reading = false;
-  const TimeMs now = m_context.clock.Now();
-  NoteAnswer(reading, after ? "watch" : "read");
+void StoreSession::OnReading(const StoreReadResult& reading, const Call& call) {
+  if (call.number < m_first_counted) return;
+  NoteAnswer(reading, call);
+  const ReadOutcome outcome = TakeReading(reading, call);
+  if (IsAnswer(outcome)) m_first_counted = m_next_number;
+  m_plan.OnRead(outcome, m_context.clock.Now());
   if (reading.status == StoreStatus::kCompacted) {
-    m_context.log.Event("store_history_gone")
-        .Number("after_revision", m_as_of.value());
-    m_history_gone = true;
     Read();
-    return;
-  }
-  if (reading.status != StoreStatus::kOk) {
-    m_plan.OnRead(reading.status == StoreStatus::kUnknown
-                      ? ReadOutcome::kUnanswered
-                      : ReadOutcome::kFailed,
-                  now);
+  } else {
     ScheduleRead();
-    return;
   }
-  if (after && m_history_gone) {
-    ReadAfter(m_plan.RestoredReadDelay());
-    return;
+}
+
+ReadOutcome StoreSession::TakeReading(const StoreReadResult& reading,
+                                      const Call& call) {
+  const TimeMs now = m_context.clock.Now();
+  switch (reading.status) {
+    case StoreStatus::kOk:
+      break;
+    case StoreStatus::kUnknown:
+      return ReadOutcome::kUnanswered;
+    case StoreStatus::kCompacted:
+      m_context.log.Event("store_history_gone")
+          .Number("after_revision", m_as_of.value());
+      m_history_gone = true;
+      return ReadOutcome::kUnchanged;
+    default:
+      return ReadOutcome::kFailed;
   }
-  const bool changed =
-      after ? OnWatched(reading, *after, now) : OnReadAll(reading, now);
-  m_plan.OnRead(changed ? ReadOutcome::kChanged : ReadOutcome::kUnchanged, now);
-  ScheduleRead();
+  const bool changed = call.after ? OnWatched(reading, *call.after, now)
+                                  : OnReadAll(reading, now);
+  return changed ? ReadOutcome::kChanged : ReadOutcome::kUnchanged;
 }
 
 bool StoreSession::OnReadAll(const StoreReadResult& reading, TimeMs now) {
@@ -249,31 +273,34 @@
   }
 }
 
-void StoreSession::NoteAnswer(const StoreReadResult& reading,
-                              const char* call) {
+void StoreSession::NoteNoAnswer(const char* reason, const Call& call) {
+  if (!m_reachable) return;
+  m_reachable = false;
   const TimeMs now = m_context.clock.Now();
-  const StoreStatus status = reading.status;
-  const bool answered =
-      status != StoreStatus::kUnknown && status != StoreStatus::kRefused;
+  m_context.log.Event("store_lost")
+      .Text("reason", reason)
+      .Text("call", call.after ? "watch" : "read")
+      .Ms("waited_ms", now - call.began)
+      .Ms("silence_ms", now - m_last_answer);
+}
+
+void StoreSession::NoteAnswer(const StoreReadResult& reading,
+                              const Call& call) {
+  const bool answered = reading.status != StoreStatus::kUnknown &&
+                        reading.status != StoreStatus::kRefused;
   if (!answered) {
     m_context.metrics.store_failures.Add();
-    if (m_reachable) {
-      m_context.log.Event("store_lost")
-          .Text("reason", ToText(status))
-          .Text("call", call)
-          .Ms("waited_ms", now - m_read_began)
-          .Ms("silence_ms", now - m_last_answer);
-    }
-    m_reachable = false;
+    NoteNoAnswer(ToText(reading.status), call);
     return;
   }
+  const TimeMs now = m_context.clock.Now();
   const DurationMs silence = now - m_last_answer;
   m_last_answer = now;
   if (m_reachable) return;
   m_reachable = true;
   m_context.log.Event("store_regained")
       .Ms("silence_ms", silence)
-      .Ms("waited_ms", now - m_read_began)
+      .Ms("waited_ms", now - call.began)
       .Number("revision_before", m_as_of.value())
       .Number("revision", reading.read_revision.value())
       .Number("changes", reading.changes.size());
--- a/unittests/transport/fleet/fake_fleet_store.h
+++ b/unittests/transport/fleet/fake_fleet_store.h
@@ -21,8 +21,10 @@
   void ListenForEras(std::function<void(StoreEra)> on_new_era) override {
     era_listener = std::move(on_new_era);
   }
-  void ReadAll(ReadDone done) override { reads.push_back(std::move(done)); }
-  void Watch(Revision after, WatchTimes /*times*/, ReadDone done) override {
+  void ReadAll(ReadOptions /*options*/, ReadDone done) override {
+    reads.push_back(std::move(done));
+  }
+  void Watch(Revision after, ReadOptions /*options*/, ReadDone done) override {
     watched_after.push_back(after);
     watches.push_back(std::move(done));
   }
--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -7,15 +7,18 @@
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "platform/store_client.h"
 #include "transport/fleet/context_parts.h"
+#include "transport/fleet/fake_fleet_store.h"
 #include "yuccamoor/protocol/request/base64.h"
 #include "yuccamoor/state/fleet/boot_clock.h"
 #include "yuccamoor/transport/fleet/http_caller.h"
@@ -158,6 +161,16 @@
   StoreSession m_session;
 };
 
+StoreReadResult Reading(std::uint64_t revision, std::uint64_t version) {
+  StoreReadResult reading;
+  reading.status = StoreStatus::kOk;
+  reading.read_revision = Revision(revision);
+  ConfigWritten written;
+  written.config.version = Revision(version);
+  reading.changes = {written};
+  return reading;
+}
+
 }  // namespace
 
 // A watch on a connection that had fallen silent for good held up every change
@@ -177,4 +190,29 @@
   CHECK(world.VersionAfterContactTime(DurationMs(3'000)) == 2);
 }
 
+TEST_CASE("An overdue read's answer counts unless a later read came first",
+          "[fleet][store]") {
+  BootClock clock;
+  NodeSettings settings = Settings();
+  settings.max_propagation_delay = DurationMs(40);
+  ContextParts parts(clock, settings);
+  FakeFleetStore store;
+  StoreSession session(parts.context, store, [](const TellChanges&) {});
+  session.Start([] {});
+  store.reads.at(0)(Reading(10, 1));
+  while (store.watches.size() < 3) parts.io.run_one();
+  CHECK(store.watched_after == std::vector<Revision>(3, Revision(10)));
+  SECTION("the first one answers first") {
+    store.watches[0](Reading(11, 2));
+    CHECK(parts.view.routes()->config().version == Revision(2));
+  }
+  SECTION("the second one answers first") {
+    store.watches[1](Reading(12, 3));
+    store.watches[0](Reading(13, 4));
+    CHECK(parts.view.routes()->config().version == Revision(3));
+    store.watches[2](StoreReadResult());
+    CHECK(parts.metrics.store_failures.value() == 0);
+  }
+}
+
 }  // namespace yuccamoor::fleet
