Log which request it was when a call breaks off

Calls of different attempts at one request could not be told from calls of different requests: only the attempts' ids were logged, and no two are alike. call_broken now has a digest of the method, path, caller, prompt and body, by which the hypotheses about endpoints that crash can be told apart: one request again and again, or whatever runs beside it.

--- a/include/yuccamoor/protocol/fleet/request_dialect.h
+++ b/include/yuccamoor/protocol/fleet/request_dialect.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "yuccamoor/protocol/fleet/http_head.h"
+#include "yuccamoor/protocol/fleet/request_digest.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 #include "yuccamoor/state/fleet/intake_statement.h"
@@ -75,6 +76,10 @@
   virtual ~RequestDialect() = default;
 
   virtual RequestMeta DecodeRequest(const HttpHead& head) const = 0;
+  /// Returns the digest of the method, path, caller, prompt and body: of all
+  /// that stays the same when a client repeats a request.
+  virtual RequestDigest Digest(const HttpHead& head,
+                               std::string_view body) const = 0;
   /// Returns the whole request as the endpoint gets it. Headers that only the
   /// system may set are dropped from the client's.
   virtual std::string EncodeRequest(const HttpHead& head, std::string_view body,
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -146,6 +146,8 @@
   m_context.node.log.Event("call_broken")
       .Text("request", m_meta.attempt.str())
       .Text("endpoint", m_endpoint.str())
+      .Text("digest",
+            m_context.node.dialect.Digest(m_request.head, m_request.body).str())
       .Number("reused", m_call->reused() ? 1 : 0)
       .Number("events", m_cutter.events())
       .Ms("after_ms", now - m_sent);
--- a/unittests/platform/dialect_test.cc
+++ b/unittests/platform/dialect_test.cc
@@ -209,4 +209,35 @@
   CHECK(Contains(dialect->EncodeOwnReply(reply), "Retry-After: 0.000\r\n"));
 }
 
+TEST_CASE("A request's digest stays the same for all attempts",
+          "[platform][dialect]") {
+  const auto dialect = CreateRequestDialect();
+  fleet::HttpHead head;
+  head.method = "GET";
+  head.target = "/a/1?x=2";
+  head.fields = {{"Host", "h.example"}, {"Attempt-Id", "1"}};
+  const fleet::RequestDigest digest = dialect->Digest(head, "body");
+  SECTION("other attempts") {
+    head.fields = {
+        {"Attempt-Id", "2"}, {"Deadline-Ms", "100"}, {"Host", "h.example"}};
+    CHECK(dialect->Digest(head, "body") == digest);
+  }
+  SECTION("another body") { CHECK(dialect->Digest(head, "b") != digest); }
+  SECTION("another path") {
+    head.target = "/a/1?x=3";
+    CHECK(dialect->Digest(head, "body") != digest);
+  }
+  SECTION("another caller") {
+    head.fields[0].value = "i.example";
+    CHECK(dialect->Digest(head, "body") != digest);
+  }
+  SECTION("another prompt") {
+    head.fields.push_back({"Prompt-Prefix", "5c:10"});
+    CHECK(dialect->Digest(head, "body") != digest);
+  }
+  SECTION("texts that read alike when joined") {
+    CHECK(fleet::DigestOf({"ab", "c"}) != fleet::DigestOf({"a", "bc"}));
+  }
+}
+
 }  // namespace yuccamoor::platform
