Show that a request which crashes endpoints is sent to all of them

Eight attempts of a client at a request under which both endpoints of a service crash end 16 endpoint processes if the request is safe or a stream that may be resumed, and 8 otherwise. Three are allowed. Other bodies are served.

--- /dev/null
+++ b/unittests/transport/fleet/front_crash_test.cc
@@ -0,0 +1,65 @@
+/// \file
+/// \brief Tests of requests under which endpoints crash.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "transport/fleet/front_world.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+constexpr char kCrashing[] = "crash";
+constexpr char kEvent[] = "id: 1\ndata: fine\n\n";
+
+/// A world whose endpoints crash under requests with that body.
+class CrashWorld {
+ public:
+  CrashWorld()
+      : m_world({{EndpointAct::kSend, AnswerText(200, kEvent)}},
+                {{EndpointAct::kSend, AnswerText(200, kEvent)}}) {
+    m_world.first().CrashOn(kCrashing);
+    m_world.second().CrashOn(kCrashing);
+  }
+
+  /// Sends the crashing request as a client's new attempt, and starts the
+  /// endpoints again. Returns what the client gets.
+  std::string Crash(const std::string& path) {
+    const std::string answer =
+        m_world.Exchange(RequestText(path, kCrashing), "\r\n\r\n");
+    m_world.RestartBoth();
+    return answer;
+  }
+  std::string Send(const std::string& path, const std::string& body) {
+    return m_world.Exchange(RequestText(path, body), "fine");
+  }
+  std::uint32_t crashes() {
+    return m_world.first().crashes() + m_world.second().crashes();
+  }
+
+ private:
+  FrontWorld m_world;
+};
+
+}  // namespace
+
+// A request under which endpoints crash was sent to all of them each time that
+// it came, and its service was away for seconds each time.
+TEST_CASE("A request that crashes endpoints is sent to three at most",
+          "[fleet][front][quarantine]") {
+  CrashWorld world;
+  std::string path;
+  SECTION("a safe one") { path = "/safe/1"; }
+  SECTION("one that may run once only") { path = "/unsafe/1"; }
+  SECTION("a stream") { path = "/stream/1"; }
+  SECTION("a stream that may be resumed") { path = "/resumable/1"; }
+  std::string answer;
+  for (int i = 0; i < 8; ++i) answer = world.Crash(path);
+  CHECK(world.crashes() <= 3);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  // Other bodies and paths are served meanwhile.
+  CHECK(world.Send(path, "sound").starts_with("HTTP/1.1 200"));
+  CHECK(world.Send("/safe/2", "other").starts_with("HTTP/1.1 200"));
+}
+
+}  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -98,6 +98,12 @@
   const std::size_t turn = std::min(m_requests.size(), m_script.size() - 1);
   m_requests.push_back(std::move(connection.in));
   connection.in.clear();
+  const std::string& request = m_requests.back();
+  if (m_crashes_on && request.find(*m_crashes_on) != std::string::npos) {
+    ++m_crashes;
+    connection.socket->Close(true);
+    return;
+  }
   if (!connection.repeated.empty()) {
     connection.socket->Write(connection.repeated);
     return;
@@ -193,6 +199,12 @@
   ++first->entry.start_unix_ms;
 }
 
+void FrontWorld::RestartBoth() {
+  RestartFirst();
+  Endpoint* second = m_parts->view.endpoints().Find(EndpointId("e2"));
+  ++second->entry.start_unix_ms;
+}
+
 void FrontWorld::FillSecond() {
   Endpoint* second = m_parts->view.endpoints().Find(EndpointId("e2"));
   second->peers_in_flight = second->entry.slots;
@@ -277,10 +289,11 @@
   Run(DurationMs(200));
 }
 
-std::string RequestText(const std::string& path) {
+std::string RequestText(const std::string& path, const std::string& body) {
   return "POST " + path +
          " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: 9c41\r\n"
-         "Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n{}";
+         "Deadline-Ms: 1500\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string AnswerText(int status, const std::string& body,
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -9,7 +9,9 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "yuccamoor/transport/fleet/front_server.h"
@@ -43,6 +45,11 @@
 
   std::uint16_t port() const { return m_listener->port(); }
 
+  /// Has the endpoint break off each request that contains the text.
+  void CrashOn(std::string text) { m_crashes_on = std::move(text); }
+  /// Requests that it has broken off so.
+  std::uint32_t crashes() const { return m_crashes; }
+
   /// The heads of the requests that were read.
   const std::vector<std::string>& requests() const { return m_requests; }
   /// Connections that the peer has closed while nothing was answered.
@@ -63,6 +70,8 @@
   std::vector<ScriptedAnswer> m_script;
   std::vector<std::string> m_requests;
   std::uint32_t m_abandoned = 0;
+  std::optional<std::string> m_crashes_on;
+  std::uint32_t m_crashes = 0;
   std::list<Connection> m_connections;
   std::unique_ptr<Listener> m_listener;
 };
@@ -97,6 +106,8 @@
   void UseEngines();
   /// Has the first endpoint look like another process under the same id.
   void RestartFirst();
+  /// The same of both.
+  void RestartBoth();
   /// Has the second endpoint look full.
   void FillSecond();
   /// Runs the event loop for a while.
@@ -117,8 +128,9 @@
   std::unique_ptr<ScriptedEndpoint> m_second;
 };
 
-/// Returns a request with the path, the id 9c41 and a body.
-std::string RequestText(const std::string& path);
+/// Returns a request with the path, the id 9c41 and a body of two bytes.
+std::string RequestText(const std::string& path,
+                        const std::string& body = "{}");
 /// Returns a whole answer to it.
 std::string AnswerText(int status, const std::string& body,
                        const std::string& fields = "");
