Let the quarantine hold suspects of two kinds

The quarantine knew parts of prompts only, by class, message, log and metric. A whole request can make endpoints crash too, and needs the same: crashes in a row, clearing by output, news among nodes, reminders, bounded memory. So PromptQuarantine becomes CrashQuarantine, its key a CrashSuspect, a part of prompts or a request by its digest; PromptGuard becomes CrashGuard.

Crashes under a request count separately if it was sent after the crash before, not by the time between them: the users' record has three crashes within 0.12 s. Runs that were under way together still count once. For parts of prompts nothing changes. Nothing suspects requests yet.

--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -13,11 +13,11 @@
 #include <variant>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/crash_quarantine.h"
 #include "yuccamoor/coordination/fleet/engine_quote.h"
 #include "yuccamoor/coordination/fleet/engine_use.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/order_right.h"
-#include "yuccamoor/coordination/fleet/prompt_quarantine.h"
 #include "yuccamoor/coordination/fleet/prompt_queue.h"
 #include "yuccamoor/protocol/fleet/permit_messages.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
@@ -164,18 +164,18 @@
   std::vector<StoreChange> changes;
 };
 
-/// Tells what a node has learned about parts of prompts that may crash engines.
-struct TellPromptParts {
+/// Tells what a node has learned about what may crash endpoints.
+struct TellCrashes {
   NodeId node;
-  PromptPartNews news;
-  /// Whether the node has just started and asks which parts are quarantined.
+  CrashNews news;
+  /// Whether the node has just started and asks what is quarantined.
   bool asks = false;
 };
 
 using PeerMessage =
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
                  TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
-                 TellAdmission, TellSent, TellUse, TellPromptParts, AskPermit,
+                 TellAdmission, TellSent, TellUse, TellCrashes, AskPermit,
                  TellPermit, TellLimit>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -13,12 +13,12 @@
 #include "yuccamoor/coordination/fleet/route_table.h"
 #include "yuccamoor/protocol/fleet/event_cutter.h"
 #include "yuccamoor/transport/fleet/admission_client.h"
+#include "yuccamoor/transport/fleet/crash_guard.h"
 #include "yuccamoor/transport/fleet/dispatcher.h"
 #include "yuccamoor/transport/fleet/endpoint_call.h"
 #include "yuccamoor/transport/fleet/front_connection.h"
 #include "yuccamoor/transport/fleet/node_context.h"
 #include "yuccamoor/transport/fleet/permit_client.h"
-#include "yuccamoor/transport/fleet/prompt_guard.h"
 
 namespace yuccamoor::fleet {
 
@@ -27,7 +27,7 @@
   NodeContext& node;
   Dispatcher& dispatcher;
   AdmissionClient& admissions;
-  PromptGuard& prompts;
+  CrashGuard& crashes;
   PermitClient& permits;
   IdleConnections& idle;
   /// Set while the node shuts down: responses end their connections.
@@ -95,12 +95,15 @@
   /// Sends if the time of a permit has come.
   void UsePermit(TimeMs now);
   void Send(const Endpoint& target, TimeMs now);
-  /// Ends a request whose prompt would crash an engine. Returns whether it did.
+  /// What of the request may make endpoints crash.
+  std::vector<CrashSuspect> Suspects() const;
+  /// Ends a request that would crash an endpoint. Returns whether it did.
   bool EndIfQuarantined();
-  /// Reports a prompt whose engine ended before any output for it.
+  /// Reports that the endpoint ended before any output.
   void NoteBrokenOff();
-  /// Reports the first output for the prompt from an engine.
+  /// Reports the first output from the endpoint.
   void NoteOutput();
+  EndpointProcess Process() const;
   /// Takes up what the response's head states of the requests that the
   /// endpoint takes.
   void NoteIntake();
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -18,7 +18,7 @@
  public:
   static Result<std::unique_ptr<FrontServer>> Create(
       NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-      PromptGuard& prompts, PermitClient& permits);
+      CrashGuard& crashes, PermitClient& permits);
 
   void OnTick(TimeMs now);
 
@@ -41,7 +41,7 @@
 
  private:
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
-              AdmissionClient& admissions, PromptGuard& prompts,
+              AdmissionClient& admissions, CrashGuard& crashes,
               PermitClient& permits);
 
   void OnAccepted(boost::asio::ip::tcp::socket socket);
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -14,13 +14,13 @@
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/transport/fleet/admission_client.h"
 #include "yuccamoor/transport/fleet/admission_server.h"
+#include "yuccamoor/transport/fleet/crash_guard.h"
 #include "yuccamoor/transport/fleet/dispatcher.h"
 #include "yuccamoor/transport/fleet/engine_holder.h"
 #include "yuccamoor/transport/fleet/front_server.h"
 #include "yuccamoor/transport/fleet/lease_keeper.h"
 #include "yuccamoor/transport/fleet/peer_link.h"
 #include "yuccamoor/transport/fleet/permit_server.h"
-#include "yuccamoor/transport/fleet/prompt_guard.h"
 #include "yuccamoor/transport/fleet/status_server.h"
 #include "yuccamoor/transport/fleet/store_session.h"
 
@@ -74,7 +74,7 @@
   EngineHolder m_holder;
   AdmissionClient m_admissions;
   AdmissionServer m_admission_server;
-  PromptGuard m_prompts;
+  CrashGuard m_crashes;
   PermitClient m_permits;
   PermitServer m_permit_server;
   std::unique_ptr<PeerLink> m_peers;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -21,8 +21,8 @@
   Counter& stream_events;
   Counter& streams_resumed;
   /// Requests refused, and parts found, because of prompts that crash engines.
-  Counter& quarantined_prompts_refused;
-  Counter& prompt_parts_quarantined;
+  Counter& quarantined_requests_refused;
+  Counter& suspects_quarantined;
   /// Permits that requests to endpoints with a limit asked for in vain.
   Counter& permits_refused;
   Counter& orders;
--- /dev/null
+++ b/lib/coordination/fleet/crash_quarantine.cc
@@ -0,0 +1,218 @@
+#include "yuccamoor/coordination/fleet/crash_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccamoor::fleet {
+
+namespace {
+
+// Fewer may be chance: engines crash for other reasons, and connections break.
+constexpr std::uint32_t kCrashesToQuarantine = 3;
+// Crashes under a part of prompts within this time count as one.
+constexpr DurationMs kSameEvent{300};
+// An endpoint that crashes is back by then.
+constexpr DurationMs kRecentCrash{10'000};
+// Each further quarantine of a suspect lasts twice as long.
+constexpr DurationMs kFirstQuarantine{60'000};
+constexpr DurationMs kLongestQuarantine{960'000};
+// A suspect without crash for this long is sound or no longer requested.
+constexpr DurationMs kMemory{1'800'000};
+// Suspicions end sooner, as most of them concern sound requests.
+constexpr DurationMs kSuspicionMemory{600'000};
+// Reminders that were under way when the suspect was cleared arrive by then.
+constexpr DurationMs kClearedMemory{10'000};
+constexpr std::size_t kMaxSuspects = 8'192;
+// As many as a datagram carries.
+constexpr std::size_t kMaxReminded = 256;
+// Enough to tell endpoint processes apart until a suspect is quarantined.
+constexpr std::size_t kMaxEndpoints = 16;
+
+}  // namespace
+
+void CrashQuarantine::OnBrokenOff(const EndpointProcess& endpoint,
+                                  const std::vector<CrashSuspect>& suspects,
+                                  DurationMs ran, TimeMs now) {
+  m_broken_off[endpoint] = now;
+  std::vector<BrokenRun>& told = m_news.broken_off[endpoint];
+  for (const CrashSuspect& suspect : suspects) {
+    const BrokenRun run{suspect, ran};
+    AddCrash(endpoint, run, now);
+    const bool known = std::any_of(
+        told.begin(), told.end(),
+        [&](const BrokenRun& item) { return item.suspect == suspect; });
+    if (!known) told.push_back(run);
+  }
+}
+
+void CrashQuarantine::OnOutput(const EndpointProcess& endpoint,
+                               const std::vector<CrashSuspect>& suspects,
+                               TimeMs now) {
+  m_broken_off.erase(endpoint);
+  if (m_records.empty()) return;
+  for (const CrashSuspect& suspect : suspects) {
+    if (Clear(suspect, now)) m_news.cleared.push_back(suspect);
+  }
+}
+
+void CrashQuarantine::OnNews(const CrashNews& news, TimeMs now) {
+  for (const auto& [endpoint, runs] : news.broken_off) {
+    m_broken_off[endpoint] = now;
+    for (const BrokenRun& run : runs) AddCrash(endpoint, run, now);
+  }
+  for (const CrashSuspect& suspect : news.cleared) Clear(suspect, now);
+  for (const QuarantinedSuspect& item : news.quarantined) Adopt(item, now);
+}
+
+bool CrashQuarantine::IsSameEvent(const Record& record, const BrokenRun& run,
+                                  TimeMs now) {
+  if (record.endpoints.empty()) return false;
+  if (run.suspect.kind == SuspectKind::kPromptPart) {
+    return now - record.last_crash < kSameEvent;
+  }
+  return now - run.ran <= record.last_crash;
+}
+
+void CrashQuarantine::AddCrash(const EndpointProcess& endpoint,
+                               const BrokenRun& run, TimeMs now) {
+  Record& record = Touch(run.suspect, now);
+  const bool known = std::find(record.endpoints.begin(), record.endpoints.end(),
+                               endpoint) != record.endpoints.end();
+  if (known) return;
+  const bool same_event = IsSameEvent(record, run, now);
+  if (record.endpoints.size() < kMaxEndpoints) {
+    record.endpoints.push_back(endpoint);
+  }
+  if (same_event) return;
+  ++record.crashes;
+  record.last_crash = now;
+  // After an earlier quarantine, the first crash confirms it.
+  const bool confirmed = record.quarantines > 0;
+  if (confirmed || record.crashes >= kCrashesToQuarantine) {
+    Quarantine(run.suspect, record, now);
+  }
+}
+
+void CrashQuarantine::Quarantine(const CrashSuspect& suspect, Record& record,
+                                 TimeMs now) {
+  if (record.quarantined_until && now < *record.quarantined_until) return;
+  DurationMs time = kFirstQuarantine;
+  for (std::uint32_t i = 0; i < record.quarantines; ++i) {
+    time = std::min(time * 2, kLongestQuarantine);
+  }
+  ++record.quarantines;
+  record.quarantined_until = now + time;
+  m_news.quarantined.push_back({suspect, time});
+}
+
+void CrashQuarantine::Adopt(const QuarantinedSuspect& quarantined, TimeMs now) {
+  Record& record = Touch(quarantined.suspect, now);
+  const bool cleared = record.crashes == 0 && record.cleared_at &&
+                       now - *record.cleared_at < kClearedMemory;
+  if (cleared) {
+    // The sender has missed that.
+    m_news.cleared.push_back(quarantined.suspect);
+    return;
+  }
+  const TimeMs until =
+      now + std::min(quarantined.remaining, kLongestQuarantine);
+  if (record.quarantined_until && until <= *record.quarantined_until) return;
+  const bool is_new =
+      !record.quarantined_until || *record.quarantined_until <= now;
+  if (is_new) ++record.quarantines;
+  record.quarantined_until = until;
+}
+
+bool CrashQuarantine::Clear(const CrashSuspect& suspect, TimeMs now) {
+  const auto it = m_records.find(suspect);
+  if (it == m_records.end()) return false;
+  Record& record = it->second;
+  const bool suspected = record.crashes > 0 || record.quarantined_until;
+  if (!suspected) return false;
+  record = Record();
+  record.touched = now;
+  record.cleared_at = now;
+  return true;
+}
+
+std::uint32_t CrashQuarantine::RecentCrashes(const CrashSuspect& suspect,
+                                             TimeMs now) const {
+  const auto it = m_records.find(suspect);
+  if (it == m_records.end()) return 0;
+  const Record& record = it->second;
+  return now - record.last_crash < kRecentCrash ? record.crashes : 0;
+}
+
+bool CrashQuarantine::MayHaveEnded(const EndpointProcess& endpoint,
+                                   TimeMs now) const {
+  const auto it = m_broken_off.find(endpoint);
+  return it != m_broken_off.end() && now - it->second < kRecentCrash;
+}
+
+std::optional<QuarantinedSuspect> CrashQuarantine::Find(
+    const std::vector<CrashSuspect>& suspects, TimeMs now) const {
+  if (m_records.empty()) return std::nullopt;
+  std::optional<QuarantinedSuspect> longest;
+  for (const CrashSuspect& suspect : suspects) {
+    const auto it = m_records.find(suspect);
+    if (it == m_records.end() || !it->second.quarantined_until) continue;
+    const DurationMs remaining = *it->second.quarantined_until - now;
+    if (remaining <= DurationMs(0)) continue;
+    if (!longest || remaining > longest->remaining)
+      longest = {suspect, remaining};
+  }
+  return longest;
+}
+
+CrashNews CrashQuarantine::TakeNews() {
+  CrashNews news = std::move(m_news);
+  m_news = {};
+  return news;
+}
+
+CrashNews CrashQuarantine::Reminder(TimeMs now) const {
+  CrashNews news;
+  for (const auto& [suspect, record] : m_records) {
+    if (!record.quarantined_until || *record.quarantined_until <= now) continue;
+    news.quarantined.push_back({suspect, *record.quarantined_until - now});
+    if (news.quarantined.size() == kMaxReminded) break;
+  }
+  return news;
+}
+
+void CrashQuarantine::Expire(TimeMs now) {
+  std::erase_if(m_broken_off, [now](const auto& item) {
+    return now - item.second >= kRecentCrash;
+  });
+  std::erase_if(m_records, [now](const auto& item) {
+    const Record& record = item.second;
+    const DurationMs memory =
+        record.quarantines > 0 ? kMemory : kSuspicionMemory;
+    const TimeMs from = std::max(
+        record.touched, record.quarantined_until.value_or(record.touched));
+    return now - from >= memory;
+  });
+}
+
+CrashQuarantine::Record& CrashQuarantine::Touch(const CrashSuspect& suspect,
+                                                TimeMs now) {
+  const bool is_new = !m_records.contains(suspect);
+  if (is_new && m_records.size() >= kMaxSuspects) DropOldest();
+  Record& record = m_records[suspect];
+  record.touched = now;
+  return record;
+}
+
+// Quarantined suspects go last.
+void CrashQuarantine::DropOldest() {
+  const auto oldest = std::min_element(
+      m_records.begin(), m_records.end(), [](const auto& a, const auto& b) {
+        const bool a_stays = a.second.quarantines > 0;
+        const bool b_stays = b.second.quarantines > 0;
+        if (a_stays != b_stays) return b_stays;
+        return a.second.touched < b.second.touched;
+      });
+  if (oldest != m_records.end()) m_records.erase(oldest);
+}
+
+}  // namespace yuccamoor::fleet
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -223,31 +223,36 @@
   return json;
 }
 
-Json EncodeParts(const std::vector<PromptPartId>& parts) {
-  Json json = Json::array();
-  for (const PromptPartId& part : parts) json.push_back(part.str());
+Json EncodeSuspect(const CrashSuspect& suspect) {
+  Json json;
+  json["kind"] = ToText(suspect.kind);
+  json["id"] = suspect.id;
   return json;
 }
-
-Json Encode(const TellPromptParts& told) {
+Json Encode(const TellCrashes& told) {
   Json json;
-  json["type"] = "prompt_parts";
+  json["type"] = "crashes";
   json["node"] = told.node.str();
   Json& broken_off = json["broken_off"] = Json::array();
-  for (const auto& [engine, parts] : told.news.broken_off) {
+  for (const auto& [endpoint, runs] : told.news.broken_off) {
     Json item;
-    item["engine"] = engine.endpoint.str();
-    item["start"] = engine.start_unix_ms;
-    item["parts"] = EncodeParts(parts);
+    item["endpoint"] = endpoint.endpoint.str();
+    item["start"] = endpoint.start_unix_ms;
+    Json& list = item["runs"] = Json::array();
+    for (const BrokenRun& run : runs) {
+      list.push_back(EncodeSuspect(run.suspect));
+      list.back()["ran_ms"] = run.ran.ms();
+    }
     broken_off.push_back(std::move(item));
   }
-  json["cleared"] = EncodeParts(told.news.cleared);
+  Json& cleared = json["cleared"] = Json::array();
+  for (const CrashSuspect& suspect : told.news.cleared) {
+    cleared.push_back(EncodeSuspect(suspect));
+  }
   Json& quarantined = json["quarantined"] = Json::array();
-  for (const QuarantinedPart& part : told.news.quarantined) {
-    Json item;
-    item["part"] = part.part.str();
-    item["remaining_ms"] = part.remaining.ms();
-    quarantined.push_back(std::move(item));
+  for (const QuarantinedSuspect& item : told.news.quarantined) {
+    quarantined.push_back(EncodeSuspect(item.suspect));
+    quarantined.back()["remaining_ms"] = item.remaining.ms();
   }
   json["asks"] = told.asks;
   return json;
@@ -297,24 +302,31 @@
   return told;
 }
 
-std::vector<PromptPartId> DecodeParts(const Json& json) {
-  std::vector<PromptPartId> parts;
-  for (const Json& part : json) parts.push_back(part.get<PromptPartId>());
-  return parts;
+CrashSuspect DecodeSuspect(const Json& json) {
+  CrashSuspect suspect;
+  const bool is_request =
+      json.at("kind").get<std::string>() == ToText(SuspectKind::kRequest);
+  suspect.kind = is_request ? SuspectKind::kRequest : SuspectKind::kPromptPart;
+  suspect.id = json.at("id").get<std::string>();
+  return suspect;
 }
-
-TellPromptParts DecodePromptParts(const Json& json) {
-  TellPromptParts told;
+TellCrashes DecodeCrashes(const Json& json) {
+  TellCrashes told;
   told.node = json.at("node").get<NodeId>();
   for (const Json& item : json.at("broken_off")) {
-    const EndpointProcess engine{item.at("engine").get<EndpointId>(),
-                                 GetUnsigned(item.at("start"))};
-    told.news.broken_off[engine] = DecodeParts(item.at("parts"));
+    const EndpointProcess endpoint{item.at("endpoint").get<EndpointId>(),
+                                   GetUnsigned(item.at("start"))};
+    for (const Json& run : item.at("runs")) {
+      told.news.broken_off[endpoint].push_back(
+          {DecodeSuspect(run), DurationOf(run.at("ran_ms"))});
+    }
+  }
+  for (const Json& suspect : json.at("cleared")) {
+    told.news.cleared.push_back(DecodeSuspect(suspect));
   }
-  told.news.cleared = DecodeParts(json.at("cleared"));
   for (const Json& item : json.at("quarantined")) {
-    told.news.quarantined.push_back({item.at("part").get<PromptPartId>(),
-                                     DurationOf(item.at("remaining_ms"))});
+    told.news.quarantined.push_back(
+        {DecodeSuspect(item), DurationOf(item.at("remaining_ms"))});
   }
   told.asks = json.at("asks").get<bool>();
   return told;
@@ -368,7 +380,7 @@
   if (type == "ask_admission") return DecodeAskAdmission(json);
   if (type == "admission") return DecodeAdmission(json);
   if (type == "use") return DecodeUse(json);
-  if (type == "prompt_parts") return DecodePromptParts(json);
+  if (type == "crashes") return DecodeCrashes(json);
   if (type == "ask_permit") return DecodeAskPermit(json);
   if (type == "permit") return DecodeTellPermit(json);
   if (type == "limit") return DecodeTellLimit(json);
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -41,7 +41,9 @@
 void Exchange::NoteOutput() {
   if (m_has_output) return;
   m_has_output = true;
-  m_context.prompts.OnOutput(m_meta.shared_parts);
+  const bool any_suspected = !m_context.crashes.quarantine().empty();
+  m_context.crashes.OnOutput(
+      Process(), any_suspected ? Suspects() : std::vector<CrashSuspect>());
 }
 
 void Exchange::PassWhole() {
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -172,21 +172,35 @@
   EventCutter unread;
   if (CarriesEvents()) unread.Feed(m_call->body());
   if (!unread.TakeWhole().empty()) return;
-  m_context.prompts.OnBrokenOff({m_endpoint, m_endpoint_start_unix_ms},
-                                m_meta.shared_parts);
+  m_context.crashes.OnBrokenOff(Process(), Suspects(),
+                                m_context.node.clock.Now() - m_sent);
+}
+
+EndpointProcess Exchange::Process() const {
+  return {m_endpoint, m_endpoint_start_unix_ms};
+}
+
+std::vector<CrashSuspect> Exchange::Suspects() const {
+  std::vector<CrashSuspect> suspects;
+  for (const PromptPartId& part : m_meta.shared_parts) {
+    suspects.push_back({SuspectKind::kPromptPart, part.str()});
+  }
+  return suspects;
 }
 
 bool Exchange::EndIfQuarantined() {
-  // Output has shown that the prompt is sound.
-  if (m_stream_started) return false;
-  const auto found = m_context.prompts.FindQuarantined(m_meta.shared_parts);
+  const CrashQuarantine& quarantine = m_context.crashes.quarantine();
+  // Output has shown that the request is sound.
+  if (m_stream_started || quarantine.empty()) return false;
+  const auto found = quarantine.Find(Suspects(), m_context.node.clock.Now());
   if (!found) return false;
-  m_context.node.metrics.quarantined_prompts_refused.Add();
-  m_context.node.log.Event("prompt_quarantined")
+  m_context.node.metrics.quarantined_requests_refused.Add();
+  m_context.node.log.Event("request_quarantined")
       .Text("request", m_meta.attempt.str())
-      .Text("part", found->part.str())
+      .Text("kind", ToText(found->suspect.kind))
+      .Text("suspect", found->suspect.id)
       .Ms("remaining_ms", found->remaining);
-  GiveUp("prompt crashes engines", found->remaining);
+  GiveUp("crashes endpoints", found->remaining);
   return true;
 }
 
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -21,9 +21,9 @@
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-    PromptGuard& prompts, PermitClient& permits) {
+    CrashGuard& crashes, PermitClient& permits) {
   std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions, prompts, permits));
+      new FrontServer(node, dispatcher, admissions, crashes, permits));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -34,9 +34,9 @@
 }
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
-                         AdmissionClient& admissions, PromptGuard& prompts,
+                         AdmissionClient& admissions, CrashGuard& crashes,
                          PermitClient& permits)
-    : m_node(node), m_context{node,    dispatcher, admissions, prompts,
+    : m_node(node), m_context{node,    dispatcher, admissions, crashes,
                               permits, m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -72,7 +72,7 @@
           [this](const NodeId& node, const PeerMessage& message) {
             m_peers->Send(node, message);
           }),
-      m_prompts(
+      m_crashes(
           context,
           [this](const NodeId& node, const PeerMessage& message) {
             m_peers->Send(node, message);
@@ -107,7 +107,7 @@
                           OnPeerMessage(message, direct);
                         }),
        m_peers);
-  take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_prompts,
+  take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_crashes,
                            m_permits),
        m_front);
   take(StatusServer::Create(m_context.io, m_context.clock,
@@ -147,7 +147,7 @@
 void Node::OnViewChanged() {
   if (!m_lease.has_begun()) m_lease.Begin();
   m_holder.OnViewChanged();
-  m_prompts.OnNodesChanged();
+  m_crashes.OnNodesChanged();
 }
 
 bool Node::IsReady() const {
@@ -223,7 +223,7 @@
   m_permits.OnTick(now);
   m_permit_server.OnTick(now);
   m_front->OnTick(now);
-  m_prompts.OnTick(now);
+  m_crashes.OnTick(now);
   if (large) {
     m_admission_server.OnTick(now);
     TellHolders(now);
@@ -316,8 +316,8 @@
     m_admissions.OnTellAdmission(*admission);
   } else if (const auto* sent = std::get_if<TellSent>(&message)) {
     m_admission_server.OnSent(*sent);
-  } else if (const auto* parts = std::get_if<TellPromptParts>(&message)) {
-    m_prompts.OnTellPromptParts(*parts);
+  } else if (const auto* crashes = std::get_if<TellCrashes>(&message)) {
+    m_crashes.OnTellCrashes(*crashes);
   } else if (const auto* asks = std::get_if<AskPermit>(&message)) {
     m_permit_server.OnAsk(*asks);
   } else if (const auto* permit = std::get_if<TellPermit>(&message)) {
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -17,12 +17,12 @@
                                  "Events passed on to clients")),
       streams_resumed(r.GetCounter("yuccamoor_streams_resumed_total",
                                    "Streams continued at another engine")),
-      quarantined_prompts_refused(
-          r.GetCounter("yuccamoor_quarantined_prompts_refused_total",
-                       "Requests refused for a part that crashes engines")),
-      prompt_parts_quarantined(
-          r.GetCounter("yuccamoor_prompt_parts_quarantined_total",
-                       "Parts of prompts found to crash engines")),
+      quarantined_requests_refused(
+          r.GetCounter("yuccamoor_quarantined_requests_refused_total",
+                       "Requests refused as they crash endpoints")),
+      suspects_quarantined(
+          r.GetCounter("yuccamoor_suspects_quarantined_total",
+                       "Requests and parts of prompts that crash endpoints")),
       permits_refused(
           r.GetCounter("yuccamoor_permits_refused_total",
                        "Requests kept from an endpoint by its limit")),
--- a/unittests/coordination/fleet/prompt_quarantine_test.cc
+++ b/unittests/coordination/fleet/crash_quarantine_test.cc
@@ -1,7 +1,7 @@
 /// \file
-/// \brief Tests of finding the parts of prompts that crash engines.
+/// \brief Tests of finding what crashes endpoints.
 
-#include "yuccamoor/coordination/fleet/prompt_quarantine.h"
+#include "yuccamoor/coordination/fleet/crash_quarantine.h"
 
 #include <catch2/catch.hpp>
 #include <cstdint>
@@ -11,34 +11,35 @@
 namespace yuccamoor::fleet {
 namespace {
 
-using Parts = std::vector<PromptPartId>;
-
-const PromptPartId kCrashing("dead");
-const PromptPartId kShared("5c1e");
+const CrashSuspect kCrashing{SuspectKind::kPromptPart, "dead"};
+const CrashSuspect kShared{SuspectKind::kPromptPart, "5c1e"};
+const CrashSuspect kRequest{SuspectKind::kRequest, "9c41"};
+// How long runs had been under way.
+constexpr DurationMs kRan{50};
 
 EndpointProcess Engine(int number, std::uint64_t start = 1) {
   return {EndpointId("e" + std::to_string(number)), start};
 }
 
 // Crashes engines one second apart, without output in between.
-void CrashEngines(PromptQuarantine& quarantine, int count, TimeMs begin,
+void CrashEngines(CrashQuarantine& quarantine, int count, TimeMs begin,
                   int first = 0) {
   for (int i = 0; i < count; ++i) {
-    quarantine.OnBrokenOff(Engine(first + i), {kCrashing},
+    quarantine.OnBrokenOff(Engine(first + i), {kCrashing}, kRan,
                            begin + DurationMs(1'000) * i);
   }
 }
 
-bool IsQuarantined(const PromptQuarantine& quarantine, const PromptPartId& part,
-                   TimeMs now) {
-  return quarantine.Find({part}, now).has_value();
+bool IsQuarantined(const CrashQuarantine& quarantine,
+                   const CrashSuspect& suspect, TimeMs now) {
+  return quarantine.Find({suspect}, now).has_value();
 }
 
 }  // namespace
 
 TEST_CASE("A part of prompts that engines broke off in a row is quarantined",
           "[fleet][quarantine]") {
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   CrashEngines(quarantine, 2, TimeMs(0));
   CHECK_FALSE(IsQuarantined(quarantine, kCrashing, TimeMs(1'500)));
   CrashEngines(quarantine, 1, TimeMs(2'000), 2);
@@ -49,11 +50,11 @@
 
 TEST_CASE("Output clears the parts that sound and crashing prompts share",
           "[fleet][quarantine]") {
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   for (int i = 0; i < 5; ++i) {
     const TimeMs now = TimeMs(0) + DurationMs(1'000) * i;
-    quarantine.OnBrokenOff(Engine(i), {kShared, kCrashing}, now);
-    quarantine.OnOutput({kShared}, now + DurationMs(500));
+    quarantine.OnBrokenOff(Engine(i), {kShared, kCrashing}, kRan, now);
+    quarantine.OnOutput(Engine(99), {kShared}, now + DurationMs(500));
   }
   CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(5'000)));
   CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(5'000)));
@@ -63,31 +64,32 @@
 // were sent have nothing to do with it.
 TEST_CASE("Engines that crash together make no prompt suspicious enough",
           "[fleet][quarantine]") {
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   for (int i = 0; i < 60; ++i) {
-    quarantine.OnBrokenOff(Engine(i), {kShared}, TimeMs(0) + DurationMs(4) * i);
+    quarantine.OnBrokenOff(Engine(i), {kShared}, kRan,
+                           TimeMs(0) + DurationMs(4) * i);
   }
   CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(300)));
 }
 
 TEST_CASE("One engine process counts once, whoever reports it",
           "[fleet][quarantine]") {
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   for (int i = 0; i < 10; ++i) {
-    quarantine.OnBrokenOff(Engine(0), {kCrashing},
+    quarantine.OnBrokenOff(Engine(0), {kCrashing}, kRan,
                            TimeMs(0) + DurationMs(1'000) * i);
   }
   CHECK_FALSE(IsQuarantined(quarantine, kCrashing, TimeMs(10'000)));
-  quarantine.OnBrokenOff(Engine(0, 2), {kCrashing}, TimeMs(11'000));
-  quarantine.OnBrokenOff(Engine(0, 3), {kCrashing}, TimeMs(12'000));
+  quarantine.OnBrokenOff(Engine(0, 2), {kCrashing}, kRan, TimeMs(11'000));
+  quarantine.OnBrokenOff(Engine(0, 3), {kCrashing}, kRan, TimeMs(12'000));
   CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(12'000)));
 }
 
 TEST_CASE("Nodes that each saw one crash come to the same result",
           "[fleet][quarantine]") {
-  std::vector<PromptQuarantine> nodes(3);
+  std::vector<CrashQuarantine> nodes(3);
   const auto tell_others = [&](std::size_t teller, TimeMs now) {
-    const PromptPartNews news = nodes[teller].TakeNews();
+    const CrashNews news = nodes[teller].TakeNews();
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (i != teller) nodes[i].OnNews(news, now);
     }
@@ -95,12 +97,12 @@
   for (std::size_t i = 0; i < nodes.size(); ++i) {
     const TimeMs now(1'000 * static_cast<std::int64_t>(i));
     nodes[i].OnBrokenOff(Engine(static_cast<int>(i)), {kShared, kCrashing},
-                         now);
+                         kRan, now);
     tell_others(i, now);
-    nodes[0].OnOutput({kShared}, now + DurationMs(100));
+    nodes[0].OnOutput(Engine(99), {kShared}, now + DurationMs(100));
     tell_others(0, now + DurationMs(100));
   }
-  for (const PromptQuarantine& node : nodes) {
+  for (const CrashQuarantine& node : nodes) {
     CHECK(IsQuarantined(node, kCrashing, TimeMs(3'000)));
     CHECK_FALSE(IsQuarantined(node, kShared, TimeMs(3'000)));
   }
@@ -108,14 +110,14 @@
 
 TEST_CASE("A quarantine ends, and the next crash renews it for longer",
           "[fleet][quarantine]") {
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   CrashEngines(quarantine, 3, TimeMs(0));
   const auto first = quarantine.Find({kCrashing}, TimeMs(2'000));
   REQUIRE(first);
   const TimeMs ended = TimeMs(2'000) + first->remaining;
   quarantine.Expire(ended);
   CHECK_FALSE(IsQuarantined(quarantine, kCrashing, ended));
-  quarantine.OnBrokenOff(Engine(7), {kCrashing}, ended + DurationMs(500));
+  quarantine.OnBrokenOff(Engine(7), {kCrashing}, kRan, ended + DurationMs(500));
   const auto second = quarantine.Find({kCrashing}, ended + DurationMs(500));
   REQUIRE(second);
   CHECK(second->remaining == first->remaining * 2);
@@ -123,9 +125,9 @@
 
 TEST_CASE("A node that missed the crashes learns of the quarantine",
           "[fleet][quarantine]") {
-  PromptQuarantine teller;
+  CrashQuarantine teller;
   CrashEngines(teller, 3, TimeMs(0));
-  PromptQuarantine started;
+  CrashQuarantine started;
   started.OnNews(teller.Reminder(TimeMs(3'000)), TimeMs(3'000));
   const auto heard = started.Find({kCrashing}, TimeMs(3'000));
   const auto known = teller.Find({kCrashing}, TimeMs(3'000));
@@ -137,11 +139,11 @@
 
 TEST_CASE("A reminder does not bring back a part that has been cleared",
           "[fleet][quarantine]") {
-  PromptQuarantine outdated;
+  CrashQuarantine outdated;
   CrashEngines(outdated, 3, TimeMs(0));
-  PromptQuarantine node;
+  CrashQuarantine node;
   node.OnNews(outdated.TakeNews(), TimeMs(2'000));
-  node.OnOutput({kCrashing}, TimeMs(2'500));
+  node.OnOutput(Engine(99), {kCrashing}, TimeMs(2'500));
   node.TakeNews();
   node.OnNews(outdated.Reminder(TimeMs(3'000)), TimeMs(3'000));
   CHECK_FALSE(IsQuarantined(node, kCrashing, TimeMs(3'000)));
@@ -153,11 +155,13 @@
 TEST_CASE("Parts without end take bounded memory and keep the quarantined ones",
           "[fleet][quarantine]") {
   constexpr std::size_t kBound = 10'000;
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   CrashEngines(quarantine, 3, TimeMs(0));
   for (int i = 0; i < 12'000; ++i) {
-    quarantine.OnBrokenOff(Engine(100), {PromptPartId(std::to_string(i))},
-                           TimeMs(3'000 + i));
+    quarantine.OnBrokenOff(
+        Engine(100),
+        {CrashSuspect{SuspectKind::kPromptPart, std::to_string(i)}}, kRan,
+        TimeMs(3'000 + i));
   }
   CHECK(quarantine.size() < kBound);
   CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(15'000)));
@@ -165,4 +169,59 @@
   CHECK(quarantine.size() == 0);
 }
 
+// A request that is repeated at once ends all endpoints of a service within a
+// tenth of a second.
+TEST_CASE("Crashes under a request count if it was sent after the one before",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  const TimeMs begin(1'000);
+  SECTION("sent one after the other") {
+    for (int i = 0; i < 3; ++i) {
+      quarantine.OnBrokenOff(Engine(i), {kRequest}, DurationMs(20),
+                             begin + DurationMs(30) * i);
+    }
+    CHECK(IsQuarantined(quarantine, kRequest, TimeMs(1'100)));
+  }
+  SECTION("under way together when endpoints fail together") {
+    for (int i = 0; i < 10; ++i) {
+      quarantine.OnBrokenOff(Engine(i), {kRequest}, DurationMs(500),
+                             begin + DurationMs(30) * i);
+    }
+    CHECK_FALSE(IsQuarantined(quarantine, kRequest, TimeMs(1'400)));
+    CHECK(quarantine.RecentCrashes(kRequest, TimeMs(1'400)) == 1);
+  }
+  SECTION("with an answer in between") {
+    for (int i = 0; i < 10; ++i) {
+      const TimeMs now = begin + DurationMs(1'000) * i;
+      quarantine.OnBrokenOff(Engine(i), {kRequest}, kRan, now);
+      if (i % 2 == 1) {
+        quarantine.OnOutput(Engine(99), {kRequest}, now + DurationMs(10));
+      }
+    }
+    CHECK_FALSE(IsQuarantined(quarantine, kRequest, TimeMs(20'000)));
+  }
+}
+
+TEST_CASE("A request and a part of prompts with one id are two suspects",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  CrashEngines(quarantine, 3, TimeMs(0));
+  CHECK_FALSE(IsQuarantined(quarantine, {SuspectKind::kRequest, kCrashing.id},
+                            TimeMs(3'000)));
+}
+
+TEST_CASE("An endpoint that broke off runs may have ended until it answers",
+          "[fleet][quarantine]") {
+  CrashQuarantine node;
+  CrashQuarantine other;
+  node.OnBrokenOff(Engine(1), {}, kRan, TimeMs(0));
+  other.OnNews(node.TakeNews(), TimeMs(20));
+  CHECK(node.MayHaveEnded(Engine(1), TimeMs(100)));
+  CHECK(other.MayHaveEnded(Engine(1), TimeMs(100)));
+  CHECK_FALSE(other.MayHaveEnded(Engine(1, 2), TimeMs(100)));
+  other.OnOutput(Engine(1), {}, TimeMs(200));
+  CHECK_FALSE(other.MayHaveEnded(Engine(1), TimeMs(200)));
+  CHECK_FALSE(node.MayHaveEnded(Engine(1), TimeMs(60'000)));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -182,24 +182,26 @@
   CHECK(std::get<TellUse>(*used).requests_per_second == 2.5);
 }
 
-TEST_CASE("News of prompt parts come back as they were sent", "[fleet][peer]") {
-  TellPromptParts told;
+TEST_CASE("News of crashes come back as they were sent", "[fleet][peer]") {
+  const CrashSuspect part{SuspectKind::kPromptPart, "5c"};
+  const CrashSuspect request{SuspectKind::kRequest, "dead"};
+  TellCrashes told;
   told.node = NodeId("n1");
-  told.news.broken_off[{EndpointId("e1"), 7}] = {PromptPartId("5c"),
-                                                 PromptPartId("dead")};
-  told.news.cleared = {PromptPartId("5c")};
-  told.news.quarantined = {{PromptPartId("dead"), DurationMs(60'000)}};
+  told.news.broken_off[{EndpointId("e1"), 7}] = {{part, DurationMs(40)},
+                                                 {request, DurationMs(50)}};
+  told.news.cleared = {part};
+  told.news.quarantined = {{request, DurationMs(60'000)}};
   told.asks = true;
-  const auto got = DecodePeerMessage(EncodePeerMessage(told));
-  REQUIRE(got);
-  const auto& parts = std::get<TellPromptParts>(*got);
-  CHECK(parts.node == told.node);
-  CHECK(parts.asks);
-  CHECK(parts.news.broken_off == told.news.broken_off);
-  CHECK(parts.news.cleared == told.news.cleared);
-  REQUIRE(parts.news.quarantined.size() == 1);
-  CHECK(parts.news.quarantined[0].part == PromptPartId("dead"));
-  CHECK(parts.news.quarantined[0].remaining == DurationMs(60'000));
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(told));
+  REQUIRE(decoded);
+  const auto& got = std::get<TellCrashes>(*decoded);
+  CHECK(got.node == told.node);
+  CHECK(got.asks);
+  CHECK(got.news.broken_off == told.news.broken_off);
+  CHECK(got.news.cleared == told.news.cleared);
+  REQUIRE(got.news.quarantined.size() == 1);
+  CHECK(got.news.quarantined[0].suspect == request);
+  CHECK(got.news.quarantined[0].remaining == DurationMs(60'000));
 }
 
 TEST_CASE("Questions for permits come back as they were sent",
--- a/unittests/transport/fleet/prompt_guard_test.cc
+++ b/unittests/transport/fleet/crash_guard_test.cc
@@ -1,7 +1,7 @@
 /// \file
-/// \brief Tests of what nodes tell each other about prompts that crash engines.
+/// \brief Tests of what nodes tell each other about what crashes endpoints.
 
-#include "yuccamoor/transport/fleet/prompt_guard.h"
+#include "yuccamoor/transport/fleet/crash_guard.h"
 
 #include <catch2/catch.hpp>
 #include <string>
@@ -28,7 +28,7 @@
         m_guard(
             m_parts.context,
             [this](const NodeId& node, const PeerMessage& message) {
-              m_sent.emplace_back(node, std::get<TellPromptParts>(message));
+              m_sent.emplace_back(node, std::get<TellCrashes>(message));
             },
             [](const PeerMessage&) {}) {}
 
@@ -38,33 +38,34 @@
                                      EncodeNodeRecord({}), Revision(1)},
                        m_clock.Now());
   }
-  /// Has three engines in a row crash under prompts with the part.
-  void CrashEngines(const PromptPartId& part) {
+  /// Has three engines in a row crash under the suspect.
+  void CrashEngines(const CrashSuspect& suspect) {
     for (int i = 0; i < 3; ++i) {
-      m_guard.OnBrokenOff({EndpointId("e" + std::to_string(i)), 1}, {part});
+      m_guard.OnBrokenOff({EndpointId("e" + std::to_string(i)), 1}, {suspect},
+                          DurationMs(50));
       m_clock.Advance(DurationMs(1'000));
     }
   }
 
-  PromptGuard& guard() { return m_guard; }
+  CrashGuard& guard() { return m_guard; }
   /// Returns what was sent since the last call.
-  std::vector<std::pair<NodeId, TellPromptParts>> TakeSent() {
+  std::vector<std::pair<NodeId, TellCrashes>> TakeSent() {
     return std::exchange(m_sent, {});
   }
 
  private:
   ManualClock m_clock;
   ContextParts m_parts;
-  std::vector<std::pair<NodeId, TellPromptParts>> m_sent;
-  PromptGuard m_guard;
+  std::vector<std::pair<NodeId, TellCrashes>> m_sent;
+  CrashGuard m_guard;
 };
 
 }  // namespace
 
 // Nodes that had just started crashed engines until they were reminded.
-TEST_CASE("A node that starts asks which parts are quarantined",
+TEST_CASE("A node that starts asks what is quarantined",
           "[fleet][quarantine]") {
-  const PromptPartId crashing("dead");
+  const CrashSuspect crashing{SuspectKind::kRequest, "dead"};
   GuardWorld started;
   started.guard().OnNodesChanged();
   CHECK(started.TakeSent().empty());
@@ -79,15 +80,15 @@
   CHECK(started.TakeSent().empty());
 
   GuardWorld other;
-  other.guard().OnTellPromptParts(asked[0].second);
+  other.guard().OnTellCrashes(asked[0].second);
   CHECK(other.TakeSent().empty());
   other.CrashEngines(crashing);
-  other.guard().OnTellPromptParts(asked[0].second);
+  other.guard().OnTellCrashes(asked[0].second);
   const auto answer = other.TakeSent();
   REQUIRE(answer.size() == 1);
   CHECK(answer[0].first == NodeId("n1"));
-  started.guard().OnTellPromptParts(answer[0].second);
-  CHECK(started.guard().FindQuarantined({crashing}));
+  started.guard().OnTellCrashes(answer[0].second);
+  CHECK(started.guard().quarantine().Find({crashing}, TimeMs(5'000)));
 }
 
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -132,7 +132,7 @@
             [](const PeerMessage&) {}),
         admissions(context, dispatcher,
                    [](const NodeId&, const PeerMessage&) {}),
-        prompts(
+        crashes(
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}),
         permits(
@@ -140,7 +140,7 @@
             [](const PeerMessage&) {}) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
     front = std::move(FrontServer::Create(context, dispatcher, admissions,
-                                          prompts, permits))
+                                          crashes, permits))
                 .value();
   }
 
@@ -154,7 +154,7 @@
   NodeContext context;
   Dispatcher dispatcher;
   AdmissionClient admissions;
-  PromptGuard prompts;
+  CrashGuard crashes;
   PermitClient permits;
   std::unique_ptr<FrontServer> front;
 };
