Quarantine requests that crash endpoints, and keep the last endpoint

Cause: failures were held against endpoints, and against parts of prompts, but not against a request as such. In the record all three endpoints of the service end within 0.12 s: an attempt is repeated at once on the next endpoint, and another node sends the same request meanwhile.

Change: a request is suspected by the digest of its method, path, caller, prompt and body. Three crashes in a row without an answer quarantine it on all nodes, for a minute at first. It is refused at once as not run. While it has crashed fewer, all nodes send it to the same endpoint, so that several nodes end one; and once it has crashed two, it does not get the last endpoint of several, which goes on to serve the others. A broken call counts if the endpoint has closed or reset the connection; bytes that cannot be read do not count any more. Any answer below 500 clears the request.

--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -52,6 +52,8 @@
   bool reused() const { return m_reused; }
   HttpHead& head() { return m_parser->head(); }
   const ResponseMeta& meta() const { return m_meta; }
+  /// Whether the endpoint has closed or reset the connection.
+  bool ended_by_peer() const { return m_ended_by_peer; }
   /// Whether the response's head has come.
   bool has_head() const { return m_has_head; }
   /// Body bytes that nobody has taken yet.
@@ -98,6 +100,7 @@
   bool m_has_head = false;
   bool m_expect_no_body = false;
   bool m_detached = false;
+  bool m_ended_by_peer = false;
   // Another response came on this connection: it is not used again.
   bool m_tainted = false;
 };
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -59,6 +59,9 @@
   enum class Outcome : std::uint8_t { kAnswered, kRefused, kFailed, kGone };
 
   void Dispatch(TimeMs now);
+  /// Sends a request under which endpoints have just crashed, or ends it.
+  /// Returns whether it did either.
+  bool DispatchSuspect(TimeMs now);
   bool HoldsBack(const EndpointId& endpoint, TimeMs now) const;
   /// Ends a request whose prompt was held back until its client will leave.
   void HoldBack(TimeMs now);
@@ -95,14 +98,18 @@
   /// Sends if the time of a permit has come.
   void UsePermit(TimeMs now);
   void Send(const Endpoint& target, TimeMs now);
-  /// What of the request may make endpoints crash.
-  std::vector<CrashSuspect> Suspects() const;
+  /// The whole request as what may make endpoints crash.
+  CrashSuspect RequestSuspect() const;
+  /// What of the request may make endpoints crash: also the parts of its
+  /// prompt.
+  const std::vector<CrashSuspect>& Suspects();
   /// Ends a request that would crash an endpoint. Returns whether it did.
   bool EndIfQuarantined();
   /// Reports that the endpoint ended before any output.
   void NoteBrokenOff();
-  /// Reports the first output from the endpoint.
-  void NoteOutput();
+  /// Reports the first output from the endpoint: for the prompt, or an error
+  /// for the request.
+  void NoteOutput(bool for_prompt);
   EndpointProcess Process() const;
   /// Takes up what the response's head states of the requests that the
   /// endpoint takes.
@@ -167,6 +174,8 @@
   std::shared_ptr<const RouteTable> m_routes;
   const RouteSpec& m_route;
   RequestMeta m_meta;
+  // Empty until it is needed: a digest takes its time.
+  std::vector<CrashSuspect> m_suspects;
   ServiceId m_service;
   TimeMs m_deadline;
   std::unique_ptr<EndpointCall> m_call;
--- a/lib/coordination/fleet/crash_quarantine.cc
+++ b/lib/coordination/fleet/crash_quarantine.cc
@@ -70,7 +70,7 @@
   if (run.suspect.kind == SuspectKind::kPromptPart) {
     return now - record.last_crash < kSameEvent;
   }
-  return now - run.ran <= record.last_crash;
+  return now - run.ran < record.last_crash;
 }
 
 void CrashQuarantine::AddCrash(const EndpointProcess& endpoint,
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -57,6 +57,7 @@
       m_socket->Write(std::string_view(m_out).substr(m_written));
   m_written += result.bytes;
   if (result.status == IoStatus::kReset) {
+    m_ended_by_peer = true;
     Move(m_written == 0 ? CallState::kNotSent : CallState::kBroken);
     return;
   }
@@ -88,6 +89,8 @@
     return;
   }
   const IoResult result = m_socket->Read(m_in, kReadLimit);
+  m_ended_by_peer =
+      result.status == IoStatus::kEnd || result.status == IoStatus::kReset;
   Parse(result.status == IoStatus::kEnd);
   if (result.status == IoStatus::kReset && m_state != CallState::kComplete) {
     m_state = CallState::kBroken;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -88,7 +88,7 @@
     return;
   }
   m_last_choice = now;
-  if (EndIfQuarantined()) return;
+  if (EndIfQuarantined() || DispatchSuspect(now)) return;
   if (m_meta.adapter && m_context.dispatcher.IsLarge()) {
     SeekAdmission(now);
     return;
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -38,18 +38,11 @@
       static_cast<double>(m_first_answer.ms()) / kMsPerSecond);
 }
 
-void Exchange::NoteOutput() {
-  if (m_has_output) return;
-  m_has_output = true;
-  const bool any_suspected = !m_context.crashes.quarantine().empty();
-  m_context.crashes.OnOutput(
-      Process(), any_suspected ? Suspects() : std::vector<CrashSuspect>());
-}
-
 void Exchange::PassWhole() {
   NoteFirstAnswer();
-  if (m_call->head().status / 100 == 2) NoteOutput();
-  const bool healthy = m_call->head().status < 500;
+  const int status = m_call->head().status;
+  const bool healthy = status < 500;
+  if (healthy) NoteOutput(status / 100 == 2);
   const std::string body = std::move(m_call->body());
   std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
   out += CloseField();
@@ -83,7 +76,7 @@
     return;
   }
   m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
-  NoteOutput();
+  NoteOutput(true);
   if (!m_stream_started) StartStream();
   if (m_ended) return;
   NotePause();
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -146,8 +146,7 @@
   m_context.node.log.Event("call_broken")
       .Text("request", m_meta.attempt.str())
       .Text("endpoint", m_endpoint.str())
-      .Text("digest",
-            m_context.node.dialect.Digest(m_request.head, m_request.body).str())
+      .Text("digest", Suspects().front().id)
       .Number("reused", m_call->reused() ? 1 : 0)
       .Number("events", m_cutter.events())
       .Ms("after_ms", now - m_sent);
@@ -163,47 +162,6 @@
   GiveUp("call broken", std::nullopt);
 }
 
-void Exchange::NoteBrokenOff() {
-  // What this node gave up by itself tells nothing of the engine.
-  const bool ended_by_engine = m_call->state() == CallState::kBroken ||
-                               m_call->state() == CallState::kComplete;
-  if (!ended_by_engine || m_has_output) return;
-  // Events that came together with the end were not passed on.
-  EventCutter unread;
-  if (CarriesEvents()) unread.Feed(m_call->body());
-  if (!unread.TakeWhole().empty()) return;
-  m_context.crashes.OnBrokenOff(Process(), Suspects(),
-                                m_context.node.clock.Now() - m_sent);
-}
-
-EndpointProcess Exchange::Process() const {
-  return {m_endpoint, m_endpoint_start_unix_ms};
-}
-
-std::vector<CrashSuspect> Exchange::Suspects() const {
-  std::vector<CrashSuspect> suspects;
-  for (const PromptPartId& part : m_meta.shared_parts) {
-    suspects.push_back({SuspectKind::kPromptPart, part.str()});
-  }
-  return suspects;
-}
-
-bool Exchange::EndIfQuarantined() {
-  const CrashQuarantine& quarantine = m_context.crashes.quarantine();
-  // Output has shown that the request is sound.
-  if (m_stream_started || quarantine.empty()) return false;
-  const auto found = quarantine.Find(Suspects(), m_context.node.clock.Now());
-  if (!found) return false;
-  m_context.node.metrics.quarantined_requests_refused.Add();
-  m_context.node.log.Event("request_quarantined")
-      .Text("request", m_meta.attempt.str())
-      .Text("kind", ToText(found->suspect.kind))
-      .Text("suspect", found->suspect.id)
-      .Ms("remaining_ms", found->remaining);
-  GiveUp("crashes endpoints", found->remaining);
-  return true;
-}
-
 void Exchange::OnSilent(TimeMs now) {
   if (m_route.kind != RequestKind::kSafe) return;
   const DurationMs patience =
