Test that an answer whose head is cut off is no answer

Operators of systems like this one saw a 200 with an empty body, framed as whole, when a worker had stopped within its answer's head. Not reproduced here: heads cut at each byte, with a length, chunked and without either, closed and reset, on requests that may run once and on streams, all end in a 502 of the node's own. The parser takes no head for one before its blank line, and an end is looked at only after the head.

--- a/unittests/transport/fleet/front_crash_test.cc
+++ b/unittests/transport/fleet/front_crash_test.cc
@@ -2,6 +2,8 @@
 /// \brief Tests of requests under which endpoints crash.
 
 #include <catch2/catch.hpp>
+#include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "transport/fleet/front_world.h"
@@ -62,4 +64,26 @@
   CHECK(world.Send("/safe/2", "other").starts_with("HTTP/1.1 200"));
 }
 
+// Elsewhere, clients got an empty answer framed as whole when an endpoint had
+// ended within its head.
+TEST_CASE("An answer whose head is cut off anywhere is no answer",
+          "[fleet][front]") {
+  const std::string framing =
+      GENERATE("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "");
+  const auto act =
+      GENERATE(EndpointAct::kSendAndClose, EndpointAct::kSendAndReset);
+  const std::string path = GENERATE("/unsafe/x", "/stream/x");
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\n" + framing +
+                           "Response-Stamp: s1\r\n\r\n";
+  for (std::size_t length = 0; length < head.size(); ++length) {
+    const ScriptedAnswer cut{act, head.substr(0, length)};
+    FrontWorld world({cut}, {cut});
+    const std::string got = world.Exchange(RequestText(path), "\r\n\r\n");
+    CAPTURE(length, framing, path);
+    CHECK(got.starts_with("HTTP/1.1 502 "));
+    CHECK(got.find("Content-Length: 0\r\n") != std::string::npos);
+    CHECK(got.find("Response-Stamp") == std::string::npos);
+  }
+}
+
 }  // namespace yuccamoor::fleet
