Refuse what may outlast a leaving node, and answer what is left at its end

Operators of systems like this one saw requests that came late in the grace of a planned stop taken, passed on, and cut at its end without an answer, also such as may not be repeated (LOST).

It could happen here: a leaving node took plain requests until 1.5 s before the end of its grace, whatever their deadline, and ended 0.5 s before it. A request that came 6.4 s after SIGTERM with 1.5 s to go on a slow endpoint was cut.

Change: from 3 s after SIGTERM on, a request is taken only if its deadline, or its route's timeout, comes before the node's end; others are refused at once as not run. What is under way at the end gets its final answer: 503 if no endpoint was sent it, 502 if one was. Only streams that have begun are cut. The node ends once the answers are written, 0.15 s later at the latest.

--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -22,6 +22,10 @@
 
 namespace yuccamoor::fleet {
 
+/// When to come back to a node that shuts down: other nodes take the request at
+/// once.
+inline constexpr DurationMs kShutdownRetryAfter{50};
+
 /// What exchanges share.
 struct ExchangeContext {
   NodeContext& node;
@@ -46,11 +50,19 @@
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
+  /// Returns when a request ends at the latest: its client waits no longer, or
+  /// its route wants it kept no longer.
+  static TimeMs DeadlineOf(const FrontRequest& request, const RequestMeta& meta,
+                           const RouteSpec& route);
+
   void Start();
   /// Checks time limits, looks again for an endpoint, reads streams.
   void OnTick(TimeMs now);
   /// The client has left.
   void OnClientGone();
+  /// The node ends now: the client gets its final answer, unless a stream to it
+  /// has begun, which is cut.
+  void OnShutdown();
   /// Whether the exchange has ended and can go.
   bool ended() const { return m_ended; }
   const FrontConnection* client() const { return m_client.get(); }
@@ -121,6 +133,8 @@
   void OnNotSent();
   void OnBroken();
   void OnSilent(TimeMs now);
+  /// Whether an endpoint may have begun to work on the request.
+  bool MayHaveRun() const;
   bool MayRepeat() const;
   bool TakesRetry(const char* reason);
   bool Retry(const char* reason);
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -22,9 +22,12 @@
 
   void OnTick(TimeMs now);
 
-  /// Ends connections after their current response; streams and other requests
-  /// that come later than their time are refused.
-  void BeginShutdown(TimeMs streams_until, TimeMs others_until);
+  /// Ends connections after their current response. Streams that come after
+  /// \p streams_until are refused, and so are requests from then on that may
+  /// last longer than the node, which ends at \p end.
+  void BeginShutdown(TimeMs streams_until, TimeMs end);
+  /// Ends the requests under way, each with its final answer.
+  void EndRequests();
   /// Whether no request is under way.
   bool quiet() const { return m_exchanges.empty(); }
   std::size_t connections() const { return m_connections.size(); }
@@ -44,6 +47,9 @@
               AdmissionClient& admissions, CrashGuard& crashes,
               PermitClient& permits);
 
+  /// Whether the node may end before the request.
+  bool MayOutlastNode(const FrontRequest& request,
+                      const RouteSpec& route) const;
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
              int status, const char* reason,
@@ -53,7 +59,7 @@
   IdleConnections m_idle;
   bool m_closing = false;
   TimeMs m_streams_until = TimeMs::Never();
-  TimeMs m_others_until = TimeMs::Never();
+  TimeMs m_end = TimeMs::Never();
   ExchangeContext m_context;
   std::unique_ptr<Listener> m_listener;
   std::map<FrontConnection*, std::weak_ptr<FrontConnection>> m_connections;
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -38,8 +38,7 @@
       m_routes(std::move(routes)),
       m_route(route),
       m_meta(context.node.dialect.DecodeRequest(m_request.head)) {
-  const DurationMs wait = m_meta.deadline.value_or(kDefaultDeadline);
-  m_deadline = m_request.received + std::min(wait, m_route.timeout);
+  m_deadline = DeadlineOf(m_request, m_meta, m_route);
   m_service =
       RouteTable::PickService(m_route, StableBucketHash(m_meta.attempt.str()));
   if (m_context.node.view.EngineOf(m_service)) return;
@@ -47,6 +46,12 @@
   m_meta.shared_parts.clear();
 }
 
+TimeMs Exchange::DeadlineOf(const FrontRequest& request,
+                            const RequestMeta& meta, const RouteSpec& route) {
+  const DurationMs wait = meta.deadline.value_or(kDefaultDeadline);
+  return request.received + std::min(wait, route.timeout);
+}
+
 Exchange::~Exchange() {
   if (m_call) EndCall(false, false);
 }
@@ -236,9 +241,12 @@
                 m_request.head.method == "HEAD", now, [this] { OnProgress(); });
 }
 
+bool Exchange::MayHaveRun() const {
+  return m_runs > 0 || (m_call && m_call->state() != CallState::kConnecting);
+}
+
 void Exchange::OnDeadline() {
-  const bool may_have_run =
-      m_runs > 0 || (m_call && m_call->state() != CallState::kConnecting);
+  const bool may_have_run = MayHaveRun();
   if (m_call) EndCall(false, true);
   if (m_stream_started) {
     CutStream("deadline within a stream");
@@ -249,6 +257,19 @@
   }
 }
 
+void Exchange::OnShutdown() {
+  if (m_ended) return;
+  const bool may_have_run = MayHaveRun();
+  if (m_call) EndCall(false, false);
+  if (m_stream_started) {
+    CutStream("shut down within a stream");
+  } else if (may_have_run) {
+    Fail(502, "shut down");
+  } else {
+    Refuse("shut down", kShutdownRetryAfter);
+  }
+}
+
 void Exchange::OnTick(TimeMs now) {
   if (m_ended) return;
   if (now >= m_deadline) {
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -10,7 +10,6 @@
 
 // A node without a configuration will have one soon.
 constexpr DurationMs kNoConfigRetryAfter{300};
-constexpr DurationMs kShutdownRetryAfter{50};
 constexpr DurationMs kCheckInterval{250};
 
 std::string_view PathOf(std::string_view target) {
@@ -65,9 +64,7 @@
     Reply(*connection, request, 404, "no route", std::nullopt);
     return;
   }
-  const TimeMs until =
-      route->kind == RequestKind::kStream ? m_streams_until : m_others_until;
-  if (request.received >= until) {
+  if (MayOutlastNode(request, *route)) {
     Reply(*connection, request, 503, "shutting down", kShutdownRetryAfter);
     return;
   }
@@ -136,10 +133,22 @@
   for (const auto& connection : open) connection->CheckTimeouts(now);
 }
 
-void FrontServer::BeginShutdown(TimeMs streams_until, TimeMs others_until) {
+void FrontServer::BeginShutdown(TimeMs streams_until, TimeMs end) {
   m_closing = true;
   m_streams_until = streams_until;
-  m_others_until = others_until;
+  m_end = end;
+}
+
+bool FrontServer::MayOutlastNode(const FrontRequest& request,
+                                 const RouteSpec& route) const {
+  if (request.received < m_streams_until) return false;
+  if (route.kind == RequestKind::kStream) return true;
+  const RequestMeta meta = m_node.dialect.DecodeRequest(request.head);
+  return Exchange::DeadlineOf(request, meta, route) > m_end;
+}
+
+void FrontServer::EndRequests() {
+  for (const auto& exchange : m_exchanges) exchange->OnShutdown();
 }
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -19,13 +19,13 @@
 // After SIGTERM, the balancer takes the node out within two questions a second
 // apart.
 constexpr DurationMs kOutOfRotation{2'500};
-// Streams that come later cannot be sure to end within the grace; other
-// requests take milliseconds. The balancer goes on sending to leaving nodes
-// while most of a failure domain leaves.
+// Streams that come later cannot be sure to end within the grace. The balancer
+// goes on sending to leaving nodes while most of a failure domain leaves.
 constexpr DurationMs kAcceptStreamsTime{3'000};
-constexpr DurationMs kOthersMargin{1'500};
-// Before the process is killed.
-constexpr DurationMs kExitMargin{500};
+// The requests under way are ended that long before the process is killed.
+constexpr DurationMs kEndMargin{500};
+// Clients have read their last answers by then.
+constexpr DurationMs kLastAnswersTime{150};
 
 }  // namespace
 
@@ -189,9 +189,8 @@
       .Number("in_flight", m_front->in_flight())
       .Number("connections", m_front->connections())
       .Number("engines_held", m_holder.held());
-  m_front->BeginShutdown(
-      now + kAcceptStreamsTime,
-      now + m_context.settings.shutdown_grace - kOthersMargin);
+  m_front->BeginShutdown(now + kAcceptStreamsTime,
+                         now + m_context.settings.shutdown_grace - kEndMargin);
 }
 
 void Node::CheckShutdown(TimeMs now) {
@@ -200,8 +199,11 @@
   const bool done =
       since >= kOutOfRotation && m_front->quiet() &&
       (m_front->connections() == 0 || since >= kAcceptStreamsTime);
+  const DurationMs end = m_context.settings.shutdown_grace - kEndMargin;
+  if (since >= end) m_front->EndRequests();
+  const bool answered = m_front->quiet() && m_front->connections() == 0;
   const bool out_of_time =
-      since >= m_context.settings.shutdown_grace - kExitMargin;
+      since >= end && (answered || since >= end + kLastAnswersTime);
   if (!done && !out_of_time) return;
   m_context.log.Event("node_stopped")
       .Number("in_flight", m_front->in_flight())
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <utility>
 
@@ -137,7 +138,8 @@
             [](const PeerMessage&) {}),
         permits(
             context, [](const NodeId&, const PeerMessage&) {},
-            [](const PeerMessage&) {}) {
+            [](const PeerMessage&) {}),
+        end_timer(io) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
     front = std::move(FrontServer::Create(context, dispatcher, admissions,
                                           crashes, permits))
@@ -157,6 +159,7 @@
   CrashGuard crashes;
   PermitClient permits;
   std::unique_ptr<FrontServer> front;
+  boost::asio::steady_timer end_timer;
 };
 
 FrontWorld::FrontWorld(std::vector<ScriptedAnswer> first,
@@ -205,6 +208,13 @@
   ++second->entry.start_unix_ms;
 }
 
+void FrontWorld::PauseBoth(DurationMs time) {
+  for (const char* id : {"e1", "e2"}) {
+    Endpoint* endpoint = m_parts->view.endpoints().Find(EndpointId(id));
+    endpoint->intake.OnNoPermit(m_parts->clock.Now() + time);
+  }
+}
+
 void FrontWorld::FillSecond() {
   Endpoint* second = m_parts->view.endpoints().Find(EndpointId("e2"));
   second->peers_in_flight = second->entry.slots;
@@ -267,9 +277,16 @@
   return read_until();
 }
 
-void FrontWorld::BeginShutdown() {
+void FrontWorld::BeginShutdown(DurationMs time_left) {
   const TimeMs now = m_parts->clock.Now();
-  m_parts->front->BeginShutdown(now, now + DurationMs(60'000));
+  m_parts->front->BeginShutdown(now, now + time_left);
+}
+
+void FrontWorld::EndRequestsAfter(DurationMs time) {
+  m_parts->end_timer.expires_after(std::chrono::milliseconds(time.ms()));
+  m_parts->end_timer.async_wait([this](boost::system::error_code error) {
+    if (!error) m_parts->front->EndRequests();
+  });
 }
 
 void FrontWorld::SendAndLeave(const std::string& text, DurationMs stay) {
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -100,14 +100,20 @@
   void SendAndLeave(const std::string& text, DurationMs stay);
   /// Sends the text and leaves before it can have been read.
   void SendAndLeaveAtOnce(const std::string& text);
-  /// Begins the shutdown: streams are taken no more, other requests are.
-  void BeginShutdown();
+  /// Begins the shutdown, which ends after \p time_left: streams are taken no
+  /// more, other requests are if they end by then.
+  void BeginShutdown(DurationMs time_left = DurationMs(60'000));
+  /// Has the requests that are under way after a while ended, as at the end of
+  /// the shutdown.
+  void EndRequestsAfter(DurationMs time);
   /// Makes both endpoints engines of the base model "m".
   void UseEngines();
   /// Has the first endpoint look like another process under the same id.
   void RestartFirst();
   /// The same of both.
   void RestartBoth();
+  /// Has both endpoints take no request for a while.
+  void PauseBoth(DurationMs time);
   /// Has the second endpoint look full.
   void FillSecond();
   /// Runs the event loop for a while.
