Test how often a large fleet asks a silent store

The test of a store that refuses calls had no counterpart for one that is silent, where reads overlap: 195 nodes ask it once a second each at most, and know a change within half of the maximum delay once it is back.

--- a/unittests/coordination/fleet/watch_plan_test.cc
+++ b/unittests/coordination/fleet/watch_plan_test.cc
@@ -61,6 +61,7 @@
     for (Member& member : m_nodes) member.reads = 0;
   }
   void SetStoreUp(bool up) { m_store_up = up; }
+  void SetStoreSilent(bool silent) { m_store_silent = silent; }
   void Change() { m_changed_at = m_now; }
 
   TimeMs now() const { return m_now; }
@@ -96,6 +97,8 @@
 
   void Read(Member& member) {
     ++member.reads;
+    member.plan.OnReadBegun(m_now);
+    if (m_store_silent) return;
     if (!m_store_up) {
       member.plan.OnRead(ReadOutcome::kFailed, m_now);
       return;
@@ -115,6 +118,7 @@
 
   TimeMs m_now{10'000};
   bool m_store_up = true;
+  bool m_store_silent = false;
   std::optional<TimeMs> m_changed_at;
   std::map<NodeId, NodeRecord> m_records;
   std::vector<Member> m_nodes;
@@ -171,6 +175,20 @@
   CHECK(fleet.SlowestToLearn() <= DurationMs(300));
 }
 
+TEST_CASE("Nodes of a large fleet ask a silent store once a second at most",
+          "[fleet][watch][large]") {
+  ReadingFleet fleet(195);
+  fleet.RunUntil(TimeMs(15'000));
+  fleet.ResetCounts();
+  fleet.SetStoreSilent(true);
+  fleet.RunUntil(TimeMs(23'000));
+  CHECK(fleet.Reads() <= 195 * 8);
+  fleet.SetStoreSilent(false);
+  fleet.Change();
+  fleet.RunUntil(fleet.now() + DurationMs(2'000));
+  CHECK(fleet.SlowestToLearn() <= kMaxDelay / 2);
+}
+
 TEST_CASE("Every node of a small fleet reads by itself", "[fleet][watch]") {
   ReadingFleet fleet(9);
   fleet.RunUntil(TimeMs(20'000));
