Keep a name's bytes from stopping a node's clock

A client's Model or Prompt-Prefix may hold bytes that are no UTF-8. Telling another node of them, or ordering such an adapter, threw in the JSON encoder within a node's tick; the loop went on, but the tick was not armed again. From then on the node checked no time limit and told nobody anything, and the client's retry did the same to the next node.

Messages between nodes replace what cannot be encoded. A tick that fails is logged and followed by the next one.

Tests: "Messages with bytes that are no text are sent all the same" threw before; "Names that clients choose become printable text".

--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -54,6 +54,7 @@
   void Reload();
   void BeginShutdown();
   void CheckShutdown(TimeMs now);
+  void ScheduleTick();
   void Tick();
   void FlushLog(TimeMs now);
   void TellPeers(TimeMs now);
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -419,8 +419,13 @@
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
-  return std::visit([](const auto& item) { return Encode(item).dump(); },
-                    message);
+  // Names may hold bytes that are no text.
+  return std::visit(
+      [](const auto& item) {
+        return Encode(item).dump(-1, ' ', false,
+                                 Json::error_handler_t::replace);
+      },
+      message);
 }
 
 std::optional<PeerMessage> DecodePeerMessage(std::string_view datagram) {
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <utility>
 #include <variant>
 
@@ -141,7 +142,7 @@
     m_lease.OnStoreRestored();
   });
   m_session.Start([this] { OnViewChanged(); });
-  Tick();
+  ScheduleTick();
 }
 
 void Node::OnViewChanged() {
@@ -234,9 +235,20 @@
   }
   FlushLog(now);
   CheckShutdown(now);
+}
+
+void Node::ScheduleTick() {
   m_timer.expires_after(kTick);
   m_timer.async_wait([this](boost::system::error_code error) {
-    if (!error) Tick();
+    if (error) return;
+    // A tick that fails must not be the last one.
+    try {
+      Tick();
+    } catch (const std::exception& failure) {
+      m_context.log.Event("tick_failed").Text("error", failure.what());
+      m_context.log.Flush();
+    }
+    ScheduleTick();
   });
 }
 
--- a/unittests/platform/dialect_test.cc
+++ b/unittests/platform/dialect_test.cc
@@ -209,6 +209,22 @@
   CHECK(Contains(dialect->EncodeOwnReply(reply), "Retry-After: 0.000\r\n"));
 }
 
+// A name with other bytes could not be told to engines and other nodes, and
+// stopped the clock of the node that tried.
+TEST_CASE("Names that clients choose become printable text",
+          "[platform][dialect]") {
+  const auto dialect = CreateRequestDialect();
+  fleet::HttpHead head;
+  head.fields = {{"Model", "m/a\xff\xc3\x01z"},
+                 {"Prompt-Prefix", "5\xff:10,e4:2"}};
+  const fleet::RequestMeta meta = dialect->DecodeRequest(head);
+  REQUIRE(meta.adapter);
+  CHECK(meta.adapter->model == ModelId("m"));
+  CHECK(meta.adapter->name == "a???z");
+  REQUIRE(meta.shared_parts.size() == 1);
+  CHECK(meta.shared_parts[0] == fleet::PromptPartId("5?"));
+}
+
 TEST_CASE("A request's digest stays the same for all attempts",
           "[platform][dialect]") {
   const auto dialect = CreateRequestDialect();
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -270,4 +270,17 @@
   CHECK_FALSE(DecodePeerMessage("{\"type\":\"loaded\",\"engine\":1}"));
 }
 
+// Names that clients choose may hold any bytes. One request with such a name
+// ended the process that told another node of it.
+TEST_CASE("Messages with bytes that are no text are sent all the same",
+          "[fleet][peer]") {
+  const std::string bytes = "a\xff\xc3";
+  AskLoad ask;
+  ask.adapter = {ModelId("m"), bytes};
+  CHECK(DecodePeerMessage(EncodePeerMessage(ask)));
+  TellCrashes told;
+  told.news.cleared = {{SuspectKind::kPromptPart, bytes}};
+  CHECK(DecodePeerMessage(EncodePeerMessage(told)));
+}
+
 }  // namespace yuccamoor::fleet
