Split the tests of the clients' side by what they are about

Streams, endpoints that take few requests, crashes and the shutdown have files of their own now; the texts that all use stand in front_texts.h.

--- a/unittests/transport/fleet/front_crash_test.cc
+++ b/unittests/transport/fleet/front_crash_test.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "transport/fleet/front_texts.h"
 #include "transport/fleet/front_world.h"
 
 namespace yuccamoor::fleet {
@@ -86,4 +87,40 @@
   }
 }
 
+// Requests with one part in their prompts crashed one engine after the other.
+TEST_CASE("Prompts with a part that crashes engines reach no further engine",
+          "[fleet][front][quarantine]") {
+  const ScriptedAnswer crash = SendAndReset("");
+  const ScriptedAnswer answer =
+      Send(kStreamHead + Chunk(Event(1)) + "0\r\n\r\n");
+  FrontWorld world({crash, answer, crash, answer, crash, answer}, {kOk});
+  world.UseEngines();
+  world.FillSecond();
+  const auto prompt = [](const std::string& parts) {
+    std::string request = RequestText("/stream/x");
+    return request.insert(request.find("\r\n") + 2,
+                          "Model: m\r\nToken-Count: 100,10\r\n"
+                          "Prompt-Prefix: " +
+                              parts + "\r\n");
+  };
+  for (const std::string own : {"1", "2", "3"}) {
+    const std::string lost =
+        world.Exchange(prompt("aa:10,dead:5," + own + ":3"), "\r\n\r\n");
+    CHECK(Contains(lost, "HTTP/1.1 502 "));
+    world.RestartFirst();
+    world.Run(DurationMs(400));
+    const std::string sound =
+        world.Exchange(prompt("aa:10,bb:5," + own + ":3"), "0\r\n\r\n");
+    CHECK(Contains(sound, Event(1)));
+  }
+  const std::string refused =
+      world.Exchange(prompt("aa:10,dead:5,4:3"), "\r\n\r\n");
+  CHECK(Contains(refused, "HTTP/1.1 503 "));
+  CHECK(Contains(refused, "Retry-After: "));
+  CHECK(world.requests_run() == 6);
+  const std::string sound =
+      world.Exchange(prompt("aa:10,bb:5,5:3"), "0\r\n\r\n");
+  CHECK(Contains(sound, Event(1)));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/front_shutdown_test.cc
+++ b/unittests/transport/fleet/front_shutdown_test.cc
@@ -4,13 +4,12 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "transport/fleet/front_texts.h"
 #include "transport/fleet/front_world.h"
 
 namespace yuccamoor::fleet {
 namespace {
 
-const ScriptedAnswer kAnswer = {EndpointAct::kSend, AnswerText(200, "body")};
-
 // Returns a request whose client waits for that long.
 std::string RequestWaiting(DurationMs time) {
   std::string text = RequestText("/unsafe/x");
@@ -25,7 +24,7 @@
 // on and cut at its end, also such as may not be repeated.
 TEST_CASE("A leaving node refuses what may last longer than itself",
           "[fleet][front][shutdown]") {
-  FrontWorld world({kAnswer}, {kAnswer});
+  FrontWorld world({kOk}, {kOk});
   world.BeginShutdown(DurationMs(1'000));
   const std::string refused =
       world.Exchange(RequestWaiting(DurationMs(1'400)), "\r\n\r\n");
@@ -40,7 +39,7 @@
 
 TEST_CASE("Requests under way when a node ends get their final answer",
           "[fleet][front][shutdown]") {
-  const ScriptedAnswer silence = {EndpointAct::kSend, ""};
+  const ScriptedAnswer silence = Send("");
   FrontWorld world({silence}, {silence});
   world.BeginShutdown(DurationMs(10'000));
   world.EndRequestsAfter(DurationMs(100));
@@ -58,4 +57,18 @@
   }
 }
 
+TEST_CASE("A leaving node takes short requests on, and refuses streams",
+          "[fleet][front]") {
+  FrontWorld world({kOk}, {kOk});
+  world.BeginShutdown();
+  const std::string plain = world.Exchange(RequestText("/unsafe/x"), "body");
+  CHECK(Contains(plain, "HTTP/1.1 200 "));
+  CHECK(Contains(plain, "Connection: close\r\n"));
+  const std::string stream =
+      world.Exchange(RequestText("/stream/x"), "\r\n\r\n");
+  CHECK(Contains(stream, "HTTP/1.1 503 "));
+  CHECK(Contains(stream, "Retry-After: "));
+  CHECK(world.requests_run() == 1);
+}
+
 }  // namespace yuccamoor::fleet
