--- a/unittests/transport/fleet/front_crash_test.cc
+++ b/unittests/transport/fleet/front_crash_test.cc
@@ -28,7 +28,7 @@
   /// Sends the crashing request as a client's new attempt, and starts the
   /// endpoints again. Returns what the client gets.
   std::string Crash(const std::string& path) {
-    const std::string answer =
+    std::string answer =
         m_world.Exchange(RequestText(path, kCrashing), "\r\n\r\n");
     m_world.RestartBoth();
     return answer;
