Let followers read beside an overdue read when they miss changes

Cause: a follower's read that was lost with the silent store goes on, and further ones beside it were put off by each message of a reader. The readers were back at 26.3 s, but a configuration is too large for their messages: followers have to read it, and their request to do so was not looked at while a read was under way. They read at 32 s, when the lost read ended.

Change: a requested read begins beside those under way. The request ends when a read begins, so that a lost one can be requested again.

"A follower that missed changes reads beside an overdue read" failed before.

--- a/lib/coordination/fleet/watch_plan.cc
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -72,13 +72,13 @@
   if (m_under_way > 0) m_is_silent = true;
   ++m_under_way;
   m_last_begun = now;
+  m_requested.reset();
 }
 
 void WatchPlan::OnRead(ReadOutcome outcome, TimeMs now) {
   const bool was_away = m_is_silent || HasFailed();
   m_last_read = now;
   m_last_outcome = outcome;
-  m_requested.reset();
   if (!IsAnswer(outcome)) {
     if (m_under_way > 0) --m_under_way;
     m_is_silent = m_is_silent || outcome == ReadOutcome::kUnanswered;
@@ -86,6 +86,7 @@
     return;
   }
   m_under_way = 0;
+  m_requested.reset();
   m_is_silent = false;
   m_catches_up = outcome == ReadOutcome::kChanged && (was_away || m_catches_up);
 }
@@ -164,9 +165,11 @@
 
 TimeMs WatchPlan::NextReadBeside() const {
   if (m_under_way >= kMaxReadsUnderWay) return TimeMs::Never();
-  const TimeMs next = m_last_begun + Patience();
-  if (!IsFollower() || !m_last_received) return next;
-  return std::max(next, *m_last_received + FollowerTimeout());
+  TimeMs next = m_last_begun + Patience();
+  if (IsFollower() && m_last_received) {
+    next = std::max(next, *m_last_received + FollowerTimeout());
+  }
+  return m_requested ? std::min(next, *m_requested) : next;
 }
 
 TimeMs WatchPlan::NextReadAfterLast() const {
--- a/unittests/coordination/fleet/watch_plan_test.cc
+++ b/unittests/coordination/fleet/watch_plan_test.cc
@@ -287,4 +287,28 @@
   }
 }
 
+// Followers whose read was lost with a silent store got no configuration for
+// seconds: their readers, back already, put off each further read.
+TEST_CASE("A follower that missed changes reads beside an overdue read",
+          "[fleet][watch][large]") {
+  std::map<NodeId, NodeRecord> nodes;
+  for (int i = 0; i < 40; ++i) {
+    nodes[NodeId("n" + std::to_string(i))].domain = FailureDomainId("d");
+  }
+  for (const auto& [node, record] : nodes) {
+    WatchPlan plan(node, record.domain, kMaxDelay, TimeMs(0));
+    plan.SetNodes(nodes);
+    plan.OnReadBegun(TimeMs(5'000));
+    plan.OnReceived(TimeMs(6'000));
+    plan.RequestRead(TimeMs(6'000));
+    CHECK(plan.NextRead() <= TimeMs(6'300));
+    plan.OnReadBegun(TimeMs(6'300));
+    CHECK(plan.NextRead() > TimeMs(6'400));
+    // That one is lost as well.
+    plan.OnReceived(TimeMs(6'800));
+    plan.RequestRead(TimeMs(6'800));
+    CHECK(plan.NextRead() <= TimeMs(7'300));
+  }
+}
+
 }  // namespace yuccamoor::fleet
