Explain three names of the reads and suspects

Comments only, found in reading the whole change: the bound on reads under way was a riddle, and the kinds of suspects and the silent state had no line.

--- a/include/yuccamoor/coordination/fleet/watch_plan.h
+++ b/include/yuccamoor/coordination/fleet/watch_plan.h
@@ -105,6 +105,7 @@
   ReadOutcome m_last_outcome = ReadOutcome::kUnchanged;
   TimeMs m_last_begun;
   std::size_t m_under_way = 0;
+  // A read was overdue or lost, and the store has not answered since.
   bool m_is_silent = false;
   // The store may have taken changes during its silence or since: the node
   // reads without pause until an answer brings none.
--- a/include/yuccamoor/state/fleet/crash_suspect.h
+++ b/include/yuccamoor/state/fleet/crash_suspect.h
@@ -10,6 +10,7 @@
 
 namespace yuccamoor::fleet {
 
+/// What a suspect is.
 enum class SuspectKind : std::uint8_t {
   /// A part of prompts, whatever else a request holds.
   kPromptPart,
--- a/lib/coordination/fleet/watch_plan.cc
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -19,8 +19,8 @@
 // other at intervals of that part.
 constexpr std::int64_t kWatchPart = 2;
 constexpr std::int64_t kOverduePart = 4;
-// Bounds the connections to a store that does not answer. A store is served by
-// this many at once although it takes as many intervals for each answer.
+// Bounds the connections to a store that does not answer. Also the time that an
+// answer may take, in intervals between reads.
 constexpr std::size_t kMaxReadsUnderWay = 8;
 // Pauses let several changes come together. They are parts of the maximum
 // propagation delay.
