--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -83,6 +83,9 @@
 
   /// The newest published version of an adapter; zero if there is none.
   AdapterRevision NewestRevision(const AdapterRef& adapter) const;
+  /// How long the newest version has been known; empty if there is none.
+  std::optional<DurationMs> NewestRevisionAge(const AdapterRef& adapter,
+                                              TimeMs now) const;
   /// Whether the newest version was published so recently that requests may
   /// still be served by an older one.
   bool AcceptsOlderRevision(const AdapterRef& adapter, TimeMs now) const;
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -122,6 +122,9 @@
   /// Reports the first output from the endpoint: for the prompt, or an error
   /// for the request.
   void NoteOutput(bool for_prompt);
+  /// Logs the first output if the request's adapter has a newer version than
+  /// the one that the request was sent for.
+  void LogOlderVersionBegun();
   EndpointProcess Process() const;
   /// Takes up what the response's head states of the requests that the
   /// endpoint takes.
@@ -202,6 +205,9 @@
   EndpointId m_endpoint;
   FailureDomainId m_endpoint_domain;
   std::uint64_t m_endpoint_start_unix_ms = 0;
+  // The version of the request's adapter that the endpoint was known to hold
+  // when the request was sent; zero if that was not known.
+  AdapterRevision m_held_version;
   TimeMs m_sent;
   TimeMs m_last_choice;
   TimeMs m_next_choice;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -20,6 +20,8 @@
   Counter& retries;
   Counter& stream_events;
   Counter& streams_resumed;
+  /// Requests that began on a version of their adapter that was not the newest.
+  Counter& older_versions_begun;
   /// Requests refused, and parts found, because of prompts that crash engines.
   Counter& quarantined_requests_refused;
   Counter& suspects_quarantined;
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -181,6 +181,13 @@
   return it == m_revisions.end() ? AdapterRevision() : it->second.revision;
 }
 
+std::optional<DurationMs> FleetView::NewestRevisionAge(
+    const AdapterRef& adapter, TimeMs now) const {
+  const auto it = m_revisions.find(adapter);
+  if (it == m_revisions.end()) return std::nullopt;
+  return now - it->second.learned_at;
+}
+
 bool FleetView::AcceptsOlderRevision(const AdapterRef& adapter,
                                      TimeMs now) const {
   const auto it = m_revisions.find(adapter);
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -199,12 +199,14 @@
   Forwarding forwarding;
   forwarding.endpoint = target.entry.id;
   forwarding.deadline = m_deadline - now;
+  m_held_version = AdapterRevision();
+  AdapterRevision newest;
   if (m_meta.adapter) {
     forwarding.priority =
         std::min(kLowestPriority, kPriorityBase + m_route.priority);
     const auto held = target.adapters.find(*m_meta.adapter);
-    const AdapterRevision newest =
-        m_context.node.view.NewestRevision(*m_meta.adapter);
+    newest = m_context.node.view.NewestRevision(*m_meta.adapter);
+    if (held != target.adapters.end()) m_held_version = held->second;
     const bool in_place =
         held != target.adapters.end() && held->second >= newest;
     if (in_place) forwarding.version = newest;
@@ -218,8 +220,8 @@
   m_has_output = false;
   m_sent = now;
   ++m_sends;
-  m_context.node.log.Event("request_sent")
-      .Text("request", m_meta.attempt.str())
+  auto line = m_context.node.log.Event("request_sent");
+  line.Text("request", m_meta.attempt.str())
       .Text("route", m_route.name)
       .Text("endpoint", m_endpoint.str())
       .Number("load", target.load())
@@ -227,6 +229,14 @@
       .Ms("held_ms", Held(now))
       .Ms("adapters_age_ms", now - target.adapters_reported_at)
       .Number("config", m_routes->config().version.value());
+  if (newest.value() > 0) {
+    line.Text("adapter", ToString(*m_meta.adapter))
+        .Number("held_version", m_held_version.value())
+        .Number("newest_version", newest.value())
+        .Ms("newest_known_ms",
+            m_context.node.view.NewestRevisionAge(*m_meta.adapter, now)
+                .value_or(DurationMs(0)));
+  }
   m_context.dispatcher.OnBegin(m_endpoint, m_meta.adapter);
   if (m_meta.adapter && m_ticket) {
     m_ticket->OnSent(m_endpoint);
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -17,6 +17,10 @@
                                  "Events passed on to clients")),
       streams_resumed(r.GetCounter("yuccamoor_streams_resumed_total",
                                    "Streams continued at another engine")),
+      older_versions_begun(
+          r.GetCounter("yuccamoor_older_versions_begun_total",
+                       "Requests begun on an adapter version that was not the "
+                       "newest one")),
       quarantined_requests_refused(
           r.GetCounter("yuccamoor_quarantined_requests_refused_total",
                        "Requests refused as they crash endpoints")),
