Let each adapter version end by its own successor's time

Callers got answers by a version of an adapter long after a newer one had been acknowledged (VERSION), whenever the adapter was named versions in series.

Cause: FleetView kept the newest version and when it became known, and one bit followed from it: "an older version may serve". Each further version started the 2 s anew, and older meant any older one, so version 3 opened version 1 again. The choice of an engine, the question to its holder and the holder's answer each read the bit in their own way.

Now a RevisionHistory keeps when each version became known, and answers with the least version that may be sent requests: a version is superseded by its first successor, whatever follows. The choice, the question and the answer speak of that number; a holder that has learned of more counts its own, too.

Earlier releases that are asked by this one accept no older version at all.

--- a/include/yuccamoor/coordination/fleet/endpoint_choice.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_choice.h
@@ -20,11 +20,11 @@
   ServiceId service;
   /// Set for requests to model engines.
   std::optional<AdapterRef> adapter;
-  /// The minimum adapter version that may serve the request; zero for any.
+  /// The adapter's newest version, which engines should hold; zero for any.
   AdapterRevision version;
-  /// Whether an engine with an older version may serve the request. Set for
-  /// a short time after the newest version became known.
-  bool accept_older_version = false;
+  /// The least version that may serve the request. Below the newest one for a
+  /// while after a version became known.
+  AdapterRevision least_version;
   /// The number of engines that should hold the adapter.
   std::uint32_t copies = 1;
   /// The client's failure domain. Plain endpoints there are preferred at
--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -15,6 +15,7 @@
 
 #include "yuccamoor/coordination/fleet/endpoint_table.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/coordination/fleet/revision_history.h"
 #include "yuccamoor/coordination/fleet/route_table.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/node_settings.h"
@@ -83,12 +84,12 @@
 
   /// The newest published version of an adapter; zero if there is none.
   AdapterRevision NewestRevision(const AdapterRef& adapter) const;
-  /// How long the newest version has been known; empty if there is none.
-  std::optional<DurationMs> NewestRevisionAge(const AdapterRef& adapter,
-                                              TimeMs now) const;
-  /// Whether the newest version was published so recently that requests may
-  /// still be served by an older one.
-  bool AcceptsOlderRevision(const AdapterRef& adapter, TimeMs now) const;
+  /// How long the newest version has been known; zero if there is none.
+  DurationMs NewestRevisionAge(const AdapterRef& adapter, TimeMs now) const;
+  /// The least version to which requests may be sent; zero if any may serve.
+  /// Each version serves on for a while after its own successor became known,
+  /// until engines hold that one.
+  AdapterRevision LeastRevision(const AdapterRef& adapter, TimeMs now) const;
 
   const std::map<NodeId, NodeRecord>& nodes() const { return m_nodes; }
   const std::map<EndpointId, HolderRecord>& holders() const {
@@ -116,11 +117,6 @@
   static std::string HolderKey(const EndpointId& engine);
 
  private:
-  struct KnownRevision {
-    AdapterRevision revision;
-    TimeMs learned_at;
-  };
-
   ViewUpdate ApplyChange(ConfigWritten change, TimeMs now);
   ViewUpdate ApplyChange(const AdapterRevisionPublished& change, TimeMs now);
   ViewUpdate ApplyChange(EndpointWritten change, TimeMs now);
@@ -130,7 +126,7 @@
 
   std::shared_ptr<const RouteTable> m_routes;
   EndpointTable m_endpoints;
-  std::map<AdapterRef, KnownRevision> m_revisions;
+  std::map<AdapterRef, RevisionHistory> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
   std::set<EndpointId> m_never_held_engines;
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -107,9 +107,9 @@
   AdmissionId id;
   EndpointId engine;
   AdapterRef adapter;
+  /// The newest version and the least one that may serve the request.
   AdapterRevision version;
-  /// Whether an older version may serve the request as well.
-  bool accept_older_version = false;
+  AdapterRevision least_version;
   std::uint32_t prompt_tokens = 0;
   int priority = 0;
   /// How much time is left until the prompt has to be sent to be on time; not
--- a/include/yuccamoor/transport/fleet/admission_server.h
+++ b/include/yuccamoor/transport/fleet/admission_server.h
@@ -39,6 +39,9 @@
                           bool holds, TimeMs now);
   void AskForCopies(const AskAdmission& ask,
                     const std::vector<EndpointId>& engines);
+  /// The least version of its adapter with which the engine serves a request.
+  AdapterRevision LeastVersionFor(const AskAdmission& ask,
+                                  const Endpoint& engine, TimeMs now) const;
   std::vector<EndpointId> Rank(const AskAdmission& ask) const;
 
   NodeContext& m_context;
--- a/lib/coordination/fleet/endpoint_choice.cc
+++ b/lib/coordination/fleet/endpoint_choice.cc
@@ -145,17 +145,17 @@
   return holders;
 }
 
-// Returns the engines that may serve any version: those that hold the requested
-// one, and those that hold an older one and have a free slot. A request queued
-// for an older version could start after that version is no longer accepted.
-Candidates FindHoldersOfAnyVersion(const Candidates& candidates,
-                                   const EndpointQuery& query) {
+// Returns the engines that hold the newest version, and those that hold an
+// older one that may still serve and have a free slot. A request queued for an
+// older version could start after that version is no longer accepted.
+Candidates FindHoldersOfUsableVersions(const Candidates& candidates,
+                                       const EndpointQuery& query) {
   Candidates holders;
   for (const Endpoint* endpoint : candidates) {
     const bool has_free_slot = endpoint->load() < endpoint->entry.slots;
-    const AdapterRevision oldest =
-        has_free_slot ? AdapterRevision() : query.version;
-    if (Holds(*endpoint, *query.adapter, oldest)) holders.push_back(endpoint);
+    const AdapterRevision least =
+        has_free_slot ? query.least_version : query.version;
+    if (Holds(*endpoint, *query.adapter, least)) holders.push_back(endpoint);
   }
   return holders;
 }
@@ -217,12 +217,13 @@
   Candidates holders = FindHolders(candidates, adapter, query.version);
   if (holders.empty()) holders = FindOpeningHolders(table, query, now);
   const bool has_holder = !holders.empty();
-  // While both versions are accepted, older holders share the requests, so that
-  // the few engines with the newer version are not overloaded.
-  const Endpoint* target = FindEarliestStart(
-      query.accept_older_version ? FindHoldersOfAnyVersion(candidates, query)
-                                 : holders,
-      now);
+  // While older versions may serve, their holders share the requests, so that
+  // the few engines with the newest version are not overloaded.
+  const Endpoint* target =
+      FindEarliestStart(query.least_version < query.version
+                            ? FindHoldersOfUsableVersions(candidates, query)
+                            : holders,
+                        now);
   if (target) choice.send_to = target->entry.id;
   if (!has_holder) {
     choice.load_candidates = RankLoadCandidates(candidates, adapter, average);
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -13,8 +13,9 @@
 
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kHolderPrefix = "holder/";
-// Requests may start on an older version for five seconds after a newer one was
-// published. The remainder covers the delays of the watch and of the engine.
+// How long requests may be sent to a version once its successor is known. They
+// may begin on it for five seconds after that was published; the remainder
+// covers the delays of the watch and of the engine.
 constexpr DurationMs kOlderRevisionGrace{2'000};
 // After the store was restored, engines register again, and holders of the
 // earlier era that do not know yet have given their last orders by then.
@@ -116,10 +117,8 @@
 
 ViewUpdate FleetView::ApplyChange(const AdapterRevisionPublished& change,
                                   TimeMs now) {
-  KnownRevision& known = m_revisions[change.adapter];
-  if (change.revision <= known.revision) return ViewUpdate::kUnchanged;
-  known = {change.revision, now};
-  return ViewUpdate::kAdapterRevision;
+  const bool is_newer = m_revisions[change.adapter].Learn(change.revision, now);
+  return is_newer ? ViewUpdate::kAdapterRevision : ViewUpdate::kUnchanged;
 }
 
 ViewUpdate FleetView::ApplyChange(EndpointWritten change, TimeMs now) {
@@ -178,21 +177,20 @@
 
 AdapterRevision FleetView::NewestRevision(const AdapterRef& adapter) const {
   const auto it = m_revisions.find(adapter);
-  return it == m_revisions.end() ? AdapterRevision() : it->second.revision;
+  return it == m_revisions.end() ? AdapterRevision() : it->second.newest();
 }
 
-std::optional<DurationMs> FleetView::NewestRevisionAge(
-    const AdapterRef& adapter, TimeMs now) const {
+DurationMs FleetView::NewestRevisionAge(const AdapterRef& adapter,
+                                        TimeMs now) const {
   const auto it = m_revisions.find(adapter);
-  if (it == m_revisions.end()) return std::nullopt;
-  return now - it->second.learned_at;
+  return it == m_revisions.end() ? DurationMs(0) : it->second.NewestAge(now);
 }
 
-bool FleetView::AcceptsOlderRevision(const AdapterRef& adapter,
-                                     TimeMs now) const {
+AdapterRevision FleetView::LeastRevision(const AdapterRef& adapter,
+                                         TimeMs now) const {
   const auto it = m_revisions.find(adapter);
-  return it != m_revisions.end() &&
-         now - it->second.learned_at < kOlderRevisionGrace;
+  return it == m_revisions.end() ? AdapterRevision()
+                                 : it->second.LeastAt(now, kOlderRevisionGrace);
 }
 
 std::set<NodeId> FleetView::NodeIds() const {
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -175,7 +175,9 @@
   json["engine"] = ask.engine.str();
   json["adapter"] = ToString(ask.adapter);
   json["version"] = ask.version.value();
-  json["accept_older"] = ask.accept_older_version;
+  json["least_version"] = ask.least_version.value();
+  // Earlier releases need the field, and would accept any older version.
+  json["accept_older"] = false;
   json["tokens"] = ask.prompt_tokens;
   json["priority"] = ask.priority;
   json["send_within_ms"] = ask.send_within.ms();
@@ -268,7 +270,10 @@
   ask.engine = json.at("engine").get<EndpointId>();
   ask.adapter = ParseAdapterRef(json.at("adapter").get<std::string>());
   ask.version = json.at("version").get<AdapterRevision>();
-  ask.accept_older_version = json.at("accept_older").get<bool>();
+  // Earlier releases do not tell which older versions may serve.
+  ask.least_version = json.contains("least_version")
+                          ? json["least_version"].get<AdapterRevision>()
+                          : ask.version;
   ask.prompt_tokens = GetUnsigned32(json.at("tokens"));
   ask.priority = json.at("priority").get<int>();
   ask.send_within = DurationOf(json.at("send_within_ms"));
--- a/lib/transport/fleet/admission_client.cc
+++ b/lib/transport/fleet/admission_client.cc
@@ -66,7 +66,7 @@
     ask.engine = wanted.engine;
     ask.adapter = *needs.query.adapter;
     ask.version = needs.query.version;
-    ask.accept_older_version = needs.query.accept_older_version;
+    ask.least_version = needs.query.least_version;
     ask.prompt_tokens = needs.prompt_tokens;
     ask.priority = needs.priority;
     ask.send_within = needs.send_by - now;
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -81,11 +81,7 @@
   quote.requests = engine.load();
   quote.loading = m_holder.LoadsInFlight(ask.engine);
   const auto version = m_holder.ResidentVersion(ask.engine, ask.adapter);
-  // A request that waits for an older version could start when that one is no
-  // longer accepted.
-  const bool older_serves =
-      ask.accept_older_version && engine.load() < engine.entry.slots;
-  const bool holds = version && (*version >= ask.version || older_serves);
+  const bool holds = version && *version >= LeastVersionFor(ask, engine, now);
   const bool named = !ask.adapter.name.empty();
   if (ask.as_home && named) {
     CopyChoice copies = ChooseCopies(ask, engine, holds, now);
@@ -116,6 +112,17 @@
   return answer;
 }
 
+AdapterRevision AdmissionServer::LeastVersionFor(const AskAdmission& ask,
+                                                 const Endpoint& engine,
+                                                 TimeMs now) const {
+  // A request that waits for an older version could start when that one is no
+  // longer accepted.
+  const bool has_free_slot = engine.load() < engine.entry.slots;
+  // Either node may know of a version that the other has not learned of yet.
+  return std::max(has_free_slot ? ask.least_version : ask.version,
+                  m_context.view.LeastRevision(ask.adapter, now));
+}
+
 std::vector<EndpointId> AdmissionServer::Rank(const AskAdmission& ask) const {
   EndpointQuery query;
   const Endpoint* engine = m_context.view.endpoints().Find(ask.engine);
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -81,8 +81,7 @@
   if (!m_meta.adapter) return query;
   query.wait_until = LatestSend(now);
   query.version = m_context.node.view.NewestRevision(*m_meta.adapter);
-  query.accept_older_version =
-      m_context.node.view.AcceptsOlderRevision(*m_meta.adapter, now);
+  query.least_version = m_context.node.view.LeastRevision(*m_meta.adapter, now);
   return query;
 }
 
@@ -234,8 +233,7 @@
         .Number("held_version", m_held_version.value())
         .Number("newest_version", newest.value())
         .Ms("newest_known_ms",
-            m_context.node.view.NewestRevisionAge(*m_meta.adapter, now)
-                .value_or(DurationMs(0)));
+            m_context.node.view.NewestRevisionAge(*m_meta.adapter, now));
   }
   m_context.dispatcher.OnBegin(m_endpoint, m_meta.adapter);
   if (m_meta.adapter && m_ticket) {
--- a/lib/transport/fleet/exchange_crash.cc
+++ b/lib/transport/fleet/exchange_crash.cc
@@ -56,8 +56,7 @@
       .Text("adapter", ToString(*m_meta.adapter))
       .Number("held_version", m_held_version.value())
       .Number("newest_version", newest.value())
-      .Ms("newest_known_ms",
-          view.NewestRevisionAge(*m_meta.adapter, now).value_or(DurationMs(0)))
+      .Ms("newest_known_ms", view.NewestRevisionAge(*m_meta.adapter, now))
       .Ms("after_ms", now - m_sent);
 }
 
--- a/unittests/coordination/fleet/endpoint_choice_test.cc
+++ b/unittests/coordination/fleet/endpoint_choice_test.cc
@@ -86,12 +86,12 @@
   SetHeld(table, "e1", "a1", 1);
   EndpointQuery query = Query("a1");
   query.version = AdapterRevision(2);
-  query.accept_older_version = true;
+  query.least_version = AdapterRevision(1);
   EndpointChoice choice = ChooseEndpoint(table, query, TimeMs(0));
   CHECK(choice.send_to == EndpointId("e1"));
   REQUIRE_FALSE(choice.load_candidates.empty());
   CHECK(choice.load_candidates.front() != EndpointId("e1"));
-  query.accept_older_version = false;
+  query.least_version = AdapterRevision(2);
   choice = ChooseEndpoint(table, query, TimeMs(0));
   CHECK_FALSE(choice.send_to);
   SetHeld(table, "e3", "a1", 2);
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -109,13 +109,30 @@
   view.Apply(AdapterRevisionPublished{adapter, AdapterRevision(2)},
              TimeMs(100));
   CHECK(view.NewestRevision(adapter) == AdapterRevision(2));
-  CHECK(view.AcceptsOlderRevision(adapter, TimeMs(2'000)));
-  CHECK_FALSE(view.AcceptsOlderRevision(adapter, TimeMs(3'000)));
+  CHECK(view.LeastRevision(adapter, TimeMs(2'000)) == AdapterRevision());
+  CHECK(view.LeastRevision(adapter, TimeMs(3'000)) == AdapterRevision(2));
   view.Apply(AdapterRevisionPublished{adapter, AdapterRevision(1)},
              TimeMs(4'000));
   CHECK(view.NewestRevision(adapter) == AdapterRevision(2));
 }
 
+// Guards against a later version that makes a superseded one usable again.
+TEST_CASE("A third version does not give the first one more time",
+          "[fleet][view]") {
+  FleetView view;
+  const AdapterRef adapter = Adapter("a1");
+  view.Apply(AdapterRevisionPublished{adapter, AdapterRevision(1)}, TimeMs(0));
+  view.Apply(AdapterRevisionPublished{adapter, AdapterRevision(2)},
+             TimeMs(5'000));
+  CHECK(view.LeastRevision(adapter, TimeMs(6'900)) == AdapterRevision(1));
+  view.Apply(AdapterRevisionPublished{adapter, AdapterRevision(3)},
+             TimeMs(6'900));
+  CHECK(view.LeastRevision(adapter, TimeMs(6'999)) == AdapterRevision(1));
+  CHECK(view.LeastRevision(adapter, TimeMs(7'000)) == AdapterRevision(2));
+  CHECK(view.LeastRevision(adapter, TimeMs(8'899)) == AdapterRevision(2));
+  CHECK(view.LeastRevision(adapter, TimeMs(8'900)) == AdapterRevision(3));
+}
+
 TEST_CASE("A node's record tells its address and lease", "[fleet][view]") {
   const NodeRecord record{
       {"10.0.0.1", 7'380}, StoreLease(77), FailureDomainId("marmara-a")};
--- a/unittests/coordination/fleet/version_series_test.cc
+++ b/unittests/coordination/fleet/version_series_test.cc
@@ -40,7 +40,7 @@
   query.service = kEngines;
   query.adapter = adapter;
   query.version = view.NewestRevision(adapter);
-  query.accept_older_version = view.AcceptsOlderRevision(adapter, now);
+  query.least_version = view.LeastRevision(adapter, now);
   return query;
 }
 
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -123,7 +123,7 @@
   ask.engine = EndpointId("e1");
   ask.adapter = {ModelId("m"), "a1"};
   ask.version = AdapterRevision(4);
-  ask.accept_older_version = true;
+  ask.least_version = AdapterRevision(3);
   ask.prompt_tokens = 2'400;
   ask.priority = 1;
   ask.send_within = DurationMs(-20);
@@ -137,7 +137,7 @@
   CHECK(decoded.engine == ask.engine);
   CHECK(decoded.adapter == ask.adapter);
   CHECK(decoded.version == ask.version);
-  CHECK(decoded.accept_older_version);
+  CHECK(decoded.least_version == ask.least_version);
   CHECK(decoded.prompt_tokens == ask.prompt_tokens);
   CHECK(decoded.priority == 1);
   CHECK(decoded.send_within == ask.send_within);
--- a/unittests/transport/fleet/admission_version_test.cc
+++ b/unittests/transport/fleet/admission_version_test.cc
@@ -44,7 +44,7 @@
   query.service = kEngines;
   query.adapter = kAdapter;
   query.version = view.NewestRevision(kAdapter);
-  query.accept_older_version = view.AcceptsOlderRevision(kAdapter, now);
+  query.least_version = view.LeastRevision(kAdapter, now);
   return query;
 }
 
