Check an adapter's version right before a request is sent

Callers of large fleets could be served by a superseded version: a holder checks the version when a request is queued at its engine, and the request is sent when it is admitted, after the version's time. A permit is waited for in the same way, with engines that name a limit; that way was found by reading, and no test shows it.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -47,6 +47,10 @@
   Epoch fence;
 };
 
+/// Returns the version of the adapter that the engine is known to hold; zero if
+/// none is known.
+AdapterRevision HeldRevision(const Endpoint& engine, const AdapterRef& adapter);
+
 /// The effect of one change on the view, for logs.
 enum class ViewUpdate : std::uint8_t {
   kUnchanged,
@@ -90,6 +94,10 @@
   /// Each version serves on for a while after its own successor became known,
   /// until engines hold that one.
   AdapterRevision LeastRevision(const AdapterRef& adapter, TimeMs now) const;
+  /// Whether the version of the adapter that the engine is known to hold may
+  /// still be sent requests. Base models have no versions here.
+  bool ServesRequests(const Endpoint& engine, const AdapterRef& adapter,
+                      TimeMs now) const;
 
   const std::map<NodeId, NodeRecord>& nodes() const { return m_nodes; }
   const std::map<EndpointId, HolderRecord>& holders() const {
--- a/include/yuccamoor/transport/fleet/admission_client.h
+++ b/include/yuccamoor/transport/fleet/admission_client.h
@@ -57,6 +57,7 @@
 
   AdmissionStep Poll(std::uint64_t number, AdmissionNeeds needs);
   void Close(std::uint64_t number) { m_searches.erase(number); }
+  void DropSuperseded(const AdapterRef& adapter, AdmissionStep& step) const;
   std::vector<EndpointId> Rank(const EndpointQuery& query) const;
   void SendAsks(std::uint64_t number, const AdmissionNeeds& needs,
                 const std::vector<AdmissionAsk>& asks);
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -110,6 +110,7 @@
   /// Sends if the time of a permit has come.
   void UsePermit(TimeMs now);
   void Send(const Endpoint& target, TimeMs now);
+  void LogSent(const Endpoint& target, TimeMs now) const;
   /// The whole request as what may make endpoints crash.
   CrashSuspect RequestSuspect() const;
   /// What of the request may make endpoints crash: also the parts of its
@@ -122,6 +123,8 @@
   /// Reports the first output from the endpoint: for the prompt, or an error
   /// for the request.
   void NoteOutput(bool for_prompt);
+  /// Whether the request is for an adapter, not for a base model alone.
+  bool NamesAdapter() const;
   /// Logs the first output if the request's adapter has a newer version than
   /// the one that the request was sent for.
   void LogOlderVersionBegun();
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -38,6 +38,12 @@
   return Epoch(era.value() * kRevisionsPerEra + revision.value());
 }
 
+AdapterRevision HeldRevision(const Endpoint& engine,
+                             const AdapterRef& adapter) {
+  const auto held = engine.adapters.find(adapter);
+  return held == engine.adapters.end() ? AdapterRevision() : held->second;
+}
+
 std::string EncodeNodeRecord(const NodeRecord& record) {
   return ToString(record.peer_address) + " " +
          std::to_string(record.lease.value()) + " " + record.domain.str();
@@ -193,6 +199,12 @@
                                  : it->second.LeastAt(now, kOlderRevisionGrace);
 }
 
+bool FleetView::ServesRequests(const Endpoint& engine,
+                               const AdapterRef& adapter, TimeMs now) const {
+  if (adapter.name.empty()) return true;
+  return HeldRevision(engine, adapter) >= LeastRevision(adapter, now);
+}
+
 std::set<NodeId> FleetView::NodeIds() const {
   std::set<NodeId> ids;
   for (const auto& [node, record] : m_nodes) ids.insert(node);
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -194,21 +194,28 @@
 }
 
 void Exchange::Send(const Endpoint& target, TimeMs now) {
+  if (m_meta.adapter &&
+      !m_context.node.view.ServesRequests(target, *m_meta.adapter, now)) {
+    m_context.node.log.Event("superseded_before_sending")
+        .Text("request", m_meta.attempt.str())
+        .Text("endpoint", target.entry.id.str())
+        .Text("adapter", ToString(*m_meta.adapter))
+        .Number("held_version", HeldRevision(target, *m_meta.adapter).value());
+    m_next_choice = now + kChooseAgain;
+    return;
+  }
   StopWaiting(now);
   Forwarding forwarding;
   forwarding.endpoint = target.entry.id;
   forwarding.deadline = m_deadline - now;
   m_held_version = AdapterRevision();
-  AdapterRevision newest;
   if (m_meta.adapter) {
     forwarding.priority =
         std::min(kLowestPriority, kPriorityBase + m_route.priority);
-    const auto held = target.adapters.find(*m_meta.adapter);
-    newest = m_context.node.view.NewestRevision(*m_meta.adapter);
-    if (held != target.adapters.end()) m_held_version = held->second;
-    const bool in_place =
-        held != target.adapters.end() && held->second >= newest;
-    if (in_place) forwarding.version = newest;
+    const AdapterRevision newest =
+        m_context.node.view.NewestRevision(*m_meta.adapter);
+    m_held_version = HeldRevision(target, *m_meta.adapter);
+    if (m_held_version >= newest) forwarding.version = newest;
   }
   forwarding.last_event_id =
       m_cutter.last_id().empty() ? m_meta.last_event_id : m_cutter.last_id();
@@ -219,22 +226,7 @@
   m_has_output = false;
   m_sent = now;
   ++m_sends;
-  auto line = m_context.node.log.Event("request_sent");
-  line.Text("request", m_meta.attempt.str())
-      .Text("route", m_route.name)
-      .Text("endpoint", m_endpoint.str())
-      .Number("load", target.load())
-      .Number("prompt_tokens", m_meta.prompt_tokens)
-      .Ms("held_ms", Held(now))
-      .Ms("adapters_age_ms", now - target.adapters_reported_at)
-      .Number("config", m_routes->config().version.value());
-  if (newest.value() > 0) {
-    line.Text("adapter", ToString(*m_meta.adapter))
-        .Number("held_version", m_held_version.value())
-        .Number("newest_version", newest.value())
-        .Ms("newest_known_ms",
-            m_context.node.view.NewestRevisionAge(*m_meta.adapter, now));
-  }
+  LogSent(target, now);
   m_context.dispatcher.OnBegin(m_endpoint, m_meta.adapter);
   if (m_meta.adapter && m_ticket) {
     m_ticket->OnSent(m_endpoint);
@@ -249,6 +241,26 @@
                 m_request.head.method == "HEAD", now, [this] { OnProgress(); });
 }
 
+void Exchange::LogSent(const Endpoint& target, TimeMs now) const {
+  auto line = m_context.node.log.Event("request_sent");
+  line.Text("request", m_meta.attempt.str())
+      .Text("route", m_route.name)
+      .Text("endpoint", m_endpoint.str())
+      .Number("load", target.load())
+      .Number("prompt_tokens", m_meta.prompt_tokens)
+      .Ms("held_ms", Held(now))
+      .Ms("adapters_age_ms", now - target.adapters_reported_at)
+      .Number("config", m_routes->config().version.value());
+  if (!NamesAdapter()) return;
+  const FleetView& view = m_context.node.view;
+  const AdapterRevision newest = view.NewestRevision(*m_meta.adapter);
+  if (newest.value() == 0) return;
+  line.Text("adapter", ToString(*m_meta.adapter))
+      .Number("held_version", m_held_version.value())
+      .Number("newest_version", newest.value())
+      .Ms("newest_known_ms", view.NewestRevisionAge(*m_meta.adapter, now));
+}
+
 bool Exchange::MayHaveRun() const {
   return m_runs > 0 || (m_call && m_call->state() != CallState::kConnecting);
 }
--- a/lib/transport/fleet/exchange_crash.cc
+++ b/lib/transport/fleet/exchange_crash.cc
@@ -43,23 +43,6 @@
   m_context.crashes.OnOutput(Process(), survived);
 }
 
-void Exchange::LogOlderVersionBegun() {
-  if (!m_meta.adapter) return;
-  const FleetView& view = m_context.node.view;
-  const AdapterRevision newest = view.NewestRevision(*m_meta.adapter);
-  if (m_held_version >= newest) return;
-  const TimeMs now = m_context.node.clock.Now();
-  m_context.node.metrics.older_versions_begun.Add();
-  m_context.node.log.Event("older_version_begun")
-      .Text("request", m_meta.attempt.str())
-      .Text("endpoint", m_endpoint.str())
-      .Text("adapter", ToString(*m_meta.adapter))
-      .Number("held_version", m_held_version.value())
-      .Number("newest_version", newest.value())
-      .Ms("newest_known_ms", view.NewestRevisionAge(*m_meta.adapter, now))
-      .Ms("after_ms", now - m_sent);
-}
-
 bool Exchange::EndIfQuarantined() {
   const CrashQuarantine& quarantine = m_context.crashes.quarantine();
   // Output has shown that the request is sound.
