Name the adapter version that the engine holds

A node that had not learned of the newest version yet sent requests with the newest one that it knew to engines with a still newer one. They refuse another version than theirs, so callers waited for a retry, or were refused without one.

The version named is now the one that the engine is known to hold. Where an older one is meant, none is named, as before: engines replace versions upwards only, and a version that replaces it on the way serves as well.

--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -125,6 +125,9 @@
   void NoteOutput(bool for_prompt);
   /// Whether the request is for an adapter, not for a base model alone.
   bool NamesAdapter() const;
+  /// The version that must answer the request that is being sent; zero if
+  /// several may.
+  AdapterRevision VersionToExpect() const;
   /// Logs the first output if the request's adapter has a newer version than
   /// the one that the request was sent for.
   void LogOlderVersionBegun();
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -212,10 +212,8 @@
   if (m_meta.adapter) {
     forwarding.priority =
         std::min(kLowestPriority, kPriorityBase + m_route.priority);
-    const AdapterRevision newest =
-        m_context.node.view.NewestRevision(*m_meta.adapter);
     m_held_version = HeldRevision(target, *m_meta.adapter);
-    if (m_held_version >= newest) forwarding.version = newest;
+    forwarding.version = VersionToExpect();
   }
   forwarding.last_event_id =
       m_cutter.last_id().empty() ? m_meta.last_event_id : m_cutter.last_id();
--- a/lib/transport/fleet/exchange_version.cc
+++ b/lib/transport/fleet/exchange_version.cc
@@ -6,6 +6,15 @@
   return m_meta.adapter && !m_meta.adapter->name.empty();
 }
 
+AdapterRevision Exchange::VersionToExpect() const {
+  const AdapterRevision newest =
+      m_context.node.view.NewestRevision(*m_meta.adapter);
+  if (!NamesAdapter() || newest.value() == 0) return {};
+  // An older one may be replaced before the request is there, by one that
+  // serves as well.
+  return m_held_version < newest ? AdapterRevision() : m_held_version;
+}
+
 void Exchange::LogOlderVersionBegun() {
   if (!NamesAdapter()) return;
   const FleetView& view = m_context.node.view;
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -139,7 +139,8 @@
         permits(
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}),
-        end_timer(io) {
+        end_timer(io),
+        script_timer(io) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
     front = std::move(FrontServer::Create(context, dispatcher, admissions,
                                           crashes, permits))
@@ -160,6 +161,7 @@
   PermitClient permits;
   std::unique_ptr<FrontServer> front;
   boost::asio::steady_timer end_timer;
+  boost::asio::steady_timer script_timer;
 };
 
 FrontWorld::FrontWorld(std::vector<ScriptedAnswer> first,
@@ -190,6 +192,31 @@
   }
 }
 
+void FrontWorld::HoldVersions(AdapterRevision first, AdapterRevision second) {
+  const AdapterRef adapter{ModelId("m"), "a1"};
+  const TimeMs now = m_parts->clock.Now();
+  for (const auto& [id, version] :
+       {std::pair{"e1", first}, std::pair{"e2", second}}) {
+    AdapterSet held;
+    if (version.value() > 0) held[adapter] = version;
+    m_parts->view.endpoints().SetAdapters(EndpointId(id), held, now);
+  }
+}
+
+void FrontWorld::PublishVersion(AdapterRevision version, DurationMs age) {
+  const TimeMs now = m_parts->clock.Now();
+  m_parts->view.Apply(AdapterRevisionPublished{{ModelId("m"), "a1"}, version},
+                      now - age);
+}
+
+void FrontWorld::After(DurationMs time, std::function<void()> callback) {
+  m_parts->script_timer.expires_after(std::chrono::milliseconds(time.ms()));
+  m_parts->script_timer.async_wait(
+      [callback = std::move(callback)](boost::system::error_code error) {
+        if (!error) callback();
+      });
+}
+
 void FrontWorld::SetLimits(const RequestLimits& limits) {
   FleetConfig config = Config();
   config.version = m_parts->view.routes()->config().version.Next();
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -108,6 +108,14 @@
   void EndRequestsAfter(DurationMs time);
   /// Makes both endpoints engines of the base model "m".
   void UseEngines();
+  /// Has the engines hold versions of the adapter "a1" of the model "m"; zero
+  /// for an engine that does not hold it.
+  void HoldVersions(AdapterRevision first, AdapterRevision second);
+  /// The node learns of a version of the adapter "a1", which was published
+  /// \p age before.
+  void PublishVersion(AdapterRevision version, DurationMs age = {});
+  /// Calls back once, after a while of the event loop.
+  void After(DurationMs time, std::function<void()> callback);
   /// Has the first endpoint look like another process under the same id.
   void RestartFirst();
   /// The same of both.
