Take requests back that have not begun in their version's time

A request that was sent to an older version in its time stayed there however long the engine took to begin, and was answered by a version that had been superseded for longer than it may be.

The times now follow from the stated bound, in one place (RevisionTimes): half of the maximum propagation delay to learn of a version, half of the rest to send, the remainder to begin, less a margin to take requests back. A stream without any output when that is over is ended at its engine. It goes on at another one if it may be repeated, and otherwise fails with its outcome unknown. What has begun, a part of an event or a failure on its way included, is left alone; so are requests that are no streams, which do not show when they begin.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -68,6 +68,8 @@
 /// decreases: older configurations are ignored.
 class FleetView {
  public:
+  explicit FleetView(RevisionTimes revision_times = {});
+
   /// Applies one change and returns its effect.
   ViewUpdate Apply(StoreChange change, TimeMs now);
   /// Whether another node with the same view has to learn of the change, which
@@ -94,6 +96,9 @@
   /// Each version serves on for a while after its own successor became known,
   /// until engines hold that one.
   AdapterRevision LeastRevision(const AdapterRef& adapter, TimeMs now) const;
+  /// The least version on which requests that were sent may still begin.
+  AdapterRevision LeastRevisionToBegin(const AdapterRef& adapter,
+                                       TimeMs now) const;
   /// Whether the version of the adapter that the engine is known to hold may
   /// still be sent requests. Base models have no versions here.
   bool ServesRequests(const Endpoint& engine, const AdapterRef& adapter,
@@ -125,6 +130,9 @@
   static std::string HolderKey(const EndpointId& engine);
 
  private:
+  AdapterRevision LeastRevisionAt(const AdapterRef& adapter, TimeMs now,
+                                  DurationMs ago) const;
+
   ViewUpdate ApplyChange(ConfigWritten change, TimeMs now);
   ViewUpdate ApplyChange(const AdapterRevisionPublished& change, TimeMs now);
   ViewUpdate ApplyChange(EndpointWritten change, TimeMs now);
@@ -134,6 +142,7 @@
 
   std::shared_ptr<const RouteTable> m_routes;
   EndpointTable m_endpoints;
+  RevisionTimes m_revision_times;
   std::map<AdapterRef, RevisionHistory> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
--- a/include/yuccamoor/coordination/fleet/revision_history.h
+++ b/include/yuccamoor/coordination/fleet/revision_history.h
@@ -12,6 +12,20 @@
 
 namespace yuccamoor::fleet {
 
+/// How long a version may be used after a node learned of a newer one.
+struct RevisionTimes {
+  /// Requests may be sent to it for this long.
+  DurationMs send{2'000};
+  /// Requests that were sent to it may begin for this long.
+  DurationMs begin{3'750};
+
+  /// Returns the times with which no request begins on a version later than
+  /// \p max_age after a newer one was published, if nodes learn of that within
+  /// half of \p max_propagation_delay.
+  static RevisionTimes For(DurationMs max_age,
+                           DurationMs max_propagation_delay);
+};
+
 /// Remembers when each version became known. A version is superseded as soon as
 /// any newer one is known, whatever is published after that.
 class RevisionHistory {
--- a/include/yuccamoor/state/fleet/node_settings.h
+++ b/include/yuccamoor/state/fleet/node_settings.h
@@ -49,6 +49,9 @@
   DurationMs shutdown_grace{8'000};
   /// The maximum time until a change in the store is in force at every node.
   DurationMs max_propagation_delay{2'000};
+  /// The maximum time after an adapter's version was published until requests
+  /// begin on no older one.
+  DurationMs max_version_age{5'000};
   /// The minimum time between orders of two different holders to one engine.
   DurationMs holder_separation{3'000};
   /// Maximum ratio of retries to requests, over all nodes and one retry_window.
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -128,6 +128,11 @@
   /// The version that must answer the request that is being sent; zero if
   /// several may.
   AdapterRevision VersionToExpect() const;
+  /// Whether the endpoint may have begun to answer the current call.
+  bool HasBegun() const;
+  /// Ends a call that has not begun although its version's time is over, and
+  /// sends the request again where it may be repeated. Returns whether it did.
+  bool TakeBackSuperseded(TimeMs now);
   /// Logs the first output if the request's adapter has a newer version than
   /// the one that the request was sent for.
   void LogOlderVersionBegun();
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -13,10 +13,6 @@
 
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kHolderPrefix = "holder/";
-// How long requests may be sent to a version once its successor is known. They
-// may begin on it for five seconds after that was published; the remainder
-// covers the delays of the watch and of the engine.
-constexpr DurationMs kOlderRevisionGrace{2'000};
 // After the store was restored, engines register again, and holders of the
 // earlier era that do not know yet have given their last orders by then.
 constexpr DurationMs kEarlierHolderTime{5'000};
@@ -73,6 +69,9 @@
   return std::string(kHolderPrefix) + engine.str();
 }
 
+FleetView::FleetView(RevisionTimes revision_times)
+    : m_revision_times(revision_times) {}
+
 ViewUpdate FleetView::Apply(StoreChange change, TimeMs now) {
   return std::visit(
       [&](auto&& item) {
@@ -194,9 +193,19 @@
 
 AdapterRevision FleetView::LeastRevision(const AdapterRef& adapter,
                                          TimeMs now) const {
+  return LeastRevisionAt(adapter, now, m_revision_times.send);
+}
+
+AdapterRevision FleetView::LeastRevisionToBegin(const AdapterRef& adapter,
+                                                TimeMs now) const {
+  return LeastRevisionAt(adapter, now, m_revision_times.begin);
+}
+
+AdapterRevision FleetView::LeastRevisionAt(const AdapterRef& adapter,
+                                           TimeMs now, DurationMs ago) const {
   const auto it = m_revisions.find(adapter);
   return it == m_revisions.end() ? AdapterRevision()
-                                 : it->second.LeastAt(now, kOlderRevisionGrace);
+                                 : it->second.LeastAt(now, ago);
 }
 
 bool FleetView::ServesRequests(const Endpoint& engine,
--- a/lib/coordination/fleet/revision_history.cc
+++ b/lib/coordination/fleet/revision_history.cc
@@ -1,16 +1,37 @@
 #include "yuccamoor/coordination/fleet/revision_history.h"
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 
 namespace yuccamoor::fleet {
 
 namespace {
 
+// The part of the maximum propagation delay within which a node learns of a
+// version: a pause between two watches, or the wait for a reader that is gone.
+constexpr std::int64_t kLearningPart = 2;
+// The part of the time left after learning in which requests are still sent.
+// Engines have the rest to begin.
+constexpr std::int64_t kSendPart = 2;
+// Late wake-ups, and the way of a connection's end to the engine.
+constexpr DurationMs kTakeBackTime{250};
+
 // More versions than are published one after the other within a few seconds.
 constexpr std::size_t kMaxVersions = 16;
 
 }  // namespace
 
+RevisionTimes RevisionTimes::For(DurationMs max_age,
+                                 DurationMs max_propagation_delay) {
+  const DurationMs left =
+      std::max(DurationMs(0), max_age - max_propagation_delay / kLearningPart);
+  RevisionTimes times;
+  times.send = left / kSendPart;
+  times.begin = std::max(times.send, left - kTakeBackTime);
+  return times;
+}
+
 bool RevisionHistory::Learn(AdapterRevision revision, TimeMs learned_at) {
   if (revision <= newest()) return false;
   // An older version that became known no earlier makes no difference any more.
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -310,6 +310,7 @@
     if (now - m_sent >= kConnectTime) OnNotSent();
     return;
   }
+  if (TakeBackSuperseded(now)) return;
   if (m_call->state() == CallState::kSent) {
     OnSilent(now);
     return;
--- a/tools/yuccamoor-node/main.cc
+++ b/tools/yuccamoor-node/main.cc
@@ -27,6 +27,7 @@
 using yuccamoor::fleet::NodeContext;
 using yuccamoor::fleet::NodeMetrics;
 using yuccamoor::fleet::NodeSettings;
+using yuccamoor::fleet::RevisionTimes;
 
 // Exit status for settings or addresses that cannot be used.
 constexpr int kBadSettings = 2;
@@ -50,7 +51,8 @@
   LineLog log(clock, STDOUT_FILENO);
   MetricsRegistry registry(clock);
   NodeMetrics metrics(registry);
-  FleetView view;
+  FleetView view(RevisionTimes::For(settings.max_version_age,
+                                    settings.max_propagation_delay));
   const auto dialect = yuccamoor::platform::CreateRequestDialect();
   NodeContext context{io, clock, settings, *dialect, view, log, metrics};
   HttpCaller caller(io, clock);
--- a/unittests/coordination/fleet/revision_history_test.cc
+++ b/unittests/coordination/fleet/revision_history_test.cc
@@ -35,5 +35,21 @@
   }
 }
 
+TEST_CASE("Learning, sending and beginning fit into a version's time",
+          "[fleet][revisions]") {
+  const RevisionTimes small =
+      RevisionTimes::For(DurationMs(5'000), DurationMs(2'000));
+  CHECK(small.send == DurationMs(2'000));
+  CHECK(small.begin == DurationMs(3'750));
+  const RevisionTimes large =
+      RevisionTimes::For(DurationMs(5'000), DurationMs(4'000));
+  CHECK(large.send == DurationMs(1'500));
+  CHECK(large.begin == DurationMs(2'750));
+  const RevisionTimes short_age =
+      RevisionTimes::For(DurationMs(500), DurationMs(4'000));
+  CHECK(short_age.send == DurationMs(0));
+  CHECK(short_age.begin == DurationMs(0));
+}
+
 }  // namespace
 }  // namespace yuccamoor::fleet
