Give versions that were published unseen no more time

A node that started, or that had been without news for long, gave the older version its whole time from the moment at which it learned of the newer one, which may have been published long before.

Such a version now counts from the last moment at which the view was current, and from long ago after a start. A change that ends a waiting watch, or that a reader passes on, is new; one that was there at once is new if the view was current within the time in which a node in contact learns of changes, the one that the sum of RevisionTimes rests on.

Evidence: "An adapter version that was published unseen gets no more time" failed before: after the first read, and after a silence of 9 s.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -70,8 +70,10 @@
  public:
   explicit FleetView(RevisionTimes revision_times = {});
 
-  /// Applies one change and returns its effect.
+  /// Applies one change and returns its effect. \p written_from is the earliest
+  /// time at which it may have been written; without it, the change is new.
   ViewUpdate Apply(StoreChange change, TimeMs now);
+  ViewUpdate Apply(StoreChange change, TimeMs now, TimeMs written_from);
   /// Whether another node with the same view has to learn of the change, which
   /// is about to be applied. Endpoints write their entries again all the time;
   /// what they hold is reported by their holders.
@@ -80,8 +82,10 @@
   /// endpoints that it lacks may still register again.
   void OnStoreRestored(TimeMs now);
   /// Replaces nodes, holders and endpoints by the result of a full read: those
-  /// that it does not contain are removed.
-  void Reset(const std::vector<StoreChange>& changes, TimeMs now);
+  /// that it does not contain are removed. \p written_from is the earliest time
+  /// at which anything unknown in it may have been written.
+  void Reset(const std::vector<StoreChange>& changes, TimeMs now,
+             TimeMs written_from);
 
   /// The current routes; null before the first configuration.
   const std::shared_ptr<const RouteTable>& routes() const { return m_routes; }
@@ -134,7 +138,8 @@
                                   DurationMs ago) const;
 
   ViewUpdate ApplyChange(ConfigWritten change, TimeMs now);
-  ViewUpdate ApplyChange(const AdapterRevisionPublished& change, TimeMs now);
+  ViewUpdate ApplyChange(const AdapterRevisionPublished& change,
+                         TimeMs written_from);
   ViewUpdate ApplyChange(EndpointWritten change, TimeMs now);
   ViewUpdate ApplyChange(const EndpointRemoved& change, TimeMs now);
   ViewUpdate ApplyChange(const RecordWritten& change, TimeMs now);
--- a/include/yuccamoor/coordination/fleet/revision_history.h
+++ b/include/yuccamoor/coordination/fleet/revision_history.h
@@ -12,6 +12,11 @@
 
 namespace yuccamoor::fleet {
 
+/// Returns the time within which a node in contact with the store, or with one
+/// that reads for it, learns of a change: a pause between two watches, or the
+/// wait for a reader that is gone.
+DurationMs MaxLearningTime(DurationMs max_propagation_delay);
+
 /// How long a version may be used after a node learned of a newer one.
 struct RevisionTimes {
   /// Requests may be sent to it for this long.
@@ -21,7 +26,7 @@
 
   /// Returns the times with which no request begins on a version later than
   /// \p max_age after a newer one was published, if nodes learn of that within
-  /// half of \p max_propagation_delay.
+  /// MaxLearningTime.
   static RevisionTimes For(DurationMs max_age,
                            DurationMs max_propagation_delay);
 };
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -54,12 +54,16 @@
   // Returns the read's outcome, after what it has brought was taken up.
   ReadOutcome TakeReading(const StoreReadResult& reading, const Call& call);
   // Both return whether the view changed by more than repeated entries.
-  bool OnReadAll(const StoreReadResult& reading, TimeMs now);
-  bool OnWatched(const StoreReadResult& reading, Revision after, TimeMs now);
+  bool OnReadAll(const StoreReadResult& reading, TimeMs began, TimeMs now);
+  bool OnWatched(const StoreReadResult& reading, const Call& call, TimeMs now);
   std::vector<StoreChange> Apply(const std::vector<StoreChange>& changes,
-                                 TimeMs now);
+                                 TimeMs now, TimeMs written_from);
   void PassOnChanges(const std::vector<StoreChange>& news, Revision after,
                      TimeMs now);
+  // The earliest time at which a change that arrives now may have been written.
+  // It counts as new if the view was current within \p usual_silence.
+  DurationMs LearningTime() const;
+  TimeMs WrittenFrom(TimeMs now, DurationMs usual_silence) const;
   void OnOutageNotice(TimeMs now);
   void OnViewChanged();
   void NoteAnswer(const StoreReadResult& reading, const Call& call);
@@ -85,6 +89,8 @@
   // The first read under way.
   Call m_first_call;
   bool m_reachable = true;
+  // When the view was last known to be the store's newest state.
+  std::optional<TimeMs> m_current_at;
   // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
   // When the store was last seen to be back after an outage.
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -73,6 +73,14 @@
     : m_revision_times(revision_times) {}
 
 ViewUpdate FleetView::Apply(StoreChange change, TimeMs now) {
+  return Apply(std::move(change), now, now);
+}
+
+ViewUpdate FleetView::Apply(StoreChange change, TimeMs now,
+                            TimeMs written_from) {
+  if (const auto* published = std::get_if<AdapterRevisionPublished>(&change)) {
+    return ApplyChange(*published, written_from);
+  }
   return std::visit(
       [&](auto&& item) {
         return ApplyChange(std::forward<decltype(item)>(item), now);
@@ -97,7 +105,8 @@
   m_endpoints.OnStoreRecovered(now);
 }
 
-void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now) {
+void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now,
+                      TimeMs written_from) {
   m_nodes.clear();
   m_holders.clear();
   std::vector<EndpointId> listed;
@@ -105,7 +114,7 @@
     if (const auto* written = std::get_if<EndpointWritten>(&change)) {
       listed.push_back(written->entry.id);
     }
-    Apply(change, now);
+    Apply(change, now, written_from);
   }
   // Holders may have been added and removed between the reads.
   m_never_held_engines.clear();
@@ -121,8 +130,9 @@
 }
 
 ViewUpdate FleetView::ApplyChange(const AdapterRevisionPublished& change,
-                                  TimeMs now) {
-  const bool is_newer = m_revisions[change.adapter].Learn(change.revision, now);
+                                  TimeMs written_from) {
+  const bool is_newer =
+      m_revisions[change.adapter].Learn(change.revision, written_from);
   return is_newer ? ViewUpdate::kAdapterRevision : ViewUpdate::kUnchanged;
 }
 
--- a/lib/coordination/fleet/revision_history.cc
+++ b/lib/coordination/fleet/revision_history.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-// The part of the maximum propagation delay within which a node learns of a
-// version: a pause between two watches, or the wait for a reader that is gone.
 constexpr std::int64_t kLearningPart = 2;
 // The part of the time left after learning in which requests are still sent.
 // Engines have the rest to begin.
@@ -22,10 +20,14 @@
 
 }  // namespace
 
+DurationMs MaxLearningTime(DurationMs max_propagation_delay) {
+  return max_propagation_delay / kLearningPart;
+}
+
 RevisionTimes RevisionTimes::For(DurationMs max_age,
                                  DurationMs max_propagation_delay) {
   const DurationMs left =
-      std::max(DurationMs(0), max_age - max_propagation_delay / kLearningPart);
+      std::max(DurationMs(0), max_age - MaxLearningTime(max_propagation_delay));
   RevisionTimes times;
   times.send = left / kSendPart;
   times.begin = std::max(times.send, left - kTakeBackTime);
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -17,6 +17,11 @@
 constexpr DurationMs kOutage{1'500};
 // For this long after an outage, other nodes are told of it.
 constexpr DurationMs kOutageNoticeTime{2'000};
+// A watch that is answered later than this has waited for the change.
+constexpr DurationMs kImmediateAnswer{250};
+// The age of what was written before this node first read it: longer than any
+// time that counts from a change.
+constexpr DurationMs kUnknownAge{86'400'000};
 // Larger messages hold up the links of small VMs for too long.
 constexpr std::size_t kMaxPassedOnBytes = 24'576;
 
@@ -133,13 +138,16 @@
     default:
       return ReadOutcome::kFailed;
   }
-  const bool changed = call.after ? OnWatched(reading, *call.after, now)
-                                  : OnReadAll(reading, now);
+  const bool changed = call.after ? OnWatched(reading, call, now)
+                                  : OnReadAll(reading, call.began, now);
   return changed ? ReadOutcome::kChanged : ReadOutcome::kUnchanged;
 }
 
-bool StoreSession::OnReadAll(const StoreReadResult& reading, TimeMs now) {
-  m_context.view.Reset(reading.changes, now);
+bool StoreSession::OnReadAll(const StoreReadResult& reading, TimeMs began,
+                             TimeMs now) {
+  m_context.view.Reset(reading.changes, now, WrittenFrom(now, LearningTime()));
+  // Its first page may be as old as the call.
+  m_current_at = began;
   m_context.log.Event("store_read")
       .Number("revision", reading.read_revision.value())
       .Number("era", reading.era.value())
@@ -152,14 +160,20 @@
   return true;
 }
 
-bool StoreSession::OnWatched(const StoreReadResult& reading, Revision after,
+bool StoreSession::OnWatched(const StoreReadResult& reading, const Call& call,
                              TimeMs now) {
   // Changes received from a reader meanwhile went beyond these.
   if (reading.read_revision < m_as_of) return false;
   const bool passes_on = m_plan.PassesOn(now);
-  const std::vector<StoreChange> news = Apply(reading.changes, now);
+  // What ends a waiting watch has just been written.
+  const bool was_waiting = now - call.began > kImmediateAnswer;
+  const DurationMs usual_silence =
+      was_waiting ? m_context.settings.max_propagation_delay : LearningTime();
+  const std::vector<StoreChange> news =
+      Apply(reading.changes, now, WrittenFrom(now, usual_silence));
   m_as_of = reading.read_revision;
-  if (passes_on) PassOnChanges(news, after, now);
+  m_current_at = now;
+  if (passes_on) PassOnChanges(news, *call.after, now);
   if (!reading.changes.empty()) OnViewChanged();
   return !news.empty();
 }
@@ -186,10 +200,14 @@
   m_plan.OnReceived(now);
   m_last_answer = now;
   if (told.after_outage) OnOutageNotice(now);
+  if (told.read == m_as_of) m_current_at = now;
   if (told.read > m_as_of) {
     if (told.complete && told.after <= m_as_of) {
-      Apply(told.changes, now);
+      // Readers tell what they have just read.
+      Apply(told.changes, now,
+            WrittenFrom(now, m_context.settings.max_propagation_delay));
       m_as_of = told.read;
+      m_current_at = now;
       if (!told.changes.empty()) OnViewChanged();
     } else {
       m_plan.RequestRead(now);
@@ -216,15 +234,25 @@
 
 // Returns the changes that are news to other nodes.
 std::vector<StoreChange> StoreSession::Apply(
-    const std::vector<StoreChange>& changes, TimeMs now) {
+    const std::vector<StoreChange>& changes, TimeMs now, TimeMs written_from) {
   std::vector<StoreChange> news;
   for (const StoreChange& change : changes) {
     if (m_context.view.IsNews(change)) news.push_back(change);
-    LogNews(change, m_context.view.Apply(change, now));
+    LogNews(change, m_context.view.Apply(change, now, written_from));
   }
   return news;
 }
 
+// The time within which a node in contact learns of a change.
+DurationMs StoreSession::LearningTime() const {
+  return MaxLearningTime(m_context.settings.max_propagation_delay);
+}
+
+TimeMs StoreSession::WrittenFrom(TimeMs now, DurationMs usual_silence) const {
+  if (!m_current_at) return now - kUnknownAge;
+  return now - *m_current_at <= usual_silence ? now : *m_current_at;
+}
+
 void StoreSession::LogNews(const StoreChange& change, ViewUpdate news) {
   LineLog& log = m_context.log;
   switch (news) {
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -23,7 +23,7 @@
         ViewUpdate::kConfigApplied);
   CHECK(view.Apply(ConfigWritten{EngineConfig(5)}, TimeMs(1)) ==
         ViewUpdate::kConfigIgnored);
-  view.Reset({ConfigWritten{EngineConfig(6)}}, TimeMs(2));
+  view.Reset({ConfigWritten{EngineConfig(6)}}, TimeMs(2), TimeMs(2));
   CHECK(view.routes()->config().version == Revision(7));
 }
 
@@ -37,7 +37,7 @@
     view.Apply(Holder("e1", "n1", 9), TimeMs(1));
   }
   SECTION("until changes may have been missed") {
-    view.Reset({EndpointWritten{EngineEntry("e1")}}, TimeMs(1));
+    view.Reset({EndpointWritten{EngineEntry("e1")}}, TimeMs(1), TimeMs(1));
   }
   CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
 }
@@ -165,7 +165,7 @@
           "[fleet][view][restore]") {
   FleetView view;
   view.OnStoreRestored(TimeMs(1'000));
-  view.Reset({}, TimeMs(1'000));
+  view.Reset({}, TimeMs(1'000), TimeMs(1'000));
   view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(2'500));
   CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
   view.Apply(EndpointWritten{EngineEntry("e2")}, TimeMs(9'000));
@@ -177,7 +177,7 @@
   FleetView view;
   view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(0));
   view.OnStoreRestored(TimeMs(1'000));
-  view.Reset({}, TimeMs(1'010));
+  view.Reset({}, TimeMs(1'010), TimeMs(1'010));
   REQUIRE(view.endpoints().Find(EndpointId("e1")));
   view.endpoints().Expire(TimeMs(9'000));
   CHECK_FALSE(view.endpoints().Find(EndpointId("e1")));
--- a/unittests/coordination/fleet/revision_history_test.cc
+++ b/unittests/coordination/fleet/revision_history_test.cc
@@ -1,6 +1,8 @@
 #include "yuccamoor/coordination/fleet/revision_history.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdint>
 
 namespace yuccamoor::fleet {
 namespace {
@@ -35,6 +37,20 @@
   }
 }
 
+TEST_CASE("Each version has its whole time while some others follow it",
+          "[fleet][revisions]") {
+  RevisionHistory history;
+  constexpr std::int64_t kStepMs = 150;
+  for (std::int64_t i = 1; i <= 60; ++i) {
+    const TimeMs now(i * kStepMs);
+    history.Learn(AdapterRevision(static_cast<std::uint64_t>(i)), now);
+    const std::int64_t least =
+        std::max<std::int64_t>(0, (now.ms() - kTime.ms()) / kStepMs);
+    CHECK(history.LeastAt(now, kTime) ==
+          AdapterRevision(static_cast<std::uint64_t>(least)));
+  }
+}
+
 TEST_CASE("Learning, sending and beginning fit into a version's time",
           "[fleet][revisions]") {
   const RevisionTimes small =
--- a/unittests/coordination/fleet/version_series_test.cc
+++ b/unittests/coordination/fleet/version_series_test.cc
@@ -240,7 +240,7 @@
       changes.emplace_back(AdapterRevisionPublished{adapter, newest});
       NoteTold(node, adapter, newest, now);
     }
-    node.view.Reset(changes, now);
+    node.view.Reset(changes, now, now);
   }
 
   // The engine now holds the newest version, which the nodes learn later.
--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -171,8 +171,53 @@
   return reading;
 }
 
+class ManualClock final : public Clock {
+ public:
+  TimeMs Now() const override { return m_now; }
+  void Advance(DurationMs time) { m_now = m_now + time; }
+
+ private:
+  TimeMs m_now{5'000};
+};
+
+StoreReadResult VersionReading(std::uint64_t revision, std::uint64_t version) {
+  StoreReadResult reading = Reading(revision, 1);
+  reading.changes = {
+      AdapterRevisionPublished{{ModelId("m"), "a1"}, AdapterRevision(version)}};
+  return reading;
+}
+
 }  // namespace
 
+// A node gave an older version its whole time anew when it learned of the newer
+// one late: after its start, or after a silence.
+TEST_CASE("An adapter version that was published unseen gets no more time",
+          "[fleet][store][versions]") {
+  ManualClock clock;
+  ContextParts parts(clock, Settings());
+  FakeFleetStore store;
+  StoreSession session(parts.context, store, [](const TellChanges&) {});
+  const auto least = [&] {
+    return parts.view.LeastRevision({ModelId("m"), "a1"}, clock.Now());
+  };
+  const auto await_watch = [&](std::size_t number) {
+    while (store.watches.size() < number) {
+      clock.Advance(DurationMs(50));
+      parts.io.run_one();
+    }
+  };
+  session.Start([] {});
+  store.reads.at(0)(VersionReading(10, 2));
+  CHECK(least() == AdapterRevision(2));
+  await_watch(1);
+  store.watches.at(0)(VersionReading(11, 3));
+  CHECK(least() == AdapterRevision(2));
+  await_watch(2);
+  clock.Advance(DurationMs(9'000));
+  store.watches.at(1)(VersionReading(12, 4));
+  CHECK(least() == AdapterRevision(4));
+}
+
 // A watch on a connection that had fallen silent for good held up every change
 // for longer than the time after which the node counts as connected again.
 TEST_CASE("A configuration is applied although the watch fell silent",
