Let holders count the versions that they know themselves

An engine's holder took the version of a node that had not learned of a newer one yet as it was: it had a superseded version loaded, and let requests queue for it. The holder now loads the newest version that either of the two knows, and a request queues only for that one.

--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -119,8 +119,10 @@
   // longer accepted.
   const bool has_free_slot = engine.load() < engine.entry.slots;
   // Either node may know of a version that the other has not learned of yet.
-  return std::max(has_free_slot ? ask.least_version : ask.version,
-                  m_context.view.LeastRevision(ask.adapter, now));
+  const FleetView& view = m_context.view;
+  return has_free_slot
+             ? std::max(ask.least_version, view.LeastRevision(ask.adapter, now))
+             : std::max(ask.version, view.NewestRevision(ask.adapter));
 }
 
 std::vector<EndpointId> AdmissionServer::Rank(const AskAdmission& ask) const {
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -247,13 +247,16 @@
   const auto it = m_held.find(ask.engine);
   if (it == m_held.end()) return std::nullopt;
   const TimeMs now = m_context.clock.Now();
+  // The asking node may not know of the newest version yet.
+  const AdapterRevision version =
+      std::max(ask.version, m_context.view.NewestRevision(ask.adapter));
   // Without an answer, the node asks for another engine.
-  if (!it->second.host.CanLoadNow(ask.adapter, ask.version, now)) {
+  if (!it->second.host.CanLoadNow(ask.adapter, version, now)) {
     return std::nullopt;
   }
   LoadRequest request;
   request.adapter = ask.adapter;
-  request.version = ask.version;
+  request.version = version;
   request.priority = ask.priority;
   request.requester = ask.node;
   request.demand = ask.demand;
