End a quarantine in time although nodes remind each other

Callers: requests with a quarantined part of a prompt are refused for longer than the quarantine was to last; with enough nodes and slow links, for ever. Afterwards the next quarantine lasts twice as long as it should.

Cause: each second, nodes tell each other how much longer a suspect is in quarantine, and a node that heard of a later end than its own took that end. A reminder that was under way for a time ends that much later, so that each of them prolonged the quarantine a little, and what it prolonged was told on. One that came just after the own end counted as another quarantine, which doubles the time of the next.

Fix: ends that differ by less than 10 s are those of the same quarantine, and the first one that a node hears of stays. Another quarantine of the suspect lasts for 60 s at least and begins after the one before, so it still replaces it.

Evidence: "Reminders under way do not prolong a quarantine": nine nodes, each reminder 100 ms under way. Before the fix, the suspect was still quarantined on all nine 63 s after a quarantine of 60 s had begun, with 15.9 s to go; the test failed. It passes now. "A longer quarantine replaces the one that a node knows" passed before and passes now.

--- a/lib/coordination/fleet/crash_quarantine.cc
+++ b/lib/coordination/fleet/crash_quarantine.cc
@@ -22,6 +22,9 @@
 constexpr DurationMs kSuspicionMemory{600'000};
 // Reminders that were under way when the suspect was cleared arrive by then.
 constexpr DurationMs kClearedMemory{10'000};
+// Reminders of the same quarantine end within this time of each other, as they
+// were under way for different times.
+constexpr DurationMs kSameQuarantine{10'000};
 constexpr std::size_t kMaxSuspects = 8'192;
 // As many as a datagram carries.
 constexpr std::size_t kMaxReminded = 256;
@@ -117,10 +120,11 @@
   }
   const TimeMs until =
       now + std::min(quarantined.remaining, kLongestQuarantine);
-  if (record.quarantined_until && until <= *record.quarantined_until) return;
-  const bool is_new =
-      !record.quarantined_until || *record.quarantined_until <= now;
-  if (is_new) ++record.quarantines;
+  if (record.quarantined_until &&
+      until <= *record.quarantined_until + kSameQuarantine) {
+    return;
+  }
+  ++record.quarantines;
   record.quarantined_until = until;
 }
 
--- a/unittests/coordination/fleet/crash_quarantine_test.cc
+++ b/unittests/coordination/fleet/crash_quarantine_test.cc
@@ -224,4 +224,55 @@
   CHECK_FALSE(node.MayHaveEnded(Engine(1), TimeMs(60'000)));
 }
 
+// Each reminder began the quarantine's remaining time anew, so that nodes that
+// reminded each other kept a suspect in quarantine for ever.
+TEST_CASE("Reminders under way do not prolong a quarantine",
+          "[fleet][quarantine]") {
+  constexpr int kNodes = 9;
+  constexpr DurationMs kStep{50};
+  constexpr int kStepsPerRound = 20;
+  // Longer than a step, so that reminders cross each other.
+  constexpr std::size_t kDelaySteps = 2;
+  std::vector<CrashQuarantine> nodes(kNodes);
+  CrashEngines(nodes[0], 3, TimeMs(0));
+  const TimeMs begin(2'000);
+  // The reminders under way, the latest one last.
+  std::vector<CrashNews> sent;
+  TimeMs now = begin;
+  for (int step = 0; now < begin + DurationMs(63'000); ++step) {
+    const int turn = step % kStepsPerRound;
+    sent.push_back(turn < kNodes
+                       ? nodes[static_cast<std::size_t>(turn)].Reminder(now)
+                       : CrashNews());
+    if (sent.size() > kDelaySteps) {
+      for (CrashQuarantine& node : nodes) node.OnNews(sent.front(), now);
+      sent.erase(sent.begin());
+    }
+    if (now == begin + DurationMs(30'000)) {
+      for (const CrashQuarantine& node : nodes) {
+        CHECK(IsQuarantined(node, kCrashing, now));
+      }
+    }
+    now = now + kStep;
+  }
+  for (const CrashQuarantine& node : nodes) {
+    CHECK_FALSE(IsQuarantined(node, kCrashing, now));
+  }
+  // The next crash doubles the time once, on whichever node.
+  for (CrashQuarantine& node : nodes) {
+    CrashEngines(node, 1, now, 50);
+    CHECK(node.Find({kCrashing}, now)->remaining == DurationMs(120'000));
+  }
+}
+
+TEST_CASE("A longer quarantine replaces the one that a node knows",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  CrashEngines(quarantine, 3, TimeMs(0));
+  CrashNews news;
+  news.quarantined = {{kCrashing, DurationMs(120'000)}};
+  quarantine.OnNews(news, TimeMs(61'900));
+  CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(181'000)));
+}
+
 }  // namespace yuccamoor::fleet
