Keep what an endpoint has said when another writer's entry comes

By the same cause, an endpoint's limit and pause ended when its entry was unreadable or missing for a moment, and it could get more requests than it takes.

Cause: an entry without a start counted as the entry of a process with start 0, which is another one than the process that is leaving, so all that was known of that one was dropped. Of removed endpoints, leaving was remembered, but neither limit nor pause; of those replaced by another process's entry, nothing.

Fix: what a process has said of itself, its leaving, limit and pause, is remembered under its id and start for ten minutes, whether it was removed or replaced, and counts for all later entries of that process. An entry that states no start, of an endpoint that has stated one, names no process: it is handled like the other entries that name no endpoint to use. Where endpoints state no start at all, nothing changes.

The new tests of the table and the view failed before, but for those sections that hold what has to stay (another process is not held to what the one before has said; endpoints that name no process are used), and pass now. The test of the store session guards the log line of such a removal: it has no earlier code to fail on.

--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -56,8 +56,11 @@
  public:
   using Map = std::map<EndpointId, Endpoint>;
 
-  /// Adds or updates an entry. Returns whether the endpoint is new or
-  /// restarted.
+  /// Whether the entry names the endpoint's process. One without a start does
+  /// so only if no entry of the endpoint has stated one.
+  bool NamesProcess(const EndpointEntry& entry) const;
+  /// Adds or updates an entry that names a process. Returns whether the
+  /// endpoint is new or restarted.
   bool Put(EndpointEntry entry, TimeMs now);
   /// Removes an entry, or sets its re-registration deadline if the store has
   /// just recovered from an outage.
@@ -91,12 +94,21 @@
   static bool Usable(const Endpoint& endpoint, TimeMs now);
 
  private:
+  // What a process has said of itself, for entries of it that come later.
+  struct Remembered {
+    bool leaving = false;
+    EndpointIntake intake;
+    TimeMs until;
+  };
+
+  void Remember(const Endpoint& endpoint, TimeMs now);
+  // Returns the endpoint with what is remembered of its process.
+  Endpoint Recall(EndpointEntry entry) const;
   void Erase(Map::iterator endpoint, TimeMs now);
 
   Map m_endpoints;
-  // Endpoints that were removed while they were leaving, and until when this
-  // is remembered: an entry that says otherwise is an old copy.
-  std::map<EndpointProcess, TimeMs> m_left;
+  // Processes that are not listed any more.
+  std::map<EndpointProcess, Remembered> m_removed;
   std::optional<TimeMs> m_reregister_deadline;
 };
 
--- a/include/yuccamoor/state/fleet/endpoint_entry.h
+++ b/include/yuccamoor/state/fleet/endpoint_entry.h
@@ -51,7 +51,8 @@
   std::uint32_t slots = 1;
   bool draining = false;
   /// Start time of the endpoint's process, in milliseconds since the Unix
-  /// epoch. Distinguishes a restart under the same id.
+  /// epoch. Distinguishes a restart under the same id. Zero if the entry does
+  /// not state it.
   std::uint64_t start_unix_ms = 0;
   std::vector<ModelId> models;
   AdapterSet adapters;
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -12,7 +12,7 @@
 // A holder reports its adapters several times a second.
 constexpr DurationMs kHolderStatusLifetime{1'500};
 // Longer than the copies of the store are old.
-constexpr DurationMs kLeftMemory{600'000};
+constexpr DurationMs kRemovedMemory{600'000};
 constexpr DurationMs kMinConnectBackoff{150};
 constexpr DurationMs kMaxConnectBackoff{1'200};
 
@@ -36,20 +36,27 @@
          entry.models.end();
 }
 
+bool EndpointTable::NamesProcess(const EndpointEntry& entry) const {
+  if (entry.start_unix_ms > 0) return true;
+  const Endpoint* known = Find(entry.id);
+  if (known && known->entry.start_unix_ms > 0) return false;
+  const auto removed = m_removed.lower_bound({entry.id, 1});
+  return removed == m_removed.end() || removed->first.endpoint != entry.id;
+}
+
 bool EndpointTable::Put(EndpointEntry entry, TimeMs now) {
   const auto it = m_endpoints.find(entry.id);
   if (it == m_endpoints.end()) {
-    const EndpointProcess process{entry.id, entry.start_unix_ms};
-    Endpoint added(std::move(entry));
-    added.leaving = added.leaving || m_left.contains(process);
-    m_endpoints.emplace(process.endpoint, std::move(added));
+    const EndpointId id = entry.id;
+    m_endpoints.emplace(id, Recall(std::move(entry)));
     return true;
   }
   Endpoint& known = it->second;
   if (known.entry.start_unix_ms != entry.start_unix_ms ||
       known.entry.address != entry.address) {
     const std::uint32_t in_flight = known.in_flight;
-    known = Endpoint(std::move(entry));
+    Remember(known, now);
+    known = Recall(std::move(entry));
     known.in_flight = in_flight;
     return true;
   }
@@ -62,6 +69,20 @@
   return false;
 }
 
+void EndpointTable::Remember(const Endpoint& endpoint, TimeMs now) {
+  m_removed[{endpoint.entry.id, endpoint.entry.start_unix_ms}] = {
+      endpoint.leaving, endpoint.intake, now + kRemovedMemory};
+}
+
+Endpoint EndpointTable::Recall(EndpointEntry entry) const {
+  const auto removed = m_removed.find({entry.id, entry.start_unix_ms});
+  Endpoint endpoint(std::move(entry));
+  if (removed == m_removed.end()) return endpoint;
+  endpoint.leaving = endpoint.leaving || removed->second.leaving;
+  endpoint.intake = removed->second.intake;
+  return endpoint;
+}
+
 void EndpointTable::Remove(const EndpointId& id, TimeMs now) {
   const auto it = m_endpoints.find(id);
   if (it == m_endpoints.end()) return;
@@ -73,10 +94,7 @@
 }
 
 void EndpointTable::Erase(Map::iterator endpoint, TimeMs now) {
-  if (endpoint->second.leaving) {
-    m_left[{endpoint->first, endpoint->second.entry.start_unix_ms}] =
-        now + kLeftMemory;
-  }
+  Remember(endpoint->second, now);
   m_endpoints.erase(endpoint);
 }
 
@@ -101,7 +119,8 @@
     const auto& deadline = endpoint->second.reregister_deadline;
     if (deadline && now >= *deadline) Erase(endpoint, now);
   }
-  std::erase_if(m_left, [now](const auto& item) { return now >= item.second; });
+  std::erase_if(m_removed,
+                [now](const auto& item) { return now >= item.second.until; });
 }
 
 void EndpointTable::MarkLeaving(const EndpointId& id) {
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -95,6 +95,7 @@
   const auto* written = std::get_if<EndpointWritten>(&change);
   if (!written) return true;
   const Endpoint* known = m_endpoints.Find(written->entry.id);
+  if (!m_endpoints.NamesProcess(written->entry)) return known != nullptr;
   return !known || known->reregister_deadline.has_value() ||
          Differ(known->entry, written->entry);
 }
@@ -138,6 +139,10 @@
 
 ViewUpdate FleetView::ApplyChange(EndpointWritten change, TimeMs now) {
   const EndpointId id = change.entry.id;
+  // Whatever wrote it, the entry names no endpoint to use.
+  if (!m_endpoints.NamesProcess(change.entry)) {
+    return ApplyChange(EndpointRemoved{id}, now);
+  }
   const Endpoint* known = m_endpoints.Find(id);
   const bool was_leaving = known && known->leaving;
   const bool leaving = change.entry.draining;
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -25,6 +25,13 @@
 // Larger messages hold up the links of small VMs for too long.
 constexpr std::size_t kMaxPassedOnBytes = 24'576;
 
+// The endpoint that a change has removed: its entry may also have been
+// overwritten.
+EndpointId EndpointOf(const StoreChange& change) {
+  const auto* written = std::get_if<EndpointWritten>(&change);
+  return written ? written->entry.id : std::get<EndpointRemoved>(change).id;
+}
+
 }  // namespace
 
 StoreSession::StoreSession(NodeContext& context, FleetStore& store,
@@ -281,8 +288,7 @@
       break;
     }
     case ViewUpdate::kEndpointRemoved:
-      log.Event("endpoint_removed")
-          .Text("endpoint", std::get<EndpointRemoved>(change).id.str());
+      log.Event("endpoint_removed").Text("endpoint", EndpointOf(change).str());
       break;
     case ViewUpdate::kHolderChanged:
     case ViewUpdate::kNodeChanged:
--- a/unittests/coordination/fleet/endpoint_table_test.cc
+++ b/unittests/coordination/fleet/endpoint_table_test.cc
@@ -82,4 +82,51 @@
   CHECK(EndpointTable::Usable(*table.Find(entry.id), TimeMs(400)));
 }
 
+// An endpoint that had left, and was listed once as another process, got
+// requests when an old copy of the store listed it as ready again.
+TEST_CASE("An endpoint that was leaving stays so after another process's entry",
+          "[fleet][table][restore]") {
+  EndpointTable table;
+  EndpointEntry entry = EngineEntry("e1");
+  entry.draining = true;
+  table.Put(entry, TimeMs(0));
+  EndpointEntry other = EngineEntry("e1");
+  ++other.start_unix_ms;
+  table.Put(other, TimeMs(100));
+  CHECK(EndpointTable::Usable(*table.Find(entry.id), TimeMs(100)));
+  entry.draining = false;
+  table.Put(entry, TimeMs(200));
+  CHECK_FALSE(EndpointTable::Usable(*table.Find(entry.id), TimeMs(200)));
+}
+
+// An endpoint's limit and pause ended when its entry could not be read for a
+// moment, and it got more requests than it takes.
+TEST_CASE("An endpoint's limit and pause outlast a missing entry",
+          "[fleet][table]") {
+  EndpointTable table;
+  const EndpointEntry entry = EngineEntry("e1");
+  table.Put(entry, TimeMs(0));
+  IntakeStatement stated;
+  stated.limited = true;
+  stated.requests_per_second = 4;
+  stated.retry_after = DurationMs(2'000);
+  table.Find(entry.id)->intake.OnStatement(stated, TimeMs(0), TimeMs(100));
+  table.Remove(entry.id, TimeMs(200));
+  SECTION("the same process") {
+    table.Put(entry, TimeMs(300));
+    const EndpointIntake& intake = table.Find(entry.id)->intake;
+    REQUIRE(intake.limit());
+    CHECK(intake.limit()->per_second == 4);
+    CHECK(intake.opens_at() == TimeMs(2'100));
+  }
+  SECTION("another process") {
+    EndpointEntry restarted = entry;
+    ++restarted.start_unix_ms;
+    table.Put(restarted, TimeMs(300));
+    const EndpointIntake& intake = table.Find(entry.id)->intake;
+    CHECK_FALSE(intake.limit());
+    CHECK(intake.opens_at() == TimeMs());
+  }
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -183,4 +183,52 @@
   CHECK_FALSE(view.endpoints().Find(EndpointId("e1")));
 }
 
+// An entry by another writer made a leaving endpoint usable again.
+TEST_CASE("An entry that names no process leaves a leaving endpoint leaving",
+          "[fleet][view][odd]") {
+  FleetView view;
+  EndpointEntry entry = EngineEntry("e1");
+  view.Apply(EndpointWritten{entry}, TimeMs(0));
+  view.endpoints().MarkLeaving(entry.id);
+  EndpointEntry without_start = entry;
+  without_start.start_unix_ms = 0;
+  for (const int time : {1'000, 1'500, 2'000}) {
+    view.Apply(EndpointWritten{without_start}, TimeMs(time));
+    const Endpoint* known = view.endpoints().Find(entry.id);
+    CHECK((!known || !EndpointTable::Usable(*known, TimeMs(time))));
+  }
+  view.Apply(EndpointWritten{entry}, TimeMs(2'200));
+  REQUIRE(view.endpoints().Find(entry.id));
+  CHECK_FALSE(
+      EndpointTable::Usable(*view.endpoints().Find(entry.id), TimeMs(2'200)));
+  // A new process under the same id.
+  ++entry.start_unix_ms;
+  view.Apply(EndpointWritten{entry}, TimeMs(3'000));
+  CHECK(EndpointTable::Usable(*view.endpoints().Find(entry.id), TimeMs(3'000)));
+}
+
+TEST_CASE("An entry that names no process names no endpoint to use",
+          "[fleet][view][odd]") {
+  FleetView view;
+  EndpointEntry entry = EngineEntry("e1");
+  EndpointEntry without_start = entry;
+  without_start.start_unix_ms = 0;
+  SECTION("if the endpoint has named one") {
+    view.Apply(EndpointWritten{entry}, TimeMs(0));
+    CHECK(view.IsNews(EndpointWritten{without_start}));
+    CHECK(view.Apply(EndpointWritten{without_start}, TimeMs(100)) ==
+          ViewUpdate::kEndpointRemoved);
+    CHECK_FALSE(view.IsNews(EndpointWritten{without_start}));
+    CHECK(view.Apply(EndpointWritten{without_start}, TimeMs(200)) ==
+          ViewUpdate::kUnchanged);
+    CHECK(view.Apply(EndpointWritten{entry}, TimeMs(300)) ==
+          ViewUpdate::kEndpointAdded);
+  }
+  SECTION("but where endpoints name none, it does") {
+    CHECK(view.Apply(EndpointWritten{without_start}, TimeMs(0)) ==
+          ViewUpdate::kEndpointAdded);
+    CHECK(view.endpoints().Find(entry.id));
+  }
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -260,4 +260,28 @@
   }
 }
 
+TEST_CASE("An entry that names no process any more removes its endpoint",
+          "[fleet][store][odd]") {
+  BootClock clock;
+  NodeSettings settings = Settings();
+  settings.max_propagation_delay = DurationMs(40);
+  ContextParts parts(clock, settings);
+  FakeFleetStore store;
+  StoreSession session(parts.context, store, [](const TellChanges&) {});
+  session.Start([] {});
+  EndpointWritten written;
+  written.entry.id = EndpointId("e1");
+  written.entry.start_unix_ms = 5;
+  StoreReadResult reading = Reading(10, 1);
+  reading.changes.emplace_back(written);
+  store.reads.at(0)(reading);
+  REQUIRE(parts.view.endpoints().Find(written.entry.id));
+  while (store.watches.empty()) parts.io.run_one();
+  written.entry.start_unix_ms = 0;
+  reading.read_revision = Revision(11);
+  reading.changes = {written};
+  store.watches[0](reading);
+  CHECK_FALSE(parts.view.endpoints().Find(written.entry.id));
+}
+
 }  // namespace yuccamoor::fleet
