Wait for earlier holders of engines that register after missed changes

Callers: two nodes could order one engine at a time (ONE), if a node that had fallen behind the store's history, or had just been started, claimed an engine that registered again just then.

Cause: a node orders an engine without waiting for its earlier holder if the engine has never had one in this node's view. After a full read, the engines that it lists don't count as such, since holders may have come and gone between the reads. But an engine that left after that read and registered again did: the permission that the full read had ended was granted anew by an unrelated change. After a restore of the store, a time of 5 s guards against just that.

Fix: the same time begins with each full read that may have missed holders: all but the first one, and the first one if it shows a holder, as the fleet runs already. While a fleet starts, nothing changes.

Evidence: "Engines that register after missed changes may have had a holder" failed before, in both sections, and passes now.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -115,7 +115,8 @@
   std::set<NodeId> NodeIds() const;
   std::map<EndpointId, NodeId> HolderIds() const;
   /// Engines to which no node can have given orders: this view saw each
-  /// register and has never seen a holder of it.
+  /// register, some time after changes that it may have missed, and has never
+  /// seen a holder of it.
   const std::set<EndpointId>& NeverHeldEngines() const {
     return m_never_held_engines;
   }
@@ -152,7 +153,8 @@
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
   std::set<EndpointId> m_never_held_engines;
-  // Engines that register before may have had a holder in an earlier era.
+  bool m_was_read = false;
+  // Engines that register before may have had a holder that was missed.
   TimeMs m_never_held_from;
   // Engines of which a holder was seen, also if they or it have gone since.
   std::set<EndpointId> m_once_held_engines;
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -13,8 +13,8 @@
 
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kHolderPrefix = "holder/";
-// After the store was restored, engines register again, and holders of the
-// earlier era that do not know yet have given their last orders by then.
+// Holders that this view may have missed have given their last orders by then:
+// those of an earlier era of the store, or between two full reads.
 constexpr DurationMs kEarlierHolderTime{5'000};
 
 // Whether the entries differ in more than what engines' holders report.
@@ -108,6 +108,7 @@
 
 void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now,
                       TimeMs written_from) {
+  const bool may_have_missed = std::exchange(m_was_read, true);
   m_nodes.clear();
   m_holders.clear();
   std::vector<EndpointId> listed;
@@ -117,8 +118,12 @@
     }
     Apply(change, now, written_from);
   }
-  // Holders may have been added and removed between the reads.
+  // Holders may have been added and removed between the reads, or before the
+  // first one if the fleet runs already.
   m_never_held_engines.clear();
+  if (may_have_missed || !m_holders.empty()) {
+    m_never_held_from = std::max(m_never_held_from, now + kEarlierHolderTime);
+  }
   m_endpoints.RetainOnly(listed, now);
 }
 
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -231,4 +231,33 @@
   }
 }
 
+// A node that had missed a holder ordered the engine without waiting for the
+// end of that holder's orders.
+TEST_CASE("Engines that register after missed changes may have had a holder",
+          "[fleet][view]") {
+  FleetView view;
+  SECTION("the node has fallen behind") {
+    view.Reset({EndpointWritten{EngineEntry("e1")}}, TimeMs(0), TimeMs(0));
+    view.Reset({EndpointWritten{EngineEntry("e1")}}, TimeMs(60'000),
+               TimeMs(60'000));
+  }
+  SECTION("the node has joined a running fleet") {
+    view.Reset({EndpointWritten{EngineEntry("e1")}, Holder("e9", "n1", 9)},
+               TimeMs(60'000), TimeMs(60'000));
+  }
+  view.Apply(EndpointRemoved{EndpointId("e1")}, TimeMs(60'500));
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(61'000));
+  CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
+  view.Apply(EndpointWritten{EngineEntry("e2")}, TimeMs(66'000));
+  CHECK(view.WasNeverHeld(EndpointId("e2")));
+}
+
+TEST_CASE("Engines that register while a fleet starts have had no holder",
+          "[fleet][view]") {
+  FleetView view;
+  view.Reset({}, TimeMs(0), TimeMs(0));
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(500));
+  CHECK(view.WasNeverHeld(EndpointId("e1")));
+}
+
 }  // namespace yuccamoor::fleet
