Take over the engines of an earlier process only, not later ones

Cause: a process that goes on with the lease of its machine's earlier process need not wait before it orders the engines which that process held. What stood for this was one bit, set when the lease was taken over and never cleared, and it was read for every engine that the process claimed later on. So after a rolling restart no daemon waited any more.

Fix: what is taken over are the holder records of this node that stood when its lease was taken over, by their fencing numbers. A record that is written later has another number and waits. All is given back with the lease.

The check after a restore now looks at the records that are taken over in place of the bit, and the copy holds one of this node, so it is not weaker.

Not mended: a process that is killed while it waits, and is back within its lease, can't tell that its record is that young, and doesn't wait for the rest.

--- a/include/yuccamoor/transport/fleet/lease_keeper.h
+++ b/include/yuccamoor/transport/fleet/lease_keeper.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/transport/fleet/node_context.h"
@@ -36,8 +37,9 @@
   std::optional<StoreLease> lease() const { return m_lease; }
   /// When the last renewal that succeeded was sent.
   TimeMs renewed() const { return m_renewed; }
-  /// Whether the lease of this VM's earlier process was taken over.
-  bool adopted() const { return m_adopted; }
+  /// Fencing numbers of the holder records that stood under the lease of this
+  /// VM's earlier process when it was taken over, while it lasts.
+  const std::set<Epoch>& taken_over() const { return m_taken_over; }
 
   /// Claims the right to give orders to an engine, under the lease.
   /// \p done gets the holder's record, or nothing if it was not written.
@@ -45,6 +47,7 @@
              std::function<void(std::optional<RecordWritten>)> done);
 
  private:
+  std::set<Epoch> OwnFences() const;
   void Adopt(StoreLease lease);
   void Keep();
   void Grant();
@@ -61,7 +64,7 @@
   bool m_has_begun = false;
   // Answers to calls of earlier eras are passed over.
   std::uint64_t m_era_count = 0;
-  bool m_adopted = false;
+  std::set<Epoch> m_taken_over;
   bool m_registered = false;
   std::uint32_t m_register_conflicts = 0;
   std::optional<StoreLease> m_lease;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -119,7 +119,8 @@
   // The holder before may have ordered until its own validity ended. This VM
   // itself need not wait.
   const bool no_other = m_context.view.WasNeverHeld(engine) ||
-                        LatelyHeld(now).contains(engine) || m_lease.adopted();
+                        LatelyHeld(now).contains(engine) ||
+                        m_lease.taken_over().contains(fence);
   const DurationMs wait = no_other ? DurationMs(0)
                                    : OrderRight::kLeaseValidity +
                                          m_context.settings.holder_separation +
--- a/lib/transport/fleet/lease_keeper.cc
+++ b/lib/transport/fleet/lease_keeper.cc
@@ -58,12 +58,21 @@
   Drop("store restored");
 }
 
+std::set<Epoch> LeaseKeeper::OwnFences() const {
+  std::set<Epoch> fences;
+  for (const auto& [engine, holder] : m_context.view.holders()) {
+    if (holder.node == m_context.settings.node) fences.insert(holder.fence);
+  }
+  return fences;
+}
+
 void LeaseKeeper::Adopt(StoreLease lease) {
   m_context.metrics.store_calls.Add();
   const TimeMs sent = m_context.clock.Now();
+  const std::set<Epoch> fences = OwnFences();
   m_store.RenewLease(
       lease, kRenewTimeout,
-      [this, lease, sent, era = m_era_count](StoreStatus status) {
+      [this, lease, sent, fences, era = m_era_count](StoreStatus status) {
         if (era != m_era_count) return;
         m_context.log.Event("lease_adopted")
             .Number("lease", lease.value())
@@ -77,7 +86,7 @@
         m_registered = true;
         // Since the copy was made that names this node, another one may have
         // held the engines.
-        m_adopted = m_era_count == 0;
+        if (m_era_count == 0) m_taken_over = fences;
         m_on_change();
         KeepAfter(kRenewInterval);
       });
@@ -167,6 +176,7 @@
   m_lease.reset();
   m_registered = false;
   m_register_conflicts = 0;
+  m_taken_over.clear();
   m_on_change();
 }
 
--- /dev/null
+++ b/unittests/transport/fleet/engine_holder_test.cc
@@ -0,0 +1,166 @@
+/// \file
+/// \brief Tests of when a node begins to give orders to the engines that it
+/// holds.
+
+#include "yuccamoor/transport/fleet/engine_holder.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/fleet/fleet_fakes.h"
+#include "transport/fleet/context_parts.h"
+#include "transport/fleet/fake_fleet_store.h"
+
+namespace yuccamoor::fleet {
+namespace {
+
+const StoreLease kLease(7);
+// A holder's validity, the separation of holders and a margin.
+constexpr DurationMs kWait{4'650};
+
+NodeSettings Settings() {
+  NodeSettings settings;
+  settings.node = NodeId("n1");
+  settings.peer_address = {"10.0.0.1", 7'380};
+  return settings;
+}
+
+/// Engines without their model: each holder orders it as soon as it may.
+class FakeControl final : public EngineControl {
+ public:
+  void Order(const EndpointEntry& engine, const EngineOrder& /*order*/,
+             std::function<void(OrderOutcome)> /*done*/) override {
+    m_ordered.push_back(engine.id);
+  }
+  void FetchReport(
+      const EndpointEntry& /*engine*/,
+      std::function<void(std::optional<EngineReport>)> done) override {
+    done(EngineReport());
+  }
+
+  void ForgetOrders() { m_ordered.clear(); }
+  bool HasOrdered(const std::string& engine) const {
+    return std::find(m_ordered.begin(), m_ordered.end(), EndpointId(engine)) !=
+           m_ordered.end();
+  }
+
+ private:
+  std::vector<EndpointId> m_ordered;
+};
+
+/// A node that is alone in its fleet.
+class HolderWorld {
+ public:
+  HolderWorld()
+      : m_parts(m_clock, Settings()),
+        m_lease(m_parts.context, m_store, [this] { OnViewChanged(); }),
+        m_holder(
+            m_parts.context, m_lease, m_control,
+            [](const NodeId&, const TellLoaded&) {},
+            [](const TellRetired&) {}) {
+    Apply(ConfigWritten{EngineConfig(1)});
+    Apply(EndpointWritten{EngineEntry("e1")});
+    Apply(EndpointWritten{EngineEntry("e2")});
+    Apply(RecordWritten{FleetView::NodeKey(m_parts.settings.node),
+                        EncodeNodeRecord({m_parts.settings.peer_address, kLease,
+                                          m_parts.settings.domain}),
+                        Revision(2)});
+  }
+
+  void Apply(const StoreChange& change) {
+    m_parts.view.Apply(change, m_clock.Now());
+    OnViewChanged();
+  }
+  void SetHolder(const std::string& engine, const std::string& node,
+                 std::uint64_t revision) {
+    Apply(RecordWritten{FleetView::HolderKey(EndpointId(engine)), node,
+                        Revision(revision)});
+  }
+  void RemoveHolder(const std::string& engine) {
+    Apply(RecordRemoved{FleetView::HolderKey(EndpointId(engine))});
+  }
+  /// Takes over the lease of the node's earlier process.
+  void Adopt() {
+    m_lease.Begin();
+    m_store.renewals.at(0)(StoreStatus::kOk);
+  }
+  /// Lets so much time pass.
+  void Run(DurationMs time) {
+    constexpr DurationMs kTick{50};
+    const TimeMs end = m_clock.Now() + time;
+    while (m_clock.Now() < end) {
+      m_clock.Advance(kTick);
+      m_holder.OnTick(m_clock.Now());
+    }
+  }
+
+  void ForgetOrders() { m_control.ForgetOrders(); }
+  bool HasOrdered(const std::string& engine) const {
+    return m_control.HasOrdered(engine);
+  }
+
+ private:
+  void OnViewChanged() { m_holder.OnViewChanged(); }
+
+  ManualClock m_clock;
+  ContextParts m_parts;
+  FakeFleetStore m_store;
+  FakeControl m_control;
+  LeaseKeeper m_lease;
+  EngineHolder m_holder;
+};
+
+}  // namespace
+
+TEST_CASE("A restarted node goes on with its earlier process's engines",
+          "[fleet][holder]") {
+  HolderWorld world;
+  world.SetHolder("e1", "n1", 9);
+  world.Adopt();
+  world.Run(DurationMs(100));
+  CHECK(world.HasOrdered("e1"));
+}
+
+// A node that was once restarted within its lease ordered engines at once that
+// another node had held a moment before.
+TEST_CASE("A restarted node waits before it orders engines of other holders",
+          "[fleet][holder]") {
+  HolderWorld world;
+  world.SetHolder("e1", "n1", 9);
+  world.SetHolder("e2", "n2", 10);
+  SECTION("some time after the restart") {
+    world.Adopt();
+    world.Run(DurationMs(20'000));
+    world.RemoveHolder("e2");
+    world.SetHolder("e2", "n1", 20);
+  }
+  SECTION("when a claim of its earlier process was written late") {
+    world.Adopt();
+    world.RemoveHolder("e2");
+    world.SetHolder("e2", "n1", 20);
+  }
+  world.Run(kWait - DurationMs(50));
+  CHECK_FALSE(world.HasOrdered("e2"));
+  world.Run(DurationMs(100));
+  CHECK(world.HasOrdered("e2"));
+}
+
+TEST_CASE("A holder that gave orders a moment ago goes on with them",
+          "[fleet][holder]") {
+  HolderWorld world;
+  world.SetHolder("e1", "n1", 9);
+  world.Adopt();
+  world.Run(DurationMs(500));
+  world.ForgetOrders();
+  world.RemoveHolder("e1");
+  world.SetHolder("e1", "n1", 20);
+  world.Run(DurationMs(100));
+  CHECK(world.HasOrdered("e1"));
+}
+
+}  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/store_restore_test.cc
+++ b/unittests/transport/fleet/store_restore_test.cc
@@ -177,13 +177,16 @@
     CHECK(world.lease().lease() == StoreLease(8));
   }
   SECTION("the copy has the record") {
-    world.store().reads.at(1)(Reading(kSecond, 95, {world.OwnRecord(lease)}));
+    const RecordWritten holder{FleetView::HolderKey(EndpointId("e1")), "n1",
+                               Revision(90), kSecond};
+    world.store().reads.at(1)(
+        Reading(kSecond, 95, {world.OwnRecord(lease), holder}));
     REQUIRE(world.store().renewed.size() == 1);
     CHECK(world.store().renewed[0] == lease);
     world.store().renewals[0](StoreStatus::kOk);
     CHECK(world.lease().lease() == lease);
     // Another node may have held its engines meanwhile.
-    CHECK_FALSE(world.lease().adopted());
+    CHECK(world.lease().taken_over().empty());
   }
 }
 
