Keep the wait before orders when an engine is taken up again

Cause: a node that gave orders to an engine a moment ago need not wait when it takes the engine up again, as no other node can have ordered it since. A node that still waited counted as one that gave orders, so that taking the engine up again ended its wait.

Fix: an engine counts as lately held only from the end of the wait. The end of the wait is kept with the record, by its fencing number, for as long as the record stands: taking the engine up again under the same record neither ends the wait nor begins it anew. A new record waits in full.

--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -68,11 +68,20 @@
     EndpointEntry entry;
     EngineHost host;
     Epoch fence;
+    TimeMs orders_from;
+  };
+  // A record of this node, and when its wait ends.
+  struct TakenUp {
+    Epoch fence;
+    TimeMs orders_from;
   };
 
   bool MayOrder(TimeMs now) const;
   std::set<EndpointId> LatelyHeld(TimeMs now) const;
   void ClaimNext(TimeMs now);
+  void ForgetEndedRecords();
+  DurationMs WaitBeforeOrders(const EndpointId& engine, Epoch fence,
+                              TimeMs now) const;
   void TakeUp(const EndpointId& engine, Epoch fence);
   void Poll(const EndpointId& engine, TimeMs now);
   void Order(const EndpointId& engine, const Held& held,
@@ -87,6 +96,8 @@
   Announce m_announce;
   HolderClaims m_claims;
   std::map<EndpointId, Held> m_held;
+  // Also of engines whose entries are missing.
+  std::map<EndpointId, TakenUp> m_taken_up;
   TimeMs m_started;
   OrderRight m_right;
   // When this node last had the right to order engines that it held.
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -75,8 +75,18 @@
   return engines;
 }
 
+void EngineHolder::ForgetEndedRecords() {
+  const auto& holders = m_context.view.holders();
+  std::erase_if(m_taken_up, [&](const auto& item) {
+    const auto record = holders.find(item.first);
+    return !m_lease.lease() || record == holders.end() ||
+           record->second.fence != item.second.fence;
+  });
+}
+
 void EngineHolder::OnViewChanged() {
   const FleetView& view = m_context.view;
+  ForgetEndedRecords();
   std::erase_if(m_held, [&](const auto& item) {
     const auto record = view.holders().find(item.first);
     const bool ours = record != view.holders().end() &&
@@ -105,6 +115,22 @@
   }
 }
 
+// The holder before may have ordered until its own validity ended. Nobody else
+// has held the engine since this node's record was written.
+DurationMs EngineHolder::WaitBeforeOrders(const EndpointId& engine, Epoch fence,
+                                          TimeMs now) const {
+  const auto taken_up = m_taken_up.find(engine);
+  if (taken_up != m_taken_up.end() && taken_up->second.fence == fence) {
+    return std::max(taken_up->second.orders_from - now, DurationMs(0));
+  }
+  const bool no_other = m_context.view.WasNeverHeld(engine) ||
+                        LatelyHeld(now).contains(engine) ||
+                        m_lease.taken_over().contains(fence);
+  if (no_other) return DurationMs(0);
+  return OrderRight::kLeaseValidity + m_context.settings.holder_separation +
+         kHolderMargin;
+}
+
 void EngineHolder::TakeUp(const EndpointId& engine, Epoch fence) {
   const Endpoint* endpoint = m_context.view.endpoints().Find(engine);
   if (!endpoint) return;
@@ -116,18 +142,12 @@
   options.model_load_time = spec->models.front().load_time;
   options.full_speed_loads = FullSpeedLoads(spec->models_per_second);
   const TimeMs now = m_context.clock.Now();
-  // The holder before may have ordered until its own validity ended. This VM
-  // itself need not wait.
-  const bool no_other = m_context.view.WasNeverHeld(engine) ||
-                        LatelyHeld(now).contains(engine) ||
-                        m_lease.taken_over().contains(fence);
-  const DurationMs wait = no_other ? DurationMs(0)
-                                   : OrderRight::kLeaseValidity +
-                                         m_context.settings.holder_separation +
-                                         kHolderMargin;
-  const TimeMs order_from = now + wait;
-  m_held.emplace(engine, Held{endpoint->entry,
-                              EngineHost(options, fence, order_from), fence});
+  const DurationMs wait = WaitBeforeOrders(engine, fence, now);
+  const TimeMs orders_from = now + wait;
+  m_taken_up[engine] = {fence, orders_from};
+  m_held.emplace(engine,
+                 Held{endpoint->entry, EngineHost(options, fence, orders_from),
+                      fence, orders_from});
   m_context.log.Event("engine_held")
       .Text("engine", engine.str())
       .Number("fence", fence.value())
@@ -137,7 +157,9 @@
 void EngineHolder::OnTick(TimeMs now) {
   m_right.OnTick(now);
   if (!MayOrder(now)) return;
-  for (const auto& [engine, held] : m_held) m_last_valid[engine] = now;
+  for (const auto& [engine, held] : m_held) {
+    if (now >= held.orders_from) m_last_valid[engine] = now;
+  }
   ClaimNext(now);
   for (auto it = m_held.begin(); it != m_held.end();) {
     const EndpointId engine = (it++)->first;
--- a/unittests/transport/fleet/engine_holder_test.cc
+++ b/unittests/transport/fleet/engine_holder_test.cc
@@ -150,6 +150,35 @@
   CHECK(world.HasOrdered("e2"));
 }
 
+// A node that waited before its orders counted as the last holder already, and
+// skipped the rest of the wait when it took the engine up again.
+TEST_CASE("An engine taken up again while its holder waits is not ordered yet",
+          "[fleet][holder]") {
+  HolderWorld world;
+  world.Adopt();
+  world.SetHolder("e1", "n2", 9);
+  world.RemoveHolder("e1");
+  world.SetHolder("e1", "n1", 20);
+  world.Run(DurationMs(1'000));
+  SECTION("the engine's entry was missing for a moment") {
+    world.Apply(EndpointRemoved{EndpointId("e1")});
+    world.Apply(EndpointWritten{EngineEntry("e1")});
+    world.Run(kWait - DurationMs(1'050));
+    CHECK_FALSE(world.HasOrdered("e1"));
+    // The wait has not begun anew.
+    world.Run(DurationMs(100));
+    CHECK(world.HasOrdered("e1"));
+  }
+  SECTION("the holder's record was missing for a moment") {
+    world.RemoveHolder("e1");
+    world.SetHolder("e1", "n1", 21);
+    world.Run(kWait - DurationMs(50));
+    CHECK_FALSE(world.HasOrdered("e1"));
+    world.Run(DurationMs(100));
+    CHECK(world.HasOrdered("e1"));
+  }
+}
+
 TEST_CASE("A holder that gave orders a moment ago goes on with them",
           "[fleet][holder]") {
   HolderWorld world;
