Let an answer's statement concern the process that gave it

Callers: a node sent no more requests to an endpoint that had started anew, for as long as that process lived; or it went on to send requests to one that was leaving.

Cause: an answer's statements (leaving, a limit, a pause) were noted by the endpoint's id. If the answer was read late, after a frozen machine went on or a slow link had delivered it, another process had followed under the id, and the statement counted for that one. If the endpoint's entry was missing for a moment, the statement was lost.

Fix: statements name the process that the request was sent to. They count for that process alone, also if it isn't listed just then.

"An answer that says leaving concerns the process that gave it" passes now.

--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -72,8 +72,9 @@
   /// Drops endpoints whose re-registration deadline has passed.
   void Expire(TimeMs now);
 
-  /// Records that the endpoint announced that it is leaving.
-  void MarkLeaving(const EndpointId& id);
+  /// Records that an endpoint's process announced that it is leaving, listed or
+  /// not.
+  void MarkLeaving(const EndpointProcess& process);
   /// Starts or extends the backoff after a failed connection attempt.
   void OnConnectFailed(const EndpointId& id, TimeMs now);
   /// Clears the connection backoff.
--- a/include/yuccamoor/transport/fleet/permit_client.h
+++ b/include/yuccamoor/transport/fleet/permit_client.h
@@ -36,10 +36,10 @@
 
   PermitClient(NodeContext& context, SendToPeer send, Broadcast broadcast);
 
-  /// Applies what an endpoint's response states. Its request was sent at
-  /// \p sent.
-  void OnStatement(const EndpointId& endpoint, const IntakeStatement& stated,
-                   TimeMs sent);
+  /// Applies what an endpoint's response states. Its request was sent to this
+  /// process at \p sent.
+  void OnStatement(const EndpointProcess& process,
+                   const IntakeStatement& stated, TimeMs sent);
   /// Asks for a permit to send one request to an endpoint with a limit, free
   /// within \p max_wait. The question ends with the ticket.
   std::unique_ptr<PermitTicket> Ask(const EndpointId& endpoint,
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -123,8 +123,14 @@
                 [now](const auto& item) { return now >= item.second.until; });
 }
 
-void EndpointTable::MarkLeaving(const EndpointId& id) {
-  if (Endpoint* endpoint = Find(id)) endpoint->leaving = true;
+void EndpointTable::MarkLeaving(const EndpointProcess& process) {
+  Endpoint* endpoint = Find(process.endpoint);
+  if (endpoint && endpoint->entry.start_unix_ms == process.start_unix_ms) {
+    endpoint->leaving = true;
+    return;
+  }
+  const auto removed = m_removed.find(process);
+  if (removed != m_removed.end()) removed->second.leaving = true;
 }
 
 void EndpointTable::OnConnectFailed(const EndpointId& id, TimeMs now) {
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -21,7 +21,7 @@
   if (m_intake_noted || !m_call->has_head()) return;
   m_intake_noted = true;
   const IntakeStatement& intake = m_call->meta().intake;
-  m_context.permits.OnStatement(m_endpoint, intake, m_sent);
+  m_context.permits.OnStatement(Process(), intake, m_sent);
   if (!intake.limited && !intake.leaving && !intake.retry_after) return;
   m_context.node.log.Event("endpoint_intake")
       .Text("request", m_meta.attempt.str())
@@ -105,7 +105,7 @@
       !meta.endpoint.empty() && meta.endpoint != m_endpoint;
   EndCall(true, false);
   if (other_instance) {
-    m_context.node.view.endpoints().MarkLeaving(m_endpoint);
+    m_context.node.view.endpoints().MarkLeaving(Process());
     m_excluded.push_back(m_endpoint);
   } else if (m_meta.adapter && !m_meta.adapter->name.empty() &&
              (status == 421 || status == 503)) {
--- a/lib/transport/fleet/permit_client.cc
+++ b/lib/transport/fleet/permit_client.cc
@@ -31,17 +31,17 @@
                     static_cast<std::uint64_t>(context.clock.Now().ms())
                         << 32) {}
 
-void PermitClient::OnStatement(const EndpointId& endpoint,
+void PermitClient::OnStatement(const EndpointProcess& process,
                                const IntakeStatement& stated, TimeMs sent) {
+  if (stated.leaving) m_context.view.endpoints().MarkLeaving(process);
+  const EndpointId& endpoint = process.endpoint;
   Endpoint* known = m_context.view.endpoints().Find(endpoint);
-  if (!known) return;
-  if (stated.leaving) m_context.view.endpoints().MarkLeaving(endpoint);
+  if (!known || known->entry.start_unix_ms != process.start_unix_ms) return;
   const TimeMs now = m_context.clock.Now();
   const LimitChange change = known->intake.OnStatement(stated, sent, now);
   LogLimit(endpoint, change, "response");
   if (change != LimitChange::kNamed && change != LimitChange::kEnded) return;
-  m_broadcast(TellLimit{{endpoint, known->entry.start_unix_ms},
-                        stated.requests_per_second});
+  m_broadcast(TellLimit{process, stated.requests_per_second});
 }
 
 void PermitClient::OnTellLimit(const TellLimit& told) {
--- a/unittests/coordination/fleet/endpoint_table_test.cc
+++ b/unittests/coordination/fleet/endpoint_table_test.cc
@@ -129,4 +129,29 @@
   }
 }
 
+// A late answer of an endpoint's earlier process said that it was leaving, and
+// the process that had followed it under the same id got no more requests.
+TEST_CASE("An answer that says leaving concerns the process that gave it",
+          "[fleet][table]") {
+  EndpointTable table;
+  const EndpointEntry entry = EngineEntry("e1");
+  const EndpointProcess process{entry.id, entry.start_unix_ms};
+  table.Put(entry, TimeMs(0));
+  SECTION("though another one has followed") {
+    EndpointEntry restarted = entry;
+    ++restarted.start_unix_ms;
+    table.Put(restarted, TimeMs(100));
+    table.MarkLeaving(process);
+    CHECK(EndpointTable::Usable(*table.Find(entry.id), TimeMs(200)));
+    // An old copy of the store lists the earlier one.
+    table.Put(entry, TimeMs(300));
+  }
+  SECTION("though its entry was missing then") {
+    table.Remove(entry.id, TimeMs(100));
+    table.MarkLeaving(process);
+    table.Put(entry, TimeMs(300));
+  }
+  CHECK_FALSE(EndpointTable::Usable(*table.Find(entry.id), TimeMs(300)));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/permit_fleet_test.cc
+++ b/unittests/transport/fleet/permit_fleet_test.cc
@@ -203,7 +203,7 @@
     IntakeStatement stated;
     stated.limited = true;
     stated.requests_per_second = m_scenario.limit_per_second;
-    node.client->OnStatement(kEndpoint, stated, sent);
+    node.client->OnStatement({kEndpoint, 1}, stated, sent);
   }
 
   void RestartOne() {
