Bound the heads that come before a response

Cause: EndpointCall passed over such heads without a bound. One wake-up read up to 256 KiB, and the parser erased each head from the front of that buffer, which moved the rest: 10,000 heads moved more than a gigabyte before the event loop went on. A head that began and never ended had no time of its own.

Now the heads that come before a response have 64 KiB together, their bodies (which are dropped at once) 4 MB, and a head that has begun two seconds. Then the call is broken: the request may have run, so it is answered with 502, or repeated only if it is idempotent. HttpParser::Consume takes a view, and the buffer is moved once a read; EventCutter searches each byte once. One turn of the event loop reads 64 KiB of a call and 256 datagrams of peers.

Tests: "Heads without end end the request that waits for its own" over loopback sockets.

--- a/include/yuccamoor/protocol/fleet/event_cutter.h
+++ b/include/yuccamoor/protocol/fleet/event_cutter.h
@@ -25,7 +25,10 @@
   /// sender is in trouble, and may go on without end.
   bool IsTooLong() const { return m_pending.size() > kMaxEventBytes; }
   /// Forgets an event that was cut off.
-  void DropPartial() { m_pending.clear(); }
+  void DropPartial() {
+    std::string().swap(m_pending);
+    m_searched = 0;
+  }
   /// The id of the last event handed out; empty without one.
   const std::string& last_id() const { return m_last_id; }
   /// Events handed out.
@@ -37,6 +40,8 @@
   void NoteIds(std::string_view events);
 
   std::string m_pending;
+  // The part of it that holds no end of an event.
+  std::size_t m_searched = 0;
   std::string m_last_id;
   std::uint64_t m_events = 0;
 };
--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -4,16 +4,17 @@
 #ifndef YUCCAMOOR_TRANSPORT_FLEET_ENDPOINT_CALL_H_
 #define YUCCAMOOR_TRANSPORT_FLEET_ENDPOINT_CALL_H_
 
-#include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "yuccamoor/protocol/fleet/request_dialect.h"
-#include "yuccamoor/state/fleet/node_settings.h"
 #include "yuccamoor/transport/fleet/http_parser.h"
 #include "yuccamoor/transport/fleet/idle_connections.h"
+#include "yuccamoor/transport/fleet/node_context.h"
 
 namespace yuccamoor::fleet {
 
@@ -37,8 +38,7 @@
  public:
   using Progress = std::function<void()>;
 
-  EndpointCall(boost::asio::io_context& io, IdleConnections& idle,
-               const RequestDialect& dialect, std::string address,
+  EndpointCall(NodeContext& node, IdleConnections& idle, std::string address,
                RequestId attempt);
   ~EndpointCall();
   EndpointCall(const EndpointCall&) = delete;
@@ -56,8 +56,12 @@
   bool ended_by_peer() const { return m_ended_by_peer; }
   /// Whether the response's head has come.
   bool has_head() const { return m_has_head; }
+  /// Whether the response's head has begun, but is not whole for too long.
+  bool IsHeadLate(TimeMs now) const;
   /// Body bytes that nobody has taken yet.
-  std::string& body() { return m_parser->body(); }
+  const std::string& body() const { return m_parser->body(); }
+  /// Takes them.
+  std::string TakeBody();
 
   /// Stops waking up for each arrival; Poll reads what has come.
   void Detach();
@@ -76,16 +80,19 @@
   void WriteMore();
   void AwaitResponse();
   void OnReadable();
-  void ReadAvailable();
+  void ReadAvailable(std::size_t limit);
   void Parse(bool at_end);
-  bool TakeHead();
+  void ParseAll(std::string_view& bytes, bool at_end);
+  bool TakeHead(std::size_t bytes);
+  bool PassOver(std::size_t bytes);
+  void NoteHeadBegun();
+  bool IsUnderWay() const;
   bool IsDoubtfulRefusal() const;
   void Move(CallState state);
   void Report();
 
-  boost::asio::io_context& m_io;
+  NodeContext& m_node;
   IdleConnections& m_idle;
-  const RequestDialect& m_dialect;
   std::string m_address;
   RequestId m_attempt;
   std::unique_ptr<Socket> m_socket;
@@ -93,6 +100,10 @@
   std::string m_out;
   std::size_t m_written = 0;
   std::string m_in;
+  // Of other messages that came first: of their heads, and of their bodies.
+  std::size_t m_passed_heads = 0;
+  std::size_t m_passed_bodies = 0;
+  std::optional<TimeMs> m_head_begun;
   ResponseMeta m_meta;
   Progress m_progress;
   CallState m_state = CallState::kConnecting;
@@ -101,6 +112,8 @@
   bool m_expect_no_body = false;
   bool m_detached = false;
   bool m_ended_by_peer = false;
+  // The message that comes is not the response.
+  bool m_passing_over = false;
   // Another response came on this connection: it is not used again.
   bool m_tainted = false;
 };
--- a/include/yuccamoor/transport/fleet/http_parser.h
+++ b/include/yuccamoor/transport/fleet/http_parser.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "yuccamoor/protocol/fleet/http_head.h"
 
@@ -40,9 +41,12 @@
 
   virtual ~HttpParser() = default;
 
-  /// Takes bytes off the front of \p buffer until the message is whole or more
-  /// is needed. Body bytes are appended to body().
-  virtual HttpFault Feed(std::string& buffer) = 0;
+  /// Takes bytes off the front of \p bytes until the message is whole or more
+  /// is needed. What it leaves is passed again with more behind it. Body bytes
+  /// are appended to body().
+  virtual HttpFault Consume(std::string_view& bytes) = 0;
+  /// The same with a buffer. For one message: the rest is moved each time.
+  HttpFault Feed(std::string& buffer);
   /// Notes the end of the connection; true if that completes the message.
   virtual bool FinishAtEnd() = 0;
   /// Makes the parser ready for the next message; a response to HEAD has no
--- a/lib/protocol/fleet/event_cutter.cc
+++ b/lib/protocol/fleet/event_cutter.cc
@@ -11,9 +11,14 @@
 }  // namespace
 
 std::string EventCutter::TakeWhole() {
-  const std::size_t end = m_pending.rfind(kEventEnd);
-  if (end == std::string::npos) return {};
-  const std::size_t size = end + kEventEnd.size();
+  // An end may begin with the last byte that was searched.
+  const std::size_t from = m_searched - std::min<std::size_t>(m_searched, 1);
+  const std::size_t end =
+      std::string_view(m_pending).substr(from).rfind(kEventEnd);
+  m_searched = m_pending.size();
+  if (end == std::string_view::npos) return {};
+  const std::size_t size = from + end + kEventEnd.size();
+  m_searched -= size;
   std::string whole;
   if (size == m_pending.size()) {
     whole = std::move(m_pending);
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -6,22 +6,27 @@
 
 namespace {
 
-constexpr std::size_t kReadLimit = 262'144;
+// One call's part of a turn of the event loop.
+constexpr std::size_t kReadLimit = 65'536;
+// The same of a stream, which is read at intervals.
+constexpr std::size_t kPollLimit = 262'144;
 // How long a connection is kept whose endpoint does not say its timeout, and
 // the margin to one that it says.
 constexpr DurationMs kKeepTime{400};
 constexpr DurationMs kKeepMargin{1'000};
 // Continues a response only while its unread part is bounded.
 constexpr std::size_t kMaxUnreadBody = 4'194'304;
+// Of the heads of all messages that come before the response.
+constexpr std::size_t kMaxPassedHeads = 65'536;
+// A head usually comes in one packet.
+constexpr DurationMs kHeadTime{2'000};
 
 }  // namespace
 
-EndpointCall::EndpointCall(boost::asio::io_context& io, IdleConnections& idle,
-                           const RequestDialect& dialect, std::string address,
-                           RequestId attempt)
-    : m_io(io),
+EndpointCall::EndpointCall(NodeContext& node, IdleConnections& idle,
+                           std::string address, RequestId attempt)
+    : m_node(node),
       m_idle(idle),
-      m_dialect(dialect),
       m_address(std::move(address)),
       m_attempt(std::move(attempt)),
       m_parser(HttpParser::Create(HttpParser::Kind::kResponse, {})) {}
@@ -41,7 +46,7 @@
     WriteMore();
     return;
   }
-  m_socket = std::make_unique<Socket>(m_io);
+  m_socket = std::make_unique<Socket>(m_node.io);
   m_socket->Connect(ParseSocketAddress(m_address), [this](bool connected) {
     if (!connected) {
       Move(CallState::kNotSent);
@@ -72,38 +77,72 @@
 }
 
 void EndpointCall::OnReadable() {
-  ReadAvailable();
-  const bool more =
-      m_state == CallState::kSent || m_state == CallState::kAnswering;
-  if (more && !m_detached) AwaitResponse();
+  ReadAvailable(kReadLimit);
+  if (IsUnderWay() && !m_detached) AwaitResponse();
   Report();
 }
 
 void EndpointCall::Poll() {
-  if (m_state == CallState::kAnswering) ReadAvailable();
+  if (m_state == CallState::kAnswering) ReadAvailable(kPollLimit);
 }
 
-void EndpointCall::ReadAvailable() {
-  if (body().size() > kMaxUnreadBody) {
+bool EndpointCall::IsUnderWay() const {
+  return m_state == CallState::kSent || m_state == CallState::kAnswering;
+}
+
+void EndpointCall::ReadAvailable(std::size_t limit) {
+  if (m_parser->body().size() > kMaxUnreadBody) {
     m_state = CallState::kBroken;
     return;
   }
-  const IoResult result = m_socket->Read(m_in, kReadLimit);
+  const IoResult result = m_socket->Read(m_in, limit);
   m_ended_by_peer =
       result.status == IoStatus::kEnd || result.status == IoStatus::kReset;
   Parse(result.status == IoStatus::kEnd);
   if (result.status == IoStatus::kReset && m_state != CallState::kComplete) {
     m_state = CallState::kBroken;
   }
+  NoteHeadBegun();
+}
+
+void EndpointCall::NoteHeadBegun() {
+  const bool begun = m_parser->started() || !m_in.empty();
+  if (m_state != CallState::kSent || !begun) {
+    m_head_begun.reset();
+  } else if (!m_head_begun) {
+    m_head_begun = m_node.clock.Now();
+  }
+}
+
+bool EndpointCall::IsHeadLate(TimeMs now) const {
+  return m_head_begun && now - *m_head_begun >= kHeadTime;
+}
+
+std::string EndpointCall::TakeBody() {
+  return std::exchange(m_parser->body(), {});
 }
 
 void EndpointCall::Parse(bool at_end) {
-  while (m_state == CallState::kSent || m_state == CallState::kAnswering) {
-    if (m_parser->Feed(m_in) != HttpFault::kNone) {
+  std::string_view rest = m_in;
+  ParseAll(rest, at_end);
+  if (rest.empty()) {
+    // Nothing is kept between messages.
+    std::string().swap(m_in);
+  } else {
+    m_in.erase(0, m_in.size() - rest.size());
+  }
+}
+
+void EndpointCall::ParseAll(std::string_view& bytes, bool at_end) {
+  while (IsUnderWay()) {
+    const std::size_t before = bytes.size();
+    if (m_parser->Consume(bytes) != HttpFault::kNone) {
       m_state = CallState::kBroken;
       return;
     }
-    if (m_parser->has_head() && m_state == CallState::kSent && !TakeHead()) {
+    const std::size_t taken = before - bytes.size();
+    if (m_parser->has_head() && m_state == CallState::kSent &&
+        !TakeHead(taken)) {
       continue;
     }
     if (m_state == CallState::kBroken) return;
@@ -118,10 +157,11 @@
   }
 }
 
-// Returns false if the head began another request's response, which has been
-// passed over.
-bool EndpointCall::TakeHead() {
-  m_meta = m_dialect.DecodeResponse(m_parser->head());
+// Returns false if the head, of which the last \p bytes came now, began
+// another message, which has been passed over as a whole.
+bool EndpointCall::TakeHead(std::size_t bytes) {
+  if (m_passing_over) return PassOver(bytes);
+  m_meta = m_node.dialect.DecodeResponse(m_parser->head());
   if (IsDoubtfulRefusal()) {
     m_state = CallState::kBroken;
     return true;
@@ -134,7 +174,20 @@
     return true;
   }
   m_tainted = m_tainted || foreign;
+  m_passing_over = true;
+  return PassOver(bytes);
+}
+
+bool EndpointCall::PassOver(std::size_t bytes) {
+  const std::size_t of_body = TakeBody().size();
+  m_passed_heads += bytes - of_body;
+  m_passed_bodies += of_body;
+  if (m_passed_heads > kMaxPassedHeads || m_passed_bodies > kMaxUnreadBody) {
+    m_state = CallState::kBroken;
+    return true;
+  }
   if (!m_parser->complete()) return true;
+  m_passing_over = false;
   m_parser->Restart(m_expect_no_body);
   return false;
 }
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -231,8 +231,7 @@
   } else if (m_meta.adapter) {
     m_context.dispatcher.OnPrompt(m_endpoint, m_meta.prompt_tokens);
   }
-  m_call = std::make_unique<EndpointCall>(m_context.node.io, m_context.idle,
-                                          m_context.node.dialect,
+  m_call = std::make_unique<EndpointCall>(m_context.node, m_context.idle,
                                           target.entry.address, m_meta.attempt);
   m_call->Start(m_context.node.dialect.EncodeRequest(
                     m_request.head, m_request.body, forwarding),
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -43,7 +43,7 @@
   const int status = m_call->head().status;
   const bool healthy = status < 500;
   if (healthy) NoteOutput(status / 100 == 2);
-  const std::string body = std::move(m_call->body());
+  const std::string body = m_call->TakeBody();
   std::string out = m_context.node.dialect.EncodeResponseHead(m_call->head());
   out += CloseField();
   AppendField(out, "Content-Length", std::to_string(body.size()));
@@ -67,8 +67,7 @@
 }
 
 void Exchange::PassEvents() {
-  m_cutter.Feed(m_call->body());
-  m_call->body().clear();
+  m_cutter.Feed(m_call->TakeBody());
   const std::uint64_t before = m_cutter.events();
   const std::string events = m_cutter.TakeWhole();
   if (events.empty()) {
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -163,6 +163,10 @@
 }
 
 void Exchange::OnSilent(TimeMs now) {
+  if (m_call->IsHeadLate(now)) {
+    OnBroken();
+    return;
+  }
   if (m_route.kind != RequestKind::kSafe) return;
   const DurationMs patience =
       std::max(kShortestSilence, m_route.latency_objective * kSilentObjectives);
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -14,7 +14,8 @@
 
 // Kept connections are used for a while only, so that silent ones are rare.
 constexpr DurationMs kKeepTime{8'000};
-constexpr std::size_t kReadLimit = 1'048'576;
+// One call's part of a turn of the event loop.
+constexpr std::size_t kReadLimit = 65'536;
 
 std::string Encode(const HttpCall& call) {
   std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
--- a/lib/transport/fleet/http_parser.cc
+++ b/lib/transport/fleet/http_parser.cc
@@ -83,24 +83,17 @@
     Restart(false);
   }
 
-  HttpFault Feed(std::string& buffer) override {
-    std::size_t used = 0;
-    HttpFault fault = HttpFault::kNone;
-    while (used < buffer.size() && !m_collector->is_done()) {
+  HttpFault Consume(std::string_view& bytes) override {
+    while (!bytes.empty() && !m_collector->is_done()) {
       ErrorCode error;
       const std::size_t n = m_collector->put(
-          boost::asio::const_buffer(buffer.data() + used, buffer.size() - used),
-          error);
-      used += n;
+          boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+      bytes.remove_prefix(n);
       if (error == http::error::need_more) break;
-      if (error) {
-        fault = ToFault(error);
-        break;
-      }
+      if (error) return ToFault(error);
       if (n == 0) break;
     }
-    buffer.erase(0, used);
-    return fault == HttpFault::kNone ? CheckRemainder(buffer) : fault;
+    return CheckRemainder(bytes.size());
   }
 
   bool FinishAtEnd() override {
@@ -129,11 +122,11 @@
   std::string& body() override { return m_collector->m_body; }
 
  private:
-  // What stays in the buffer is the beginning of a header, of a chunk's size or
+  // What is left is the beginning of a header, of a chunk's size or
   // of trailers. A peer in trouble may go on with it without end.
-  HttpFault CheckRemainder(const std::string& buffer) const {
+  HttpFault CheckRemainder(std::size_t rest) const {
     if (m_collector->is_done()) return HttpFault::kNone;
-    if (buffer.size() <= m_limits.max_header_bytes) return HttpFault::kNone;
+    if (rest <= m_limits.max_header_bytes) return HttpFault::kNone;
     return m_collector->m_has_head ? HttpFault::kMalformed
                                    : HttpFault::kHeaderTooLong;
   }
@@ -144,6 +137,13 @@
 
 }  // namespace
 
+HttpFault HttpParser::Feed(std::string& buffer) {
+  std::string_view rest = buffer;
+  const HttpFault fault = Consume(rest);
+  buffer.erase(0, buffer.size() - rest.size());
+  return fault;
+}
+
 std::unique_ptr<HttpParser> HttpParser::Create(Kind kind,
                                                const HttpParserLimits& limits) {
   if (kind == Kind::kRequest) {
--- a/lib/transport/fleet/peer_link.cc
+++ b/lib/transport/fleet/peer_link.cc
@@ -16,6 +16,8 @@
 constexpr DurationMs kUpdateInterval{100};
 constexpr DurationMs kMalformedLogInterval{1'000};
 constexpr std::size_t kMaxDatagram = 65'536;
+// In one turn of the event loop.
+constexpr int kMaxDatagrams = 256;
 // Begins a datagram of a node of an earlier release that the receiver passes on
 // in its domain. No message begins so.
 constexpr char kPassOn = '>';
@@ -57,7 +59,7 @@
 
 void PeerLink::Drain() {
   std::array<char, kMaxDatagram> buffer;
-  for (;;) {
+  for (int i = 0; i < kMaxDatagrams; ++i) {
     boost::system::error_code error;
     udp::endpoint sender;
     const std::size_t size =
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -224,6 +224,26 @@
   m_parts->view.Apply(ConfigWritten{config}, m_parts->clock.Now());
 }
 
+void FrontWorld::AddTroubled(std::uint16_t port) {
+  const TimeMs now = m_parts->clock.Now();
+  FleetConfig config = Config();
+  config.version = m_parts->view.routes()->config().version.Next();
+  for (const auto& [prefix, service] :
+       {std::pair{"/troubled/", "t"}, std::pair{"/sound/", "s"}}) {
+    RouteSpec route = Route(prefix, RequestKind::kUnsafe, false);
+    route.timeout = DurationMs(600'000);
+    route.shares = {{ServiceId(service), 1}};
+    config.routes.push_back(route);
+  }
+  config.services[ServiceId("t")] = {ServiceId("t"), std::nullopt};
+  m_parts->view.Apply(ConfigWritten{config}, now);
+  EndpointEntry entry = Entry("e3", port);
+  entry.service = ServiceId("t");
+  m_parts->view.Apply(EndpointWritten{entry}, now);
+}
+
+std::uint16_t FrontWorld::front_port() const { return m_parts->front->port(); }
+
 void FrontWorld::RestartFirst() {
   Endpoint* first = m_parts->view.endpoints().Find(EndpointId("e1"));
   ++first->entry.start_unix_ms;
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -122,11 +122,17 @@
   void RestartBoth();
   /// Has both endpoints take no request for a while.
   void PauseBoth(DurationMs time);
+  /// Adds an endpoint with a service of its own, to which /troubled/ goes, and
+  /// /sound/ to the others. What is sent there may run once only and is kept
+  /// long.
+  void AddTroubled(std::uint16_t port);
   /// Has the second endpoint look full.
   void FillSecond();
   /// Runs the event loop for a while.
   void Run(DurationMs time);
 
+  boost::asio::io_context& io() { return m_io; }
+  std::uint16_t front_port() const;
   ScriptedEndpoint& first() { return *m_first; }
   ScriptedEndpoint& second() { return *m_second; }
   std::size_t requests_run() const {
