Give the bytes that a node keeps one budget

Cause: each answer was bounded (4 MB), all of them together were not: some 40 at one node exceed its memory.

A small call ends without an answer, as if the connection had broken. A request that is not whole yet was not passed on and gets 503; an answer that its client doesn't read is reset, so that its part looks cut.

--- a/include/yuccamoor/protocol/fleet/event_cutter.h
+++ b/include/yuccamoor/protocol/fleet/event_cutter.h
@@ -29,6 +29,8 @@
     std::string().swap(m_pending);
     m_searched = 0;
   }
+  /// The bytes that have come of the event that has begun.
+  std::size_t pending_bytes() const { return m_pending.size(); }
   /// The id of the last event handed out; empty without one.
   const std::string& last_id() const { return m_last_id; }
   /// Events handed out.
--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -14,6 +14,7 @@
 #include "yuccamoor/protocol/fleet/request_dialect.h"
 #include "yuccamoor/transport/fleet/http_parser.h"
 #include "yuccamoor/transport/fleet/idle_connections.h"
+#include "yuccamoor/transport/fleet/kept_bytes.h"
 #include "yuccamoor/transport/fleet/node_context.h"
 
 namespace yuccamoor::fleet {
@@ -62,6 +63,8 @@
   const std::string& body() const { return m_parser->body(); }
   /// Takes them.
   std::string TakeBody();
+  /// Notes what the caller itself keeps of the body, in bytes.
+  void NoteKeptElsewhere(std::size_t bytes);
 
   /// Stops waking up for each arrival; Poll reads what has come.
   void Detach();
@@ -86,6 +89,8 @@
   bool TakeHead(std::size_t bytes);
   bool PassOver(std::size_t bytes);
   void NoteHeadBegun();
+  KeptSize Kept() const;
+  void OnGivenUp();
   bool IsUnderWay() const;
   bool IsDoubtfulRefusal() const;
   void Move(CallState state);
@@ -100,6 +105,9 @@
   std::string m_out;
   std::size_t m_written = 0;
   std::string m_in;
+  KeptBytes::Account m_kept;
+  std::size_t m_kept_elsewhere = 0;
+  std::uint64_t m_received = 0;
   // Of other messages that came first: of their heads, and of their bodies.
   std::size_t m_passed_heads = 0;
   std::size_t m_passed_bodies = 0;
--- a/include/yuccamoor/transport/fleet/front_connection.h
+++ b/include/yuccamoor/transport/fleet/front_connection.h
@@ -11,6 +11,7 @@
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/fleet_config.h"
 #include "yuccamoor/transport/fleet/http_parser.h"
+#include "yuccamoor/transport/fleet/kept_bytes.h"
 #include "yuccamoor/transport/fleet/socket.h"
 
 namespace yuccamoor::fleet {
@@ -49,7 +50,7 @@
 class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
  public:
   FrontConnection(boost::asio::ip::tcp::socket socket, FrontHandler& handler,
-                  const Clock& clock);
+                  const Clock& clock, KeptBytes& kept);
 
   void Start();
 
@@ -74,11 +75,19 @@
   void Reject(HttpFault fault);
   void RejectWith(int status);
   void Flush();
+  void DropSent();
+  /// Notes what is kept, and closes the connection if that is too much.
+  void NoteKept();
+  void OnGivenUp();
+  void CloseUnanswered();
   void Close();
 
   Socket m_socket;
   FrontHandler& m_handler;
   const Clock& m_clock;
+  KeptBytes::Account m_kept;
+  // Bytes that have come or gone.
+  std::uint64_t m_moved = 0;
   // Those that the parser applies to the current request.
   HttpParserLimits m_limits;
   std::unique_ptr<HttpParser> m_parser;
--- a/include/yuccamoor/transport/fleet/http_caller.h
+++ b/include/yuccamoor/transport/fleet/http_caller.h
@@ -16,6 +16,7 @@
 #include "yuccamoor/protocol/fleet/http_head.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/transport/fleet/idle_connections.h"
+#include "yuccamoor/transport/fleet/kept_bytes.h"
 
 namespace yuccamoor::fleet {
 
@@ -27,6 +28,8 @@
   std::vector<HeaderField> fields;
   std::string body;
   DurationMs timeout{1'000};
+  /// A response with a longer body is no answer.
+  std::uint64_t max_body_bytes = 16'777'216;
   /// Whether to use a new connection and close the idle ones, which may have
   /// fallen silent.
   bool new_connection = false;
@@ -50,7 +53,7 @@
  public:
   using Done = std::function<void(HttpCallEnd)>;
 
-  HttpCaller(boost::asio::io_context& io, const Clock& clock);
+  HttpCaller(boost::asio::io_context& io, const Clock& clock, KeptBytes& kept);
   ~HttpCaller();
   HttpCaller(const HttpCaller&) = delete;
   HttpCaller& operator=(const HttpCaller&) = delete;
@@ -63,6 +66,7 @@
 
   boost::asio::io_context& m_io;
   const Clock& m_clock;
+  KeptBytes& m_kept;
   IdleConnections m_idle;
   std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/include/yuccamoor/transport/fleet/http_parser.h
+++ b/include/yuccamoor/transport/fleet/http_parser.h
@@ -61,6 +61,8 @@
   virtual HttpHead& head() = 0;
   /// The body bytes that nobody has taken yet.
   virtual std::string& body() = 0;
+  /// The memory, in bytes, that the message's head and body take up so far.
+  virtual std::size_t kept_bytes() const = 0;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/node_context.h
+++ b/include/yuccamoor/transport/fleet/node_context.h
@@ -10,6 +10,7 @@
 #include "yuccamoor/protocol/fleet/request_dialect.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/node_settings.h"
+#include "yuccamoor/transport/fleet/kept_bytes.h"
 #include "yuccamoor/transport/fleet/node_metrics.h"
 #include "yuccamoor/transport/observability/line_log.h"
 
@@ -24,6 +25,7 @@
   FleetView& view;
   LineLog& log;
   NodeMetrics& metrics;
+  KeptBytes& kept;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/status_server.h
+++ b/include/yuccamoor/transport/fleet/status_server.h
@@ -11,6 +11,7 @@
 
 #include "yuccamoor/transport/fleet/front_connection.h"
 #include "yuccamoor/transport/fleet/listener.h"
+#include "yuccamoor/transport/fleet/node_context.h"
 
 namespace yuccamoor::fleet {
 
@@ -26,8 +27,7 @@
   using Answer = std::function<StatusReply(const std::string& path)>;
 
   static Result<std::unique_ptr<StatusServer>> Create(
-      boost::asio::io_context& io, const Clock& clock,
-      const SocketAddress& address, Answer answer);
+      NodeContext& node, const SocketAddress& address, Answer answer);
 
   const RequestLimits& limits() const override { return m_limits; }
   void OnRequest(std::shared_ptr<FrontConnection> connection,
@@ -37,9 +37,9 @@
   std::string RejectBadRequest(int status, const HttpHead& head) override;
 
  private:
-  StatusServer(const Clock& clock, Answer answer);
+  StatusServer(NodeContext& node, Answer answer);
 
-  const Clock& m_clock;
+  NodeContext& m_node;
   Answer m_answer;
   RequestLimits m_limits;
   std::unique_ptr<Listener> m_listener;
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -29,7 +29,8 @@
       m_idle(idle),
       m_address(std::move(address)),
       m_attempt(std::move(attempt)),
-      m_parser(HttpParser::Create(HttpParser::Kind::kResponse, {})) {}
+      m_parser(HttpParser::Create(HttpParser::Kind::kResponse, {})),
+      m_kept(node.kept, [this] { OnGivenUp(); }) {}
 
 EndpointCall::~EndpointCall() { Abort(); }
 
@@ -103,6 +104,22 @@
     m_state = CallState::kBroken;
   }
   NoteHeadBegun();
+  m_received += result.bytes;
+  if (IsUnderWay() && !m_kept.Set(Kept())) m_state = CallState::kBroken;
+}
+
+KeptSize EndpointCall::Kept() const {
+  return {HeapBytes(m_in) + m_parser->kept_bytes() + m_kept_elsewhere,
+          m_received};
+}
+
+void EndpointCall::NoteKeptElsewhere(std::size_t bytes) {
+  m_kept_elsewhere = bytes;
+  m_kept.Lower(Kept());
+}
+
+void EndpointCall::OnGivenUp() {
+  if (IsUnderWay()) Move(CallState::kBroken);
 }
 
 void EndpointCall::NoteHeadBegun() {
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -70,6 +70,7 @@
   m_cutter.Feed(m_call->TakeBody());
   const std::uint64_t before = m_cutter.events();
   const std::string events = m_cutter.TakeWhole();
+  m_call->NoteKeptElsewhere(m_cutter.pending_bytes());
   if (events.empty()) {
     if (m_cutter.IsTooLong()) OnEndlessEvent();
     return;
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -10,6 +10,8 @@
 constexpr std::size_t kReadLimit = 65'536;
 // What a client may send ahead while its request is being answered.
 constexpr std::size_t kMaxPipelinedBytes = 65'536;
+// What the client has taken is kept up to here.
+constexpr std::size_t kMaxSentBytes = 65'536;
 
 HttpParserLimits ToParserLimits(const RequestLimits& limits) {
   return {static_cast<std::uint32_t>(limits.max_header_bytes),
@@ -38,10 +40,12 @@
 }  // namespace
 
 FrontConnection::FrontConnection(boost::asio::ip::tcp::socket socket,
-                                 FrontHandler& handler, const Clock& clock)
+                                 FrontHandler& handler, const Clock& clock,
+                                 KeptBytes& kept)
     : m_socket(std::move(socket)),
       m_handler(handler),
       m_clock(clock),
+      m_kept(kept, [this] { OnGivenUp(); }),
       m_limits(ToParserLimits(handler.limits())),
       m_parser(HttpParser::Create(HttpParser::Kind::kRequest, m_limits)),
       m_idle_since(clock.Now()),
@@ -63,6 +67,7 @@
   const IoResult result = m_socket.Read(m_in, kReadLimit);
   // Requests of a client that has left are not passed on, also if they were
   // read late and together with its close.
+  m_moved += result.bytes;
   const bool gone = result.status == IoStatus::kEnd ||
                     result.status == IoStatus::kReset ||
                     m_socket.PeerHasClosed();
@@ -73,6 +78,7 @@
     return;
   }
   if (!m_busy) ParseInput();
+  NoteKept();
   if (!m_busy || m_in.size() < kMaxPipelinedBytes) AwaitReadable();
 }
 
@@ -89,6 +95,7 @@
   if (m_in.empty() || m_closing) return;
   if (!m_receiving) BeginRequest();
   const HttpFault fault = m_parser->Feed(m_in);
+  if (m_in.empty()) std::string().swap(m_in);
   if (m_parser->has_head() && !IsUnambiguous(m_parser->head())) {
     Reject(HttpFault::kMalformed);
     return;
@@ -136,7 +143,7 @@
 }
 
 void FrontConnection::RejectWith(int status) {
-  m_in.clear();
+  std::string().swap(m_in);
   m_busy = true;
   Send(m_handler.RejectBadRequest(status, m_parser->head()));
   Finish(true);
@@ -144,29 +151,65 @@
 
 void FrontConnection::Send(std::string_view data) {
   if (!m_open) return;
+  DropSent();
   m_out.append(data);
   if (!m_writing) Flush();
+  NoteKept();
+}
+
+// A slow client may never take all that is there.
+void FrontConnection::DropSent() {
+  if (m_out_begin < kMaxSentBytes || m_out_begin < pending_bytes()) return;
+  m_out = m_out.substr(m_out_begin);
+  m_out_begin = 0;
+}
+
+void FrontConnection::NoteKept() {
+  if (!m_open) return;
+  KeptSize size{HeapBytes(m_out), m_moved};
+  // What waits behind a request under way is bounded, and no reason to end it.
+  if (!m_busy) size.bytes += HeapBytes(m_in) + m_parser->kept_bytes();
+  if (!m_kept.Set(size)) OnGivenUp();
+}
+
+void FrontConnection::OnGivenUp() {
+  if (!m_open) return;
+  if (m_receiving && pending_bytes() == 0) {
+    // The request is not whole, so it was not passed on.
+    RejectWith(503);
+    return;
+  }
+  m_socket.Close(true);
+  CloseUnanswered();
+}
+
+void FrontConnection::CloseUnanswered() {
+  const bool was_busy = m_busy && !m_closing;
+  Close();
+  if (was_busy) m_handler.OnClientGone(*this);
 }
 
 void FrontConnection::Flush() {
   const IoResult result =
       m_socket.Write(std::string_view(m_out).substr(m_out_begin));
   m_out_begin += result.bytes;
+  m_moved += result.bytes;
   if (result.status == IoStatus::kReset) {
-    const bool was_busy = m_busy && !m_closing;
-    Close();
-    if (was_busy) m_handler.OnClientGone(*this);
+    CloseUnanswered();
     return;
   }
   if (result.status == IoStatus::kWouldBlock) {
+    DropSent();
     m_writing = true;
     m_socket.AwaitWritable([self = shared_from_this()] {
       self->m_writing = false;
-      if (self->m_open) self->Flush();
+      if (!self->m_open) return;
+      self->Flush();
+      self->NoteKept();
     });
     return;
   }
-  m_out.clear();
+  std::string().swap(m_out);
   m_out_begin = 0;
   if (m_closing) Close();
 }
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -39,8 +39,8 @@
                               permits, m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
-  auto connection =
-      std::make_shared<FrontConnection>(std::move(socket), *this, m_node.clock);
+  auto connection = std::make_shared<FrontConnection>(
+      std::move(socket), *this, m_node.clock, m_node.kept);
   m_connections[connection.get()] = connection;
   connection->Start();
 }
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -32,6 +32,12 @@
   return out.append("\r\n").append(call.body);
 }
 
+HttpParserLimits LimitsOf(const HttpCall& call) {
+  HttpParserLimits limits;
+  limits.max_body_bytes = call.max_body_bytes;
+  return limits;
+}
+
 }  // namespace
 
 // One call. Keeps itself alive by its callbacks until it has ended.
@@ -44,7 +50,9 @@
         m_done(std::move(done)),
         m_out(Encode(m_call)),
         m_timer(caller.m_io),
-        m_parser(HttpParser::Create(HttpParser::Kind::kResponse, {})) {}
+        m_parser(
+            HttpParser::Create(HttpParser::Kind::kResponse, LimitsOf(m_call))),
+        m_kept(caller.m_kept, [this] { End(false); }) {}
 
   void Start() {
     m_timer.expires_after(std::chrono::milliseconds(m_call.timeout.ms()));
@@ -121,6 +129,11 @@
       End(false);
       return;
     }
+    m_received += result.bytes;
+    if (!m_kept.Set({HeapBytes(m_in) + m_parser->kept_bytes(), m_received})) {
+      End(false);
+      return;
+    }
     AwaitResponse();
   }
 
@@ -144,10 +157,10 @@
       m_socket->Close();
     }
     // Callers may start the next call at once; they expect no re-entry.
-    boost::asio::post(m_timer.get_executor(),
-                      [self = shared_from_this(), end = std::move(end)] {
-                        if (*self->m_alive) self->m_done(end);
-                      });
+    boost::asio::post(m_timer.get_executor(), [self = shared_from_this(),
+                                               end = std::move(end)]() mutable {
+      if (*self->m_alive) self->m_done(std::move(end));
+    });
   }
 
   HttpCaller& m_caller;
@@ -160,6 +173,8 @@
   boost::asio::steady_timer m_timer;
   std::unique_ptr<Socket> m_socket;
   std::unique_ptr<HttpParser> m_parser;
+  KeptBytes::Account m_kept;
+  std::uint64_t m_received = 0;
   bool m_reused = false;
   bool m_sent = false;
   bool m_ended = false;
@@ -173,8 +188,9 @@
   return field == fields.end() ? std::string_view() : field->value;
 }
 
-HttpCaller::HttpCaller(boost::asio::io_context& io, const Clock& clock)
-    : m_io(io), m_clock(clock) {}
+HttpCaller::HttpCaller(boost::asio::io_context& io, const Clock& clock,
+                       KeptBytes& kept)
+    : m_io(io), m_clock(clock), m_kept(kept) {}
 
 HttpCaller::~HttpCaller() { *m_alive = false; }
 
--- a/lib/transport/fleet/http_parser.cc
+++ b/lib/transport/fleet/http_parser.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http/error.hpp>
 #include <optional>
 
+#include "yuccamoor/transport/fleet/kept_bytes.h"
+
 namespace yuccamoor::fleet {
 
 namespace {
@@ -120,6 +122,15 @@
   bool keep_alive() const override { return m_collector->keep_alive(); }
   HttpHead& head() override { return m_collector->m_head; }
   std::string& body() override { return m_collector->m_body; }
+  std::size_t kept_bytes() const override {
+    const HttpHead& head = m_collector->m_head;
+    std::size_t bytes = HeapBytes(m_collector->m_body) +
+                        head.fields.capacity() * sizeof(HeaderField);
+    for (const HeaderField& field : head.fields) {
+      bytes += field.name.size() + field.value.size();
+    }
+    return bytes;
+  }
 
  private:
   // What is left is the beginning of a header, of a chunk's size or
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -111,15 +111,13 @@
   take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_crashes,
                            m_permits),
        m_front);
-  take(StatusServer::Create(m_context.io, m_context.clock,
-                            settings.readiness_address,
+  take(StatusServer::Create(m_context, settings.readiness_address,
                             [this](const std::string& path) {
                               const bool ready = path == "/ready" && IsReady();
                               return StatusReply{ready ? 200 : 503, ""};
                             }),
        m_ready);
-  take(StatusServer::Create(m_context.io, m_context.clock,
-                            settings.metrics_address,
+  take(StatusServer::Create(m_context, settings.metrics_address,
                             [this](const std::string& /*path*/) {
                               return StatusReply{200, m_registry.Render()};
                             }),
--- a/lib/transport/fleet/status_server.cc
+++ b/lib/transport/fleet/status_server.cc
@@ -17,14 +17,14 @@
 }  // namespace
 
 Result<std::unique_ptr<StatusServer>> StatusServer::Create(
-    boost::asio::io_context& io, const Clock& clock,
-    const SocketAddress& address, Answer answer) {
+    NodeContext& node, const SocketAddress& address, Answer answer) {
   std::unique_ptr<StatusServer> server(
-      new StatusServer(clock, std::move(answer)));
+      new StatusServer(node, std::move(answer)));
   auto listener = Listener::Create(
-      io, address, [self = server.get()](boost::asio::ip::tcp::socket socket) {
+      node.io, address,
+      [self = server.get()](boost::asio::ip::tcp::socket socket) {
         std::make_shared<FrontConnection>(std::move(socket), *self,
-                                          self->m_clock)
+                                          self->m_node.clock, self->m_node.kept)
             ->Start();
       });
   if (!listener) return listener.error();
@@ -32,8 +32,8 @@
   return server;
 }
 
-StatusServer::StatusServer(const Clock& clock, Answer answer)
-    : m_clock(clock), m_answer(std::move(answer)) {}
+StatusServer::StatusServer(NodeContext& node, Answer answer)
+    : m_node(node), m_answer(std::move(answer)) {}
 
 void StatusServer::OnRequest(std::shared_ptr<FrontConnection> connection,
                              FrontRequest request) {
--- a/tools/yuccamoor-node/main.cc
+++ b/tools/yuccamoor-node/main.cc
@@ -23,6 +23,7 @@
 using yuccamoor::fleet::BootClock;
 using yuccamoor::fleet::FleetView;
 using yuccamoor::fleet::HttpCaller;
+using yuccamoor::fleet::KeptBytes;
 using yuccamoor::fleet::Node;
 using yuccamoor::fleet::NodeContext;
 using yuccamoor::fleet::NodeMetrics;
@@ -54,8 +55,9 @@
   FleetView view(RevisionTimes::For(settings.max_version_age,
                                     settings.max_propagation_delay));
   const auto dialect = yuccamoor::platform::CreateRequestDialect();
-  NodeContext context{io, clock, settings, *dialect, view, log, metrics};
-  HttpCaller caller(io, clock);
+  KeptBytes kept(io, clock);
+  NodeContext context{io, clock, settings, *dialect, view, log, metrics, kept};
+  HttpCaller caller(io, clock, kept);
   yuccamoor::platform::StoreClient store(
       caller, settings.store_address,
       [&log](std::string_view key, const yuccamoor::Findings& findings) {
--- a/unittests/transport/fleet/context_parts.h
+++ b/unittests/transport/fleet/context_parts.h
@@ -23,7 +23,8 @@
         registry(clock),
         metrics(registry),
         dialect(platform::CreateRequestDialect()),
-        context{io, clock, settings, *dialect, view, log, metrics} {}
+        kept(io, clock),
+        context{io, clock, settings, *dialect, view, log, metrics, kept} {}
 
   boost::asio::io_context io;
   NodeSettings settings;
@@ -32,6 +33,7 @@
   NodeMetrics metrics;
   std::unique_ptr<RequestDialect> dialect;
   FleetView view;
+  KeptBytes kept;
   NodeContext context;
 };
 
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -127,7 +127,8 @@
         registry(clock),
         metrics(registry),
         dialect(platform::CreateRequestDialect()),
-        context{io, clock, settings, *dialect, view, log, metrics},
+        kept(io, clock),
+        context{io, clock, settings, *dialect, view, log, metrics, kept},
         dispatcher(
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}),
@@ -154,6 +155,7 @@
   NodeMetrics metrics;
   std::unique_ptr<RequestDialect> dialect;
   FleetView view;
+  KeptBytes kept;
   NodeContext context;
   Dispatcher dispatcher;
   AdmissionClient admissions;
--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -125,7 +125,7 @@
       : m_parts(m_clock, Settings()),
         m_contact_timer(m_parts.io),
         m_store(m_parts.io, watches_in_outage, [this] { StartContactTime(); }),
-        m_caller(m_parts.io, m_clock),
+        m_caller(m_parts.io, m_clock, m_parts.kept),
         m_client(m_caller, m_store.address(),
                  [](std::string_view, const Findings&) {}),
         m_session(m_parts.context, m_client, [](const TellChanges&) {}) {}
