--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -171,15 +171,6 @@
   return reading;
 }
 
-class ManualClock final : public Clock {
- public:
-  TimeMs Now() const override { return m_now; }
-  void Advance(DurationMs time) { m_now = m_now + time; }
-
- private:
-  TimeMs m_now{5'000};
-};
-
 StoreReadResult VersionReading(std::uint64_t revision, std::uint64_t version) {
   StoreReadResult reading = Reading(revision, 1);
   reading.changes = {
