Test the bound on versions in settings, and questions between releases

The bound that the times of versions follow from is read where a deployment has it. Nodes of the release before are asked for no older version, and their own questions are taken to accept none.

--- a/unittests/platform/settings_test.cc
+++ b/unittests/platform/settings_test.cc
@@ -52,6 +52,19 @@
   CHECK(s.retry_burst == 58);
 }
 
+TEST_CASE("The age of versions is read where a deployment bounds it",
+          "[platform][settings][versions]") {
+  const auto settings = ParseSettings(kSettings, "boot.conf");
+  REQUIRE(settings);
+  CHECK(settings.value().max_version_age == DurationMs(5'000));
+  const std::string text = std::string(kSettings) + "bounds.version_ms=7000\n";
+  const auto bounded = ParseSettings(text, "boot.conf");
+  REQUIRE(bounded);
+  CHECK(bounded.value().max_version_age == DurationMs(7'000));
+  CHECK_FALSE(ParseSettings(std::string(kSettings) + "bounds.version_ms=no\n",
+                            "boot.conf"));
+}
+
 TEST_CASE("Each missing setting is a finding that names it",
           "[platform][settings]") {
   for (const char* name :
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -2,6 +2,7 @@
 /// \brief Tests of event cutting, header rules and peer messages.
 
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "yuccamoor/protocol/fleet/event_cutter.h"
 #include "yuccamoor/protocol/fleet/http_head.h"
@@ -250,6 +251,26 @@
       R"("after_outage":false,"changes":[{"change":"later"}]})"));
 }
 
+// Nodes of the release before would accept any older version, and do not tell
+// which they accept.
+TEST_CASE("Between releases, no older version is asked for or accepted",
+          "[fleet][peer][versions]") {
+  AskAdmission ask;
+  ask.engine = EndpointId("e1");
+  ask.adapter = {ModelId("m"), "a1"};
+  ask.version = AdapterRevision(4);
+  ask.least_version = AdapterRevision(3);
+  std::string text = EncodePeerMessage(ask);
+  CHECK(text.find(R"("accept_older":false)") != std::string::npos);
+  const std::string field = R"("least_version":3,)";
+  const std::size_t at = text.find(field);
+  REQUIRE(at != std::string::npos);
+  text.erase(at, field.size());
+  const auto asked = DecodePeerMessage(text);
+  REQUIRE(asked);
+  CHECK(std::get<AskAdmission>(*asked).least_version == AdapterRevision(4));
+}
+
 TEST_CASE("Messages with figures out of range are dropped", "[fleet][peer]") {
   TellAdmission told;
   told.answer.quote.engine = EndpointId("e1");
