--- a/include/yuccamoor/transport/fleet/endpoint_call.h
+++ b/include/yuccamoor/transport/fleet/endpoint_call.h
@@ -61,7 +61,7 @@
   bool IsHeadLate(TimeMs now) const;
   /// Body bytes that nobody has taken yet.
   const std::string& body() const { return m_parser->body(); }
-  /// Takes them.
+  /// Returns these bytes and clears them.
   std::string TakeBody();
   /// Notes what the caller itself keeps of the body, in bytes.
   void NoteKeptElsewhere(std::size_t bytes);
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -60,9 +60,10 @@
                                  TimeMs now, TimeMs written_from);
   void PassOnChanges(const std::vector<StoreChange>& news, Revision after,
                      TimeMs now);
+  // The time within which a node in contact learns of a change.
+  DurationMs LearningTime() const;
   // The earliest time at which a change that arrives now may have been written.
   // It counts as new if the view was current within \p usual_silence.
-  DurationMs LearningTime() const;
   TimeMs WrittenFrom(TimeMs now, DurationMs usual_silence) const;
   void OnOutageNotice(TimeMs now);
   void OnViewChanged();
--- a/lib/coordination/fleet/revision_history.cc
+++ b/lib/coordination/fleet/revision_history.cc
@@ -42,8 +42,8 @@
   }
   m_known.push_back({revision, learned_at});
   if (m_known.size() > kMaxVersions) {
-    // The second one takes the time of the first: versions end sooner, never
-    // later than by the whole history.
+    // The second one takes the time of the first, so that what is forgotten
+    // makes versions end sooner, never later.
     m_known[1].learned_at = m_known[0].learned_at;
     m_known.erase(m_known.begin());
   }
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -250,7 +250,6 @@
   return news;
 }
 
-// The time within which a node in contact learns of a change.
 DurationMs StoreSession::LearningTime() const {
   return MaxLearningTime(m_context.settings.max_propagation_delay);
 }
