Identify callers by their tenants' keys

Cause: nodes knew no tenants.

Change: a configuration may name tenants with keys, a priority and a quota, and routes that are public. A request to another route needs one key. An unknown one is answered 401; 503 where this node may have missed a configuration (its view is older than the propagation bound), and the same now holds for a missing route. The endpoint is told the tenant, whatever the client sent, and never the key. A key that is removed while its request waits ends it. The time as of which the view is current moves into the view.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -87,6 +87,12 @@
   void Reset(const std::vector<StoreChange>& changes, TimeMs now,
              TimeMs written_from);
 
+  /// Notes that the view holds all that was in the store at \p as_of.
+  void SetCurrentAt(TimeMs as_of) { m_current_at = as_of; }
+  /// The last time whose content of the store the view is known to hold; empty
+  /// before the first read.
+  const std::optional<TimeMs>& current_at() const { return m_current_at; }
+
   /// The current routes; null before the first configuration.
   const std::shared_ptr<const RouteTable>& routes() const { return m_routes; }
   EndpointTable& endpoints() { return m_endpoints; }
@@ -146,6 +152,7 @@
   ViewUpdate ApplyChange(const RecordWritten& change, TimeMs now);
   ViewUpdate ApplyChange(const RecordRemoved& change, TimeMs now);
 
+  std::optional<TimeMs> m_current_at;
   std::shared_ptr<const RouteTable> m_routes;
   EndpointTable m_endpoints;
   RevisionTimes m_revision_times;
--- a/include/yuccamoor/coordination/fleet/route_table.h
+++ b/include/yuccamoor/coordination/fleet/route_table.h
@@ -1,5 +1,6 @@
 /// \file
-/// \brief Finds the route of a request by host and longest prefix.
+/// \brief Finds the route of a request by host and longest prefix, and its
+/// tenant by key.
 
 #ifndef YUCCAMOOR_COORDINATION_FLEET_ROUTE_TABLE_H_
 #define YUCCAMOOR_COORDINATION_FLEET_ROUTE_TABLE_H_
@@ -8,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "yuccamoor/state/fleet/fleet_config.h"
@@ -29,12 +31,18 @@
   static const ServiceId& PickService(const RouteSpec& route,
                                       std::uint64_t ticket);
 
+  /// Returns the tenant that the key names, or null.
+  const TenantSpec* FindTenant(std::string_view key) const;
+  /// Whether requests need a tenant's key, but for public routes.
+  bool has_tenants() const { return !m_config.tenants.empty(); }
+
   const FleetConfig& config() const { return m_config; }
 
  private:
   FleetConfig m_config;
   // Routes by canonical host, longest prefix first.
   std::map<std::string, std::vector<const RouteSpec*>, std::less<>> m_hosts;
+  std::unordered_map<std::string_view, const TenantSpec*> m_tenants_by_key;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/protocol/fleet/http_head.h
+++ b/include/yuccamoor/protocol/fleet/http_head.h
@@ -30,6 +30,11 @@
   std::size_t Count(std::string_view name) const;
 };
 
+/// The status of a request whose sender is not known.
+inline constexpr int kUnauthorized = 401;
+/// The status of a request beyond its sender's quota.
+inline constexpr int kTooManyRequests = 429;
+
 /// Whether two header names are the same but for case.
 bool SameHeaderName(std::string_view a, std::string_view b);
 
--- a/include/yuccamoor/protocol/fleet/request_dialect.h
+++ b/include/yuccamoor/protocol/fleet/request_dialect.h
@@ -26,6 +26,13 @@
   /// How long the client waits.
   std::optional<DurationMs> deadline;
   std::uint32_t prompt_tokens = 0;
+  /// The most tokens that the request may generate.
+  std::uint32_t max_output_tokens = 0;
+  /// Whether the request states its tokens.
+  bool states_tokens = false;
+  /// The key that names the client's tenant. Empty if the request has none, or
+  /// more than one. Secret.
+  std::string tenant_key;
   /// The parts of the prompt that other requests may have too.
   std::vector<PromptPartId> shared_parts;
   /// Set by a client that continues a stream.
@@ -44,6 +51,11 @@
   AdapterRevision version;
   /// Continues a stream after this event.
   std::string last_event_id;
+  /// Whether clients are identified by tenants' keys: the client's key, and
+  /// what it says of its tenant, are dropped.
+  bool has_tenants = false;
+  /// The client's tenant; empty for a request without one.
+  TenantId tenant;
 };
 
 /// What an endpoint's response says besides its status and body.
--- a/include/yuccamoor/state/fleet/endpoint_entry.h
+++ b/include/yuccamoor/state/fleet/endpoint_entry.h
@@ -81,12 +81,15 @@
   AdapterSet loading;
 };
 
-/// The load that an endpoint reports in a response. All members count requests
-/// or slots.
+/// The load that an endpoint reports in a response.
 struct EndpointLoad {
+  /// Requests.
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
+  /// The time that work takes there at present, in percent of the usual time;
+  /// empty if the endpoint does not state it.
+  std::optional<std::uint32_t> work_time_percent{};
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/state/fleet/fleet_config.h
+++ b/include/yuccamoor/state/fleet/fleet_config.h
@@ -55,6 +55,8 @@
   std::uint32_t max_attempts = 1;
   /// Whether an interrupted stream can be resumed at another endpoint.
   bool resumable = false;
+  /// Whether requests need no tenant's key.
+  bool is_public = false;
   std::vector<TrafficShare> shares;
 };
 
@@ -82,6 +84,33 @@
   std::optional<EngineSpec> engine;
 };
 
+/// What a quota counts.
+enum class QuotaUnit : std::uint8_t { kRequests, kTokens };
+
+/// The rate limit of one tenant over all nodes together.
+struct QuotaSpec {
+  QuotaUnit unit = QuotaUnit::kRequests;
+  /// In units per second; zero sets no limit.
+  double rate_per_second = 0;
+  /// Units that may be saved up while fewer are used.
+  double burst = 0;
+  /// The tokens that a request counts which states none.
+  std::uint32_t plain_tokens = 0;
+
+  bool is_limited() const { return rate_per_second > 0; }
+  friend bool operator==(const QuotaSpec&, const QuotaSpec&) = default;
+};
+
+/// One tenant.
+struct TenantSpec {
+  TenantId tenant;
+  /// Each names this tenant. Secret: never logged nor passed on.
+  std::vector<std::string> keys;
+  /// Precedes the route's priority; 0 is the most urgent.
+  std::optional<int> priority;
+  QuotaSpec quota;
+};
+
 /// Bounds on what a client may send.
 struct RequestLimits {
   std::size_t max_header_bytes = 16'384;
@@ -97,6 +126,8 @@
   Revision version;
   std::vector<RouteSpec> routes;
   std::map<ServiceId, ServiceSpec> services;
+  /// Without tenants, requests need no key.
+  std::vector<TenantSpec> tenants;
   RequestLimits limits;
 };
 
--- a/include/yuccamoor/state/fleet/node_settings.h
+++ b/include/yuccamoor/state/fleet/node_settings.h
@@ -60,6 +60,11 @@
   /// Retries that all nodes together may send per retry_window in addition to
   /// retry_fraction.
   std::uint32_t retry_burst = 0;
+  /// The memory that the process may take up, in bytes; zero if unknown.
+  std::uint64_t max_memory_bytes = 0;
+  /// The descriptors that the process may have open, sockets and files; zero if
+  /// unknown.
+  std::uint32_t max_descriptors = 0;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/state/ids.h
+++ b/include/yuccamoor/state/ids.h
@@ -77,6 +77,8 @@
 using EndpointId = StringId<struct EndpointIdTag>;
 /// One request of a caller, over all its attempts and reconnects.
 using RequestId = StringId<struct RequestIdTag>;
+/// A tenant: callers that share keys, a priority and a quota.
+using TenantId = StringId<struct TenantIdTag>;
 /// A caller's key for a non-idempotent request.
 using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -43,9 +43,10 @@
 /// passed on, a refusal as not run, or a failure whose outcome is unknown.
 class Exchange {
  public:
+  /// \p route and \p tenant are of \p routes; \p tenant may be null.
   Exchange(ExchangeContext& context, std::shared_ptr<FrontConnection> client,
            FrontRequest request, std::shared_ptr<const RouteTable> routes,
-           const RouteSpec& route);
+           const RouteSpec& route, const TenantSpec* tenant);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -110,6 +111,9 @@
   /// Sends if the time of a permit has come.
   void UsePermit(TimeMs now);
   void Send(const Endpoint& target, TimeMs now);
+  /// Ends a request whose tenant's key has been removed since it came. Returns
+  /// whether it did.
+  bool EndIfKeyRemoved();
   void LogSent(const Endpoint& target, TimeMs now) const;
   /// The whole request as what may make endpoints crash.
   CrashSuspect RequestSuspect() const;
@@ -169,6 +173,8 @@
   bool Closes() const;
 
   void Refuse(const char* reason, std::optional<DurationMs> retry_after);
+  void RefuseWith(int status, const char* reason,
+                  std::optional<DurationMs> retry_after);
   void Fail(int status, const char* reason);
   /// Ends a request that no endpoint can serve any more, by how far it came.
   void GiveUp(const char* reason, std::optional<DurationMs> retry_after);
@@ -202,6 +208,9 @@
   std::shared_ptr<const RouteTable> m_routes;
   const RouteSpec& m_route;
   RequestMeta m_meta;
+  // Empty if the request has none.
+  TenantId m_tenant;
+  int m_priority;
   // Empty until it is needed: a digest takes its time.
   std::vector<CrashSuspect> m_suspects;
   ServiceId m_service;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -50,6 +50,9 @@
   /// Whether the node may end before the request.
   bool MayOutlastNode(const FrontRequest& request,
                       const RouteSpec& route) const;
+  /// Whether what is missing in the view is known to be missing in the
+  /// configuration in force.
+  bool IsCurrent(TimeMs now) const;
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
              int status, const char* reason,
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -90,8 +90,6 @@
   // The first read under way.
   Call m_first_call;
   bool m_reachable = true;
-  // When the view was last known to be the store's newest state.
-  std::optional<TimeMs> m_current_at;
   // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
   // When the store was last seen to be back after an outage.
--- a/lib/coordination/fleet/route_table.cc
+++ b/lib/coordination/fleet/route_table.cc
@@ -29,6 +29,17 @@
                        return a->prefix.size() > b->prefix.size();
                      });
   }
+  for (const TenantSpec& tenant : m_config.tenants) {
+    for (const std::string& key : tenant.keys) {
+      // An empty key would name the tenant for requests without one.
+      if (!key.empty()) m_tenants_by_key.emplace(key, &tenant);
+    }
+  }
+}
+
+const TenantSpec* RouteTable::FindTenant(std::string_view key) const {
+  const auto it = m_tenants_by_key.find(key);
+  return it == m_tenants_by_key.end() ? nullptr : it->second;
 }
 
 const RouteSpec* RouteTable::Find(std::string_view host,
--- a/lib/protocol/fleet/http_head.cc
+++ b/lib/protocol/fleet/http_head.cc
@@ -72,12 +72,16 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case kUnauthorized:
+      return "Unauthorized";
     case 404:
       return "Not Found";
     case 408:
       return "Request Timeout";
     case 413:
       return "Content Too Large";
+    case kTooManyRequests:
+      return "Too Many Requests";
     case 431:
       return "Request Header Fields Too Large";
     case 502:
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "yuccamoor/coordination/fleet/caller_identity.h"
 #include "yuccamoor/coordination/fleet/prefill_pacing.h"
 #include "yuccamoor/coordination/fleet/stream_reading.h"
 #include "yuccamoor/state/stable_hash.h"
@@ -31,13 +32,16 @@
                    std::shared_ptr<FrontConnection> client,
                    FrontRequest request,
                    std::shared_ptr<const RouteTable> routes,
-                   const RouteSpec& route)
+                   const RouteSpec& route, const TenantSpec* tenant)
     : m_context(context),
       m_client(std::move(client)),
       m_request(std::move(request)),
       m_routes(std::move(routes)),
       m_route(route),
-      m_meta(context.node.dialect.DecodeRequest(m_request.head)) {
+      m_meta(context.node.dialect.DecodeRequest(m_request.head)),
+      m_tenant(tenant ? tenant->tenant : TenantId()),
+      m_priority(tenant ? tenant->priority.value_or(route.priority)
+                        : route.priority) {
   m_deadline = DeadlineOf(m_request, m_meta, m_route);
   m_service =
       RouteTable::PickService(m_route, StableBucketHash(m_meta.attempt.str()));
@@ -98,10 +102,10 @@
     return;
   }
   EndpointChoice choice =
-      m_context.dispatcher.Choose(MakeQuery(now), m_route.priority);
+      m_context.dispatcher.Choose(MakeQuery(now), m_priority);
   if (!choice.any_usable && !m_excluded.empty()) {
     m_excluded.clear();
-    choice = m_context.dispatcher.Choose(MakeQuery(now), m_route.priority);
+    choice = m_context.dispatcher.Choose(MakeQuery(now), m_priority);
   }
   if (!choice.any_usable) {
     GiveUp("no usable endpoint", kNoEndpointRetryAfter);
@@ -193,7 +197,24 @@
   m_waiting_since.reset();
 }
 
+bool Exchange::EndIfKeyRemoved() {
+  const auto& routes = m_context.node.view.routes();
+  if (m_tenant.empty() || routes == m_routes) return false;
+  const CallerIdentity caller =
+      IdentifyCaller(*routes, m_route, m_meta.tenant_key, true);
+  const bool is_same = caller.tenant && caller.tenant->tenant == m_tenant;
+  // Without tenants, keys are not looked at any more.
+  if (is_same || !routes->has_tenants()) return false;
+  if (m_runs == 0 && !m_stream_started) {
+    RefuseWith(kUnauthorized, "key removed", std::nullopt);
+  } else {
+    GiveUp("key removed", std::nullopt);
+  }
+  return true;
+}
+
 void Exchange::Send(const Endpoint& target, TimeMs now) {
+  if (EndIfKeyRemoved()) return;
   if (m_meta.adapter &&
       !m_context.node.view.ServesRequests(target, *m_meta.adapter, now)) {
     m_context.node.log.Event("superseded_before_sending")
@@ -208,10 +229,11 @@
   Forwarding forwarding;
   forwarding.endpoint = target.entry.id;
   forwarding.deadline = m_deadline - now;
+  forwarding.has_tenants = m_routes->has_tenants();
+  forwarding.tenant = m_tenant;
   m_held_version = AdapterRevision();
   if (m_meta.adapter) {
-    forwarding.priority =
-        std::min(kLowestPriority, kPriorityBase + m_route.priority);
+    forwarding.priority = std::min(kLowestPriority, kPriorityBase + m_priority);
     m_held_version = HeldRevision(target, *m_meta.adapter);
     forwarding.version = VersionToExpect();
   }
--- a/lib/transport/fleet/exchange_admission.cc
+++ b/lib/transport/fleet/exchange_admission.cc
@@ -6,7 +6,7 @@
   AdmissionNeeds needs;
   needs.query = MakeQuery(now);
   needs.prompt_tokens = m_meta.prompt_tokens;
-  needs.priority = m_route.priority;
+  needs.priority = m_priority;
   needs.send_by = m_request.received + m_route.latency_objective - kPrefillTime;
   return needs;
 }
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -120,8 +120,13 @@
 
 void Exchange::Refuse(const char* reason,
                       std::optional<DurationMs> retry_after) {
+  RefuseWith(503, reason, retry_after);
+}
+
+void Exchange::RefuseWith(int status, const char* reason,
+                          std::optional<DurationMs> retry_after) {
   OwnReply reply;
-  reply.status = 503;
+  reply.status = status;
   reply.attempt = m_meta.attempt;
   reply.retry_after = retry_after;
   reply.close = Closes();
@@ -184,6 +189,7 @@
   m_context.node.log.Event("request_end")
       .Text("request", m_meta.attempt.str())
       .Text("route", m_route.name)
+      .Text("tenant", m_tenant.str())
       .Text("adapter", m_meta.adapter ? ToString(*m_meta.adapter) : "none")
       .Text("outcome", word)
       .Text("reason", reason)
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -4,12 +4,17 @@
 #include <utility>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/caller_identity.h"
+
 namespace yuccamoor::fleet {
 
 namespace {
 
 // A node without a configuration will have one soon.
 constexpr DurationMs kNoConfigRetryAfter{300};
+// A node that may have missed a configuration will soon have read it; other
+// nodes may know it.
+constexpr DurationMs kOldConfigRetryAfter{300};
 constexpr DurationMs kCheckInterval{250};
 
 std::string_view PathOf(std::string_view target) {
@@ -58,21 +63,45 @@
     Reply(*connection, request, 503, "no configuration", kNoConfigRetryAfter);
     return;
   }
+  const bool is_current = IsCurrent(request.received);
   const RouteSpec* route =
       routes->Find(request.head.Find("host"), PathOf(request.head.target));
-  if (!route) {
+  if (!route && is_current) {
     Reply(*connection, request, 404, "no route", std::nullopt);
     return;
   }
+  if (!route) {
+    Reply(*connection, request, 503, "perhaps no route", kOldConfigRetryAfter);
+    return;
+  }
+  const CallerIdentity caller = IdentifyCaller(
+      *routes, *route, m_node.dialect.DecodeRequest(request.head).tenant_key,
+      is_current);
+  if (caller.verdict == CallerVerdict::kUnknownKey) {
+    Reply(*connection, request, kUnauthorized, "unknown key", std::nullopt);
+    return;
+  }
+  if (caller.verdict == CallerVerdict::kPerhapsUnknownKey) {
+    Reply(*connection, request, 503, "perhaps unknown key",
+          kOldConfigRetryAfter);
+    return;
+  }
   if (MayOutlastNode(request, *route)) {
     Reply(*connection, request, 503, "shutting down", kShutdownRetryAfter);
     return;
   }
   m_exchanges.push_back(std::make_unique<Exchange>(
-      m_context, std::move(connection), std::move(request), routes, *route));
+      m_context, std::move(connection), std::move(request), routes, *route,
+      caller.tenant));
   m_exchanges.back()->Start();
 }
 
+bool FrontServer::IsCurrent(TimeMs now) const {
+  const auto& current_at = m_node.view.current_at();
+  return current_at &&
+         now - *current_at < m_node.settings.max_propagation_delay;
+}
+
 void FrontServer::Reply(FrontConnection& connection,
                         const FrontRequest& request, int status,
                         const char* reason,
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -154,7 +154,7 @@
                              TimeMs now) {
   m_context.view.Reset(reading.changes, now, WrittenFrom(now, LearningTime()));
   // Its first page may be as old as the call.
-  m_current_at = began;
+  m_context.view.SetCurrentAt(began);
   m_context.log.Event("store_read")
       .Number("revision", reading.read_revision.value())
       .Number("era", reading.era.value())
@@ -179,7 +179,7 @@
   const std::vector<StoreChange> news =
       Apply(reading.changes, now, WrittenFrom(now, usual_silence));
   m_as_of = reading.read_revision;
-  m_current_at = now;
+  m_context.view.SetCurrentAt(now);
   if (passes_on) PassOnChanges(news, *call.after, now);
   if (!reading.changes.empty()) OnViewChanged();
   return !news.empty();
@@ -207,14 +207,14 @@
   m_plan.OnReceived(now);
   m_last_answer = now;
   if (told.after_outage) OnOutageNotice(now);
-  if (told.read == m_as_of) m_current_at = now;
+  if (told.read == m_as_of) m_context.view.SetCurrentAt(now);
   if (told.read > m_as_of) {
     if (told.complete && told.after <= m_as_of) {
       // Readers tell what they have just read.
       Apply(told.changes, now,
             WrittenFrom(now, m_context.settings.max_propagation_delay));
       m_as_of = told.read;
-      m_current_at = now;
+      m_context.view.SetCurrentAt(now);
       if (!told.changes.empty()) OnViewChanged();
     } else {
       m_plan.RequestRead(now);
@@ -255,8 +255,9 @@
 }
 
 TimeMs StoreSession::WrittenFrom(TimeMs now, DurationMs usual_silence) const {
-  if (!m_current_at) return now - kUnknownAge;
-  return now - *m_current_at <= usual_silence ? now : *m_current_at;
+  const auto& current_at = m_context.view.current_at();
+  if (!current_at) return now - kUnknownAge;
+  return now - *current_at <= usual_silence ? now : *current_at;
 }
 
 void StoreSession::LogNews(const StoreChange& change, ViewUpdate news) {
--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -57,6 +57,31 @@
   CHECK(Entry(EntryWith("state", R"("draining")")).draining);
 }
 
+TEST_CASE("Tenants, their quotas and public routes are read",
+          "[platform][codec]") {
+  const auto config = DecodeConfig(
+      R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":"s",
+          "public":true},{"host":"h","prefix":"/q/","service":"s"}],
+          "services":[{"name":"s"}],
+          "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,
+            "unit":"tokens","plain-tokens":200,"rate-per-s":429972,
+            "burst":1000},{"name":"t2","api-keys":[]}]})");
+  REQUIRE(config);
+  CHECK(config.value().routes[0].is_public);
+  CHECK_FALSE(config.value().routes[1].is_public);
+  REQUIRE(config.value().tenants.size() == 2);
+  const fleet::TenantSpec& tenant = config.value().tenants[0];
+  CHECK(tenant.tenant == TenantId("t1"));
+  CHECK(tenant.keys == std::vector<std::string>{"k1", "k2"});
+  CHECK(tenant.priority == 1);
+  CHECK(tenant.quota.unit == fleet::QuotaUnit::kTokens);
+  CHECK(tenant.quota.rate_per_second == 429'972);
+  CHECK(tenant.quota.burst == 1'000);
+  CHECK(tenant.quota.plain_tokens == 200);
+  CHECK_FALSE(config.value().tenants[1].quota.is_limited());
+  CHECK_FALSE(config.value().tenants[1].priority);
+}
+
 TEST_CASE("An entry by another writer names no endpoint", "[platform][codec]") {
   const EndpointId id("i-1");
   CHECK_FALSE(DecodeEndpoint(id, ""));
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -143,6 +143,7 @@
         end_timer(io),
         script_timer(io) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
+    view.SetCurrentAt(TimeMs::Never());
     front = std::move(FrontServer::Create(context, dispatcher, admissions,
                                           crashes, permits))
                 .value();
@@ -226,6 +227,18 @@
   m_parts->view.Apply(ConfigWritten{config}, m_parts->clock.Now());
 }
 
+void FrontWorld::SetTenants(std::vector<TenantSpec> tenants) {
+  FleetConfig config = Config();
+  config.version = m_parts->view.routes()->config().version.Next();
+  config.tenants = std::move(tenants);
+  for (RouteSpec& route : config.routes) {
+    route.is_public = route.prefix == "/safe/";
+  }
+  m_parts->view.Apply(ConfigWritten{config}, m_parts->clock.Now());
+}
+
+void FrontWorld::LoseStore() { m_parts->view.SetCurrentAt(TimeMs()); }
+
 void FrontWorld::AddTroubled(std::uint16_t port) {
   const TimeMs now = m_parts->clock.Now();
   FleetConfig config = Config();
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -96,6 +96,11 @@
                             const std::string& until);
   /// Has new limits on requests come into force.
   void SetLimits(const RequestLimits& limits);
+  /// Has the clients of these tenants only be served, but at /safe/, which is
+  /// public.
+  void SetTenants(std::vector<TenantSpec> tenants);
+  /// From now on the node may have missed a configuration.
+  void LoseStore();
   /// Sends the text, and leaves after a while.
   void SendAndLeave(const std::string& text, DurationMs stay);
   /// Sends the text and leaves before it can have been read.
