Keep tenants' quotas over all nodes

Change: each node owns one part of every quota, of as many as there are nodes that may have one, and lends it for a bounded time to the issuer of the tenant's pool, which sees all requests of the tenant. A share flows into one issuer at a time, and an issuer saves up no more than its shares hold: what all grant stays within each quota by construction, whoever believes to issue. A loan counts at the issuer from a stamp of its own that the lender returns, so it ends there before the lender uses it otherwise, however late a message comes. Without the store a node uses half of its share, then nothing; so does one that has started lately. Nothing is sent unless a tenant has a limit.

A request takes its units before it is dispatched; what was not used is given back. Over the quota: 429 with the time to come back; without any answer: 503.

Weighed: an even split (clients sit on few nodes), an issuer by a record in the store (no credit for seconds after its loss, and none without the store), corrections by gossip (nothing bounds what cut nodes spend).

--- a/include/yuccamoor/coordination/fleet/route_table.h
+++ b/include/yuccamoor/coordination/fleet/route_table.h
@@ -36,10 +36,14 @@
   /// Whether requests need a tenant's key, but for public routes.
   bool has_tenants() const { return !m_config.tenants.empty(); }
 
+  /// Whether any tenant has a limit.
+  bool has_quotas() const { return m_has_quotas; }
+
   const FleetConfig& config() const { return m_config; }
 
  private:
   FleetConfig m_config;
+  bool m_has_quotas = false;
   // Routes by canonical host, longest prefix first.
   std::map<std::string, std::vector<const RouteSpec*>, std::less<>> m_hosts;
   std::unordered_map<std::string_view, const TenantSpec*> m_tenants_by_key;
--- /dev/null
+++ b/include/yuccamoor/coordination/quota/quota_messages.h
@@ -0,0 +1,82 @@
+/// \file
+/// \brief What nodes tell each other to keep tenants' quotas together. Each
+/// message may be lost, late or doubled.
+
+#ifndef YUCCAMOOR_COORDINATION_QUOTA_QUOTA_MESSAGES_H_
+#define YUCCAMOOR_COORDINATION_QUOTA_QUOTA_MESSAGES_H_
+
+#include <cstdint>
+#include <variant>
+
+#include "yuccamoor/state/clock.h"
+#include "yuccamoor/state/fleet/fleet_config.h"
+#include "yuccamoor/state/ids.h"
+
+namespace yuccamoor::fleet {
+
+/// A group of tenants whose quotas one node issues.
+using QuotaPool = NumberId<struct QuotaPoolTag>;
+
+/// The pool of a tenant. The same on all nodes.
+QuotaPool PoolOf(const TenantId& tenant);
+/// The number of pools: few, so that few messages lend shares.
+inline constexpr std::uint64_t kQuotaPools = 2;
+
+/// A moment of one process of an issuer, by that process's clock. It says
+/// nothing to others: they return it.
+struct IssuerStamp {
+  /// Differs for each process.
+  std::uint64_t process = 0;
+  TimeMs time;
+
+  friend bool operator==(const IssuerStamp&, const IssuerStamp&) = default;
+};
+
+/// Lends a node's share of all quotas of a pool to the pool's issuer.
+struct LendQuota {
+  NodeId node;
+  QuotaPool pool;
+  /// The part of each quota, from 0 to 1. A node without a share says so: it
+  /// learns by the answer that the issuer lives.
+  double share = 0;
+  /// The newest stamp that the node has of this issuer. The share is lent from
+  /// then on.
+  IssuerStamp stamp;
+};
+
+/// Answers LendQuota.
+struct AcceptQuota {
+  NodeId issuer;
+  QuotaPool pool;
+  IssuerStamp stamp;
+};
+
+/// Asks a pool's issuer for credit of one tenant.
+struct AskQuota {
+  NodeId node;
+  std::uint64_t number = 0;
+  TenantId tenant;
+  /// The quota by the asking node's configuration, and that one's version.
+  QuotaSpec quota;
+  Revision version;
+  /// Units that are needed, and units that the node will probably use soon.
+  double amount = 0;
+  double wanted = 0;
+  /// How long the request can wait for them.
+  DurationMs max_wait{0};
+};
+
+/// Answers AskQuota.
+struct TellQuota {
+  std::uint64_t number = 0;
+  /// Units, at least what is needed; zero if there is no such credit in time.
+  double granted = 0;
+  /// If granted, when they may be used; otherwise when to ask again.
+  DurationMs wait{0};
+};
+
+using QuotaMessage = std::variant<LendQuota, AcceptQuota, AskQuota, TellQuota>;
+
+}  // namespace yuccamoor::fleet
+
+#endif  // YUCCAMOOR_COORDINATION_QUOTA_QUOTA_MESSAGES_H_
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -19,6 +19,7 @@
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/order_right.h"
 #include "yuccamoor/coordination/fleet/prompt_queue.h"
+#include "yuccamoor/coordination/quota/quota_messages.h"
 #include "yuccamoor/protocol/fleet/permit_messages.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
 
@@ -176,7 +177,7 @@
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
                  TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
                  TellAdmission, TellSent, TellUse, TellCrashes, AskPermit,
-                 TellPermit, TellLimit>;
+                 TellPermit, TellLimit, QuotaMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/route_table.h"
+#include "yuccamoor/coordination/quota/tenant_quotas.h"
 #include "yuccamoor/protocol/fleet/event_cutter.h"
 #include "yuccamoor/transport/fleet/admission_client.h"
 #include "yuccamoor/transport/fleet/crash_guard.h"
@@ -33,6 +34,7 @@
   AdmissionClient& admissions;
   CrashGuard& crashes;
   PermitClient& permits;
+  TenantQuotas& quotas;
   IdleConnections& idle;
   /// Set while the node shuts down: responses end their connections.
   const bool& closing;
@@ -71,6 +73,15 @@
  private:
   enum class Outcome : std::uint8_t { kAnswered, kRefused, kFailed, kGone };
 
+  /// Asks for the request's part of its tenant's quota, and dispatches it then.
+  void SeekQuota(TimeMs now);
+  void OnQuota(const QuotaDecision& decision);
+  /// Dispatches the request if the time of its quota has come.
+  void UseQuota(TimeMs now);
+  /// Gives back what a request that has ended has not used.
+  void EndQuota();
+  /// The units of its tenant's quota that the request counts.
+  double QuotaUnits() const;
   void Dispatch(TimeMs now);
   /// Sends a request under which endpoints have just crashed, or ends it.
   /// Returns whether it did either.
@@ -211,6 +222,12 @@
   // Empty if the request has none.
   TenantId m_tenant;
   int m_priority;
+  QuotaSpec m_quota;
+  // Set while the request waits for an answer, by its number.
+  std::optional<std::uint64_t> m_quota_question;
+  // Set while the request waits for the time of its quota.
+  std::optional<TimeMs> m_quota_from;
+  std::optional<TimeMs> m_quota_granted;
   // Empty until it is needed: a digest takes its time.
   std::vector<CrashSuspect> m_suspects;
   ServiceId m_service;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -18,7 +18,7 @@
  public:
   static Result<std::unique_ptr<FrontServer>> Create(
       NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-      CrashGuard& crashes, PermitClient& permits);
+      CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas);
 
   void OnTick(TimeMs now);
 
@@ -45,7 +45,7 @@
  private:
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
               AdmissionClient& admissions, CrashGuard& crashes,
-              PermitClient& permits);
+              PermitClient& permits, TenantQuotas& quotas);
 
   /// Whether the node may end before the request.
   bool MayOutlastNode(const FrontRequest& request,
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -27,6 +27,10 @@
   Counter& suspects_quarantined;
   /// Permits that requests to endpoints with a limit asked for in vain.
   Counter& permits_refused;
+  /// Requests refused as their tenant is at its limit, and those for which no
+  /// node said whether it is.
+  Counter& over_quota;
+  Counter& quota_unanswered;
   Counter& orders;
   Counter& order_conflicts;
   Counter& store_calls;
--- a/lib/coordination/fleet/route_table.cc
+++ b/lib/coordination/fleet/route_table.cc
@@ -30,6 +30,7 @@
                      });
   }
   for (const TenantSpec& tenant : m_config.tenants) {
+    m_has_quotas = m_has_quotas || tenant.quota.is_limited();
     for (const std::string& key : tenant.keys) {
       // An empty key would name the tenant for requests without one.
       if (!key.empty()) m_tenants_by_key.emplace(key, &tenant);
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -2,6 +2,7 @@
 
 #include "yuccamoor/protocol/fleet/adapter_codec.h"
 #include "yuccamoor/protocol/fleet/message_fields.h"
+#include "yuccamoor/protocol/fleet/quota_codec.h"
 #include "yuccamoor/protocol/fleet/store_change_codec.h"
 #include "yuccamoor/protocol/json.h"
 
@@ -263,6 +264,7 @@
 Json Encode(const AskPermit& ask) { return EncodePermitMessage(ask); }
 Json Encode(const TellPermit& told) { return EncodePermitMessage(told); }
 Json Encode(const TellLimit& told) { return EncodePermitMessage(told); }
+Json Encode(const QuotaMessage& message) { return EncodeQuotaMessage(message); }
 
 AskAdmission DecodeAskAdmission(const Json& json) {
   AskAdmission ask;
@@ -418,6 +420,7 @@
                        EngineOf(json), AdapterOf(json)};
   }
   if (type == "in_use") return TellInUse{EngineOf(json), AdapterOf(json)};
+  if (auto quota = DecodeQuotaMessage(type, json)) return *std::move(quota);
   return std::nullopt;
 }
 
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -41,7 +41,8 @@
       m_meta(context.node.dialect.DecodeRequest(m_request.head)),
       m_tenant(tenant ? tenant->tenant : TenantId()),
       m_priority(tenant ? tenant->priority.value_or(route.priority)
-                        : route.priority) {
+                        : route.priority),
+      m_quota(tenant ? tenant->quota : QuotaSpec()) {
   m_deadline = DeadlineOf(m_request, m_meta, m_route);
   m_service =
       RouteTable::PickService(m_route, StableBucketHash(m_meta.attempt.str()));
@@ -58,11 +59,16 @@
 
 Exchange::~Exchange() {
   if (m_call) EndCall(false, false);
+  EndQuota();
 }
 
 void Exchange::Start() {
   m_context.dispatcher.EarnRetry(m_service);
-  Dispatch(m_request.received);
+  if (m_quota.is_limited()) {
+    SeekQuota(m_request.received);
+  } else {
+    Dispatch(m_request.received);
+  }
 }
 
 bool Exchange::ResumesStream() const {
@@ -315,6 +321,10 @@
     OnDeadline();
     return;
   }
+  if (m_quota_question || m_quota_from) {
+    UseQuota(now);
+    return;
+  }
   if (AwaitsPermit()) {
     UsePermit(now);
     return;
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -165,6 +165,7 @@
   m_ended = true;
   m_permit.reset();
   m_permitted_from.reset();
+  EndQuota();
   StopWaiting(m_context.node.clock.Now());
   NodeMetrics& metrics = m_context.node.metrics;
   const char* word = "answered";
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -25,9 +25,9 @@
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-    CrashGuard& crashes, PermitClient& permits) {
+    CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas) {
   std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions, crashes, permits));
+      new FrontServer(node, dispatcher, admissions, crashes, permits, quotas));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -39,9 +39,9 @@
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
                          AdmissionClient& admissions, CrashGuard& crashes,
-                         PermitClient& permits)
+                         PermitClient& permits, TenantQuotas& quotas)
     : m_node(node), m_context{node,    dispatcher, admissions, crashes,
-                              permits, m_idle,     m_closing} {}
+                              permits, quotas,     m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
   auto connection = std::make_shared<FrontConnection>(
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -30,6 +30,11 @@
       permits_refused(
           r.GetCounter("yuccamoor_permits_refused_total",
                        "Requests kept from an endpoint by its limit")),
+      over_quota(r.GetCounter("yuccamoor_over_quota_total",
+                              "Requests refused by their tenant's limit")),
+      quota_unanswered(
+          r.GetCounter("yuccamoor_quota_unanswered_total",
+                       "Requests refused as no node answered on the limit")),
       orders(r.GetCounter("yuccamoor_engine_orders_total",
                           "Orders given to engines")),
       order_conflicts(r.GetCounter("yuccamoor_engine_order_conflicts_total",
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -140,12 +140,14 @@
         permits(
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}),
+        quotas(settings.node, 1, true, QuotaTimes(),
+               [](const NodeId&, const QuotaMessage&) {}),
         end_timer(io),
         script_timer(io) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
     view.SetCurrentAt(TimeMs::Never());
     front = std::move(FrontServer::Create(context, dispatcher, admissions,
-                                          crashes, permits))
+                                          crashes, permits, quotas))
                 .value();
   }
 
@@ -162,6 +164,7 @@
   AdmissionClient admissions;
   CrashGuard crashes;
   PermitClient permits;
+  TenantQuotas quotas;
   std::unique_ptr<FrontServer> front;
   boost::asio::steady_timer end_timer;
   boost::asio::steady_timer script_timer;
