Keep the nodes that share quotas in a lasting record

Cause: shares were counted from registrations, which end with leases.

Change: a record without a lease names the members, joining and settled. One node writes it, under the revision that it has read. A member that starts again has its share as soon as its earlier process's loans are over; one that is cut off stays counted until it can spend no more.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -47,6 +47,12 @@
   Epoch fence;
 };
 
+/// A record of the nodes that no lease ends.
+struct SharedRecord {
+  std::string value;
+  Revision revision;
+};
+
 /// Returns the version of the adapter that the engine is known to hold; zero if
 /// none is known.
 AdapterRevision HeldRevision(const Endpoint& engine, const AdapterRef& adapter);
@@ -139,6 +145,10 @@
   /// Keys of the records, relative to the fleet's prefix in the store.
   static std::string NodeKey(const NodeId& node);
   static std::string HolderKey(const EndpointId& engine);
+  static std::string SharedKey(const std::string& name);
+  /// Returns the lasting record of that name; one with revision zero and an
+  /// empty value if there is none.
+  SharedRecord FindShared(const std::string& name) const;
 
  private:
   AdapterRevision LeastRevisionAt(const AdapterRef& adapter, TimeMs now,
@@ -159,6 +169,7 @@
   std::map<AdapterRef, RevisionHistory> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
+  std::map<std::string, SharedRecord> m_shared;
   std::set<EndpointId> m_never_held_engines;
   bool m_was_read = false;
   // Engines that register before may have had a holder that was missed.
--- a/include/yuccamoor/coordination/quota/tenant_quotas.h
+++ b/include/yuccamoor/coordination/quota/tenant_quotas.h
@@ -54,14 +54,15 @@
   using Send = std::function<void(const NodeId&, const QuotaMessage&)>;
   using OnDecision = std::function<void(const QuotaDecision&)>;
 
-  /// \p process differs for each process of each node. \p first_start tells
-  /// that the whole fleet starts for the first time.
-  TenantQuotas(NodeId self, std::uint64_t process, bool first_start,
-               const QuotaTimes& times, Send send);
+  /// \p process differs for each process of each node.
+  TenantQuotas(NodeId self, std::uint64_t process, const QuotaTimes& times,
+               TimeMs started, Send send);
 
-  /// Takes up the registered nodes and what this node lends. \p in_use tells
-  /// whether any tenant has a limit: without one, nothing is sent.
+  /// Takes up the registered nodes and the members that share the quotas, as
+  /// the store had them at \p current_at, and lends this node's share. \p
+  /// in_use tells whether any tenant has a limit: without one, nothing is sent.
   void OnTick(const std::map<NodeId, NodeRecord>& nodes,
+              const QuotaMembers& members,
               const std::optional<TimeMs>& current_at, bool in_use, TimeMs now);
   void OnMessage(const QuotaMessage& message, TimeMs now);
 
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -12,7 +12,6 @@
 
 #include "yuccamoor/coordination/fleet/engine_control.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
-#include "yuccamoor/coordination/quota/tenant_quotas.h"
 #include "yuccamoor/transport/fleet/admission_client.h"
 #include "yuccamoor/transport/fleet/admission_server.h"
 #include "yuccamoor/transport/fleet/crash_guard.h"
@@ -22,6 +21,7 @@
 #include "yuccamoor/transport/fleet/lease_keeper.h"
 #include "yuccamoor/transport/fleet/peer_link.h"
 #include "yuccamoor/transport/fleet/permit_server.h"
+#include "yuccamoor/transport/fleet/quota_keeper.h"
 #include "yuccamoor/transport/fleet/status_server.h"
 #include "yuccamoor/transport/fleet/store_session.h"
 
@@ -59,7 +59,6 @@
   void Tick();
   void FlushLog(TimeMs now);
   void TellPeers(TimeMs now);
-  void KeepQuotas(TimeMs now);
   /// Takes up the changed view of the store.
   void OnViewChanged();
   void OnPeerMessage(const PeerMessage& message, bool direct);
@@ -80,7 +79,7 @@
   CrashGuard m_crashes;
   PermitClient m_permits;
   PermitServer m_permit_server;
-  TenantQuotas m_quotas;
+  QuotaKeeper m_quotas;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<FrontServer> m_front;
   std::unique_ptr<StatusServer> m_ready;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -42,6 +42,8 @@
   /// Time that requests waited for an adapter to come into place.
   Distribution& load_stall_seconds;
   Gauge& config_version;
+  /// The part of each tenant's quota that this node may spend or lend.
+  Gauge& quota_share;
   Gauge& engines_held;
   Gauge& requests_in_flight;
 };
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -13,6 +13,7 @@
 
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kHolderPrefix = "holder/";
+constexpr std::string_view kSharedPrefix = "shared/";
 // Holders that this view may have missed have given their last orders by then:
 // those of an earlier era of the store, or between two full reads.
 constexpr DurationMs kEarlierHolderTime{5'000};
@@ -69,6 +70,15 @@
   return std::string(kHolderPrefix) + engine.str();
 }
 
+std::string FleetView::SharedKey(const std::string& name) {
+  return std::string(kSharedPrefix) + name;
+}
+
+SharedRecord FleetView::FindShared(const std::string& name) const {
+  const auto it = m_shared.find(SharedKey(name));
+  return it == m_shared.end() ? SharedRecord() : it->second;
+}
+
 FleetView::FleetView(RevisionTimes revision_times)
     : m_revision_times(revision_times) {}
 
@@ -111,6 +121,7 @@
   const bool may_have_missed = std::exchange(m_was_read, true);
   m_nodes.clear();
   m_holders.clear();
+  m_shared.clear();
   std::vector<EndpointId> listed;
   for (const StoreChange& change : changes) {
     if (const auto* written = std::get_if<EndpointWritten>(&change)) {
@@ -184,6 +195,9 @@
     m_once_held_engines.insert(engine);
     return ViewUpdate::kHolderChanged;
   }
+  if (key.starts_with(kSharedPrefix)) {
+    m_shared[change.key] = {change.value, change.revision};
+  }
   return ViewUpdate::kUnchanged;
 }
 
@@ -197,6 +211,7 @@
     m_holders.erase(EndpointId(std::string(key.substr(kHolderPrefix.size()))));
     return ViewUpdate::kHolderChanged;
   }
+  m_shared.erase(change.key);
   return ViewUpdate::kUnchanged;
 }
 
--- a/lib/coordination/quota/tenant_quotas.cc
+++ b/lib/coordination/quota/tenant_quotas.cc
@@ -27,11 +27,11 @@
 
 }  // namespace
 
-TenantQuotas::TenantQuotas(NodeId self, std::uint64_t process, bool first_start,
-                           const QuotaTimes& times, Send send)
+TenantQuotas::TenantQuotas(NodeId self, std::uint64_t process,
+                           const QuotaTimes& times, TimeMs started, Send send)
     : m_self(std::move(self)),
       m_send(std::move(send)),
-      m_share(m_self, times, first_start),
+      m_share(m_self, times, started),
       m_issuer(m_self, process, times),
       // Answers to an earlier process must not be taken for this one's.
       m_next_number(process) {
@@ -45,12 +45,13 @@
 }
 
 void TenantQuotas::OnTick(const std::map<NodeId, NodeRecord>& nodes,
+                          const QuotaMembers& members,
                           const std::optional<TimeMs>& current_at, bool in_use,
                           TimeMs now) {
   m_in_use = in_use;
   if (now - m_viewed >= kViewInterval) {
     m_viewed = now;
-    m_share.OnView(nodes, current_at, now);
+    m_share.OnMembers(members, current_at, now);
     for (QuotaLender& lender : m_lenders) lender.SetNodes(nodes, now);
   }
   m_issuer.OnTick(now);
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -7,8 +7,6 @@
 #include <utility>
 #include <variant>
 
-#include "yuccamoor/state/stable_hash.h"
-
 namespace yuccamoor::fleet {
 
 namespace {
@@ -30,13 +28,6 @@
 // Clients have read their last answers by then.
 constexpr DurationMs kLastAnswersTime{150};
 
-// A number that no other process of any node has, and that is not zero.
-std::uint64_t ProcessNumber(const NodeContext& context) {
-  return (StableBucketHash(context.settings.node.str()) ^
-          static_cast<std::uint64_t>(context.clock.Now().ms()) << 32) |
-         1;
-}
-
 }  // namespace
 
 Result<std::unique_ptr<Node>> Node::Create(NodeContext& context,
@@ -99,9 +90,7 @@
           [this](const NodeId& node, const PeerMessage& message) {
             m_peers->Send(node, message);
           }),
-      m_quotas(context.settings.node, ProcessNumber(context),
-               context.settings.first_start,
-               QuotaTimes::For(context.settings.max_propagation_delay),
+      m_quotas(context, m_platform.store,
                [this](const NodeId& node, const QuotaMessage& message) {
                  m_peers->Send(node, message);
                }),
@@ -124,7 +113,7 @@
                         }),
        m_peers);
   take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_crashes,
-                           m_permits, m_quotas),
+                           m_permits, m_quotas.quotas()),
        m_front);
   take(StatusServer::Create(m_context, settings.readiness_address,
                             [this](const std::string& path) {
@@ -238,7 +227,7 @@
   m_holder.OnTick(now);
   m_permits.OnTick(now);
   m_permit_server.OnTick(now);
-  KeepQuotas(now);
+  m_quotas.OnTick(now);
   m_front->OnTick(now);
   m_crashes.OnTick(now);
   if (large) {
@@ -277,13 +266,6 @@
   metrics.requests_in_flight.Set(static_cast<double>(m_front->in_flight()));
 }
 
-void Node::KeepQuotas(TimeMs now) {
-  const FleetView& view = m_context.view;
-  const auto& routes = view.routes();
-  m_quotas.OnTick(view.nodes(), view.current_at(),
-                  routes && routes->has_quotas(), now);
-}
-
 void Node::TellPeers(TimeMs now) {
   if (now - m_told < kTellInterval) return;
   m_told = now;
@@ -360,7 +342,7 @@
   } else if (const auto* limit = std::get_if<TellLimit>(&message)) {
     m_permits.OnTellLimit(*limit);
   } else if (const auto* quota = std::get_if<QuotaMessage>(&message)) {
-    m_quotas.OnMessage(*quota, m_context.clock.Now());
+    m_quotas.OnMessage(*quota);
   } else if (const auto* use = std::get_if<TellUse>(&message)) {
     m_dispatcher.OnPeerUse(*use);
     NoteUsed(use->use.used);
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -56,6 +56,8 @@
                             "Time that requests waited for an adapter")),
       config_version(r.GetGauge("yuccamoor_config_version",
                                 "Version of the configuration in force")),
+      quota_share(r.GetGauge("yuccamoor_quota_share",
+                             "Part of each quota that this node has")),
       engines_held(r.GetGauge("yuccamoor_engines_held",
                               "Engines that this node gives orders to")),
       requests_in_flight(r.GetGauge("yuccamoor_requests_in_flight",
--- a/unittests/coordination/quota/quota_world.h
+++ b/unittests/coordination/quota/quota_world.h
@@ -34,12 +34,14 @@
   void Start(int node) {
     Process& process = m_processes[node];
     process.quotas = std::make_unique<TenantQuotas>(
-        IdOf(node), ++m_last_process, m_now < kFirstStartEnd,
-        QuotaTimes::For(kPropagation),
+        IdOf(node), ++m_last_process, QuotaTimes::For(kPropagation), m_now,
         [this, node](const NodeId& to, const QuotaMessage& message) {
           Post(node, to, message);
         });
+    process.plan = std::make_unique<QuotaMemberPlan>(
+        IdOf(node), QuotaTimes::For(kPropagation));
     process.view = {};
+    process.members = {};
     process.current_at.reset();
   }
   void End(int node) { m_processes[node].quotas.reset(); }
@@ -83,7 +85,8 @@
     Deliver();
     for (auto& [node, process] : m_processes) {
       if (!process.quotas || process.frozen) continue;
-      process.quotas->OnTick(process.view, process.current_at, true, m_now);
+      process.quotas->OnTick(process.view, process.members, process.current_at,
+                             true, m_now);
     }
   }
 
@@ -120,13 +123,13 @@
   static constexpr DurationMs kStep{20};
   static constexpr DurationMs kReadInterval{500};
   static constexpr DurationMs kPropagation{3'000};
-  // Processes that start before are the first ones.
-  static constexpr TimeMs kFirstStartEnd{1'000'500};
 
  private:
   struct Process {
     std::unique_ptr<TenantQuotas> quotas;
+    std::unique_ptr<QuotaMemberPlan> plan;
     std::map<NodeId, NodeRecord> view;
+    QuotaMembers members;
     std::optional<TimeMs> current_at;
     bool no_store = false;
     bool no_nodes = false;
@@ -194,11 +197,21 @@
       if (!process.quotas || process.no_store || process.frozen) continue;
       process.view.clear();
       for (const auto& [id, renewed] : m_renewed) process.view[id] = {};
+      WriteMembers(process);
+      process.members = m_members;
       process.current_at = m_now;
     }
   }
 
+  // A process writes by what it has read last; the store refuses that if the
+  // record has changed since.
+  void WriteMembers(const Process& process) {
+    const auto next = process.plan->Next(process.view, process.members, m_now);
+    if (next && process.members == m_members) m_members = *next;
+  }
+
   std::mt19937_64 m_random;
+  QuotaMembers m_members;
   TimeMs m_now{1'000'000};
   std::uint64_t m_last_process = 0;
   std::map<int, Process> m_processes;
--- a/unittests/transport/fleet/fake_fleet_store.h
+++ b/unittests/transport/fleet/fake_fleet_store.h
@@ -45,6 +45,12 @@
     writes.push_back(std::move(done));
   }
 
+  void PutRecord(std::string key, std::string value, Revision /*expected*/,
+                 std::function<void(WriteReply)> done) override {
+    put.push_back(key + "=" + value);
+    writes.push_back(std::move(done));
+  }
+
   std::function<void(StoreEra)> era_listener;
   std::vector<ReadDone> reads;
   std::vector<ReadDone> watches;
@@ -53,6 +59,7 @@
   std::vector<StoreLease> renewed;
   std::vector<std::function<void(StoreStatus)>> renewals;
   std::vector<std::string> created;
+  std::vector<std::string> put;
   std::vector<std::function<void(WriteReply)>> writes;
 };
 
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -140,7 +140,7 @@
         permits(
             context, [](const NodeId&, const PeerMessage&) {},
             [](const PeerMessage&) {}),
-        quotas(settings.node, 1, true, QuotaTimes(),
+        quotas(settings.node, 1, QuotaTimes(), clock.Now(),
                [](const NodeId&, const QuotaMessage&) {}),
         end_timer(io),
         script_timer(io) {
