Ask for credit once for all requests that wait, and hand issuers over fast

When an issuer changed, shares stayed lent to the old one for their time although it was alive.

Change: a tenant has one question open at a node, for all its requests that wait; a refusal stands for a moment, by what the request can wait. A lender ends a loan by a message that the old issuer confirms; messages are numbered, so that a late one lends nothing. Issuers are ranked among the members, not the registered nodes: the store may turn nodes away that all others reach. Loans are half as long. Issuers, shares and refusals are logged.

--- a/include/yuccamoor/coordination/quota/quota_issuer.h
+++ b/include/yuccamoor/coordination/quota/quota_issuer.h
@@ -44,6 +44,7 @@
 
  private:
   struct Lent {
+    std::uint64_t number = 0;
     double share = 0;
     // The node's share has flown in here, without a break, since then.
     TimeMs since;
@@ -62,6 +63,9 @@
   };
 
   TellQuota Grant(const AskQuota& ask, TimeMs now);
+  // What is granted besides the first request's units: those of others that
+  // wait, and while much is saved up, some ahead of need.
+  static double Further(const AskQuota& ask, const QuotaBucket& bucket);
 
   void EndShares(TimeMs now);
   Account& AccountFor(const AskQuota& ask, TimeMs now);
--- a/include/yuccamoor/coordination/quota/quota_members.h
+++ b/include/yuccamoor/coordination/quota/quota_members.h
@@ -26,7 +26,7 @@
   /// What a node has read of the store is current for this long.
   DurationMs current{1'500};
   /// How long a share is lent.
-  DurationMs lent{1'200};
+  DurationMs lent{600};
   /// A node has no share until it has been a member for this long: by then,
   /// nodes with a current view count it, and what they lent before is over.
   DurationMs activation{3'000};
--- a/include/yuccamoor/coordination/quota/quota_messages.h
+++ b/include/yuccamoor/coordination/quota/quota_messages.h
@@ -36,8 +36,10 @@
 struct LendQuota {
   NodeId node;
   QuotaPool pool;
-  /// The part of each quota, from 0 to 1. A node without a share says so: it
-  /// learns by the answer that the issuer lives.
+  /// Grows with each message of the node: one that comes late is ignored.
+  std::uint64_t number = 0;
+  /// The part of each quota, from 0 to 1. Zero ends a loan; a node without a
+  /// share learns by the answer that the issuer lives.
   double share = 0;
   /// The newest stamp that the node has of this issuer. The share is lent from
   /// then on.
@@ -48,6 +50,8 @@
 struct AcceptQuota {
   NodeId issuer;
   QuotaPool pool;
+  /// The number of the message, which was the node's latest.
+  std::uint64_t number = 0;
   IssuerStamp stamp;
 };
 
@@ -59,10 +63,12 @@
   /// The quota by the asking node's configuration, and that one's version.
   QuotaSpec quota;
   Revision version;
-  /// Units that are needed, and units that the node will probably use soon.
+  /// The units of the first request that waits, those of all that wait, and
+  /// those together with what the node will probably use soon.
   double amount = 0;
+  double waiting = 0;
   double wanted = 0;
-  /// How long the request can wait for them.
+  /// How long the requests can wait for them.
   DurationMs max_wait{0};
 };
 
--- a/include/yuccamoor/coordination/quota/tenant_quotas.h
+++ b/include/yuccamoor/coordination/quota/tenant_quotas.h
@@ -11,8 +11,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "yuccamoor/coordination/quota/quota_issuer.h"
@@ -70,44 +72,77 @@
   /// later, unless the question is dropped before. Returns its number.
   std::uint64_t Ask(const QuotaNeed& need, OnDecision on_decision, TimeMs now);
   /// The request has gone.
-  void Drop(std::uint64_t number) { m_questions.erase(number); }
+  void Drop(std::uint64_t number);
   /// Takes back what was granted at \p granted to a request that has not run.
   /// Other requests of this node may use it for a moment after that time.
   void Return(const TenantId& tenant, double amount, TimeMs granted);
 
   const QuotaIssuer& issuer() const { return m_issuer; }
+  /// The node that this one lends its share of the pool to, and asks.
+  const NodeId& IssuerOf(QuotaPool pool) const {
+    return m_lenders.at(pool.value()).issuer();
+  }
   const QuotaShare& share() const { return m_share; }
 
  private:
-  struct Question {
-    QuotaNeed need;
+  // A request that waits for credit.
+  struct Waiting {
+    std::uint64_t number = 0;
+    double amount = 0;
+    TimeMs latest;
     OnDecision on_decision;
-    TimeMs asked;
-    TimeMs last_sent;
   };
   // Credit that is used up or lost soon after it was asked for.
   struct Credit {
     double units = 0;
     TimeMs until;
   };
+  // A question to the issuer. A tenant has one at a time, for all its requests
+  // that wait, so that a tenant with many requests does not overload the
+  // issuer.
+  struct Question {
+    AskQuota ask;
+    TimeMs asked;
+    TimeMs last_sent;
+  };
   struct Account {
+    QuotaSpec quota;
+    Revision version;
+    std::deque<Waiting> waiting;
+    std::optional<Question> question;
+    TimeMs next_question;
     std::vector<Credit> credit;
     // Units a second that the node's requests need, as a moving average.
     double use_per_second = 0;
     TimeMs used;
-    // Until then the tenant is at its limit, by the issuer's last answer.
-    TimeMs refused_until;
+    // The tenant was at its limit then, and until then.
+    std::optional<TimeMs> refused;
+    TimeMs available;
+  };
+  // A decision to tell once the accounts are up to date: whoever is told may
+  // ask again.
+  struct Decided {
+    OnDecision on_decision;
+    QuotaDecision decision;
   };
+  using Decisions = std::vector<Decided>;
 
-  void OnLend(const LendQuota& lend, TimeMs now);
   void OnAccept(const AcceptQuota& accept, TimeMs now);
   void OnTell(const TellQuota& told, TimeMs now);
   void Lend(QuotaLender& lender, TimeMs now);
-  void SendAsk(std::uint64_t number, Question& question, TimeMs now);
-  void Decide(std::uint64_t number, const QuotaDecision& decision);
-  void CheckQuestions(TimeMs now);
-  bool TakeCredit(Account& account, double amount, TimeMs now);
+  void SendQuestion(const TenantId& tenant, Account& account, TimeMs now);
+  void AskIssuer(const AskQuota& ask, TimeMs now);
+  void TakeAnswer(Account& account, const TellQuota& told, TimeMs now,
+                  Decisions& decisions);
+  void CheckQuestion(const TenantId& tenant, Account& account, TimeMs now,
+                     Decisions& decisions);
+  static void ServeWaiting(Account& account, TimeMs now, Decisions& decisions);
+  static void RefuseWaiting(Account& account, TimeMs now, Decisions& decisions);
+  static bool IsRefused(const Account& account, DurationMs max_wait,
+                        TimeMs now);
+  static bool TakeCredit(Account& account, double amount, TimeMs now);
   static void NoteUse(Account& account, double amount, TimeMs now);
+  static void Tell(const Decisions& decisions);
   QuotaLender& LenderOf(const TenantId& tenant);
 
   NodeId m_self;
@@ -117,7 +152,8 @@
   std::vector<QuotaLender> m_lenders;
   TimeMs m_viewed;
   std::map<TenantId, Account> m_accounts;
-  std::map<std::uint64_t, Question> m_questions;
+  // The tenants of the questions that are open.
+  std::map<std::uint64_t, TenantId> m_questions;
   std::uint64_t m_next_number;
   bool m_in_use = false;
 };
--- a/include/yuccamoor/transport/fleet/quota_keeper.h
+++ b/include/yuccamoor/transport/fleet/quota_keeper.h
@@ -4,6 +4,8 @@
 #ifndef YUCCAMOOR_TRANSPORT_FLEET_QUOTA_KEEPER_H_
 #define YUCCAMOOR_TRANSPORT_FLEET_QUOTA_KEEPER_H_
 
+#include <array>
+
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/quota/tenant_quotas.h"
 #include "yuccamoor/transport/fleet/node_context.h"
@@ -20,9 +22,16 @@
   TenantQuotas& quotas() { return m_quotas; }
 
  private:
+  // The issuer of a pool, and the part of its quotas that this node issues.
+  struct Issued {
+    NodeId issuer;
+    double share = 0;
+  };
+
   void ReadMembers();
   void WriteMembers(TimeMs now);
   void NoteState(TimeMs now);
+  void NoteIssued();
 
   NodeContext& m_context;
   FleetStore& m_store;
@@ -33,6 +42,7 @@
   bool m_is_writing = false;
   TimeMs m_checked;
   double m_logged_part = -1;
+  std::array<Issued, kQuotaPools> m_logged;
 };
 
 }  // namespace yuccamoor::fleet
--- a/lib/coordination/quota/quota_issuer.cc
+++ b/lib/coordination/quota/quota_issuer.cc
@@ -29,23 +29,21 @@
 }
 
 AcceptQuota QuotaIssuer::OnLend(const LendQuota& lend, TimeMs now) {
-  const AcceptQuota accept{m_self, lend.pool, {m_process, now}};
+  AcceptQuota accept{m_self, lend.pool, 0, {m_process, now}};
   if (lend.stamp.process != m_process) return accept;
   const TimeMs until = lend.stamp.time + m_times.lent;
   if (until <= now || lend.stamp.time > now) return accept;
   EndShares(now);
   Lenders& lenders = m_lenders[lend.pool];
-  const auto it = lenders.find(lend.node);
-  if (it == lenders.end()) {
-    if (lend.share <= 0) return accept;
-    lenders[lend.node] = {lend.share, now, until};
-  } else {
-    // An earlier message may say more, or less, and come later.
-    if (until < it->second.until) return accept;
-    it->second.share = lend.share;
-    it->second.until = until;
-  }
+  const auto [it, is_new] = lenders.try_emplace(lend.node);
+  Lent& lent = it->second;
+  if (!is_new && lend.number <= lent.number) return accept;
+  if (is_new || lent.share <= 0) lent.since = now;
+  lent.number = lend.number;
+  lent.share = lend.share;
+  lent.until = until;
   UpdateFlows(lend.pool, now);
+  accept.number = lend.number;
   return accept;
 }
 
@@ -58,7 +56,7 @@
   if (share <= 0) {
     lenders.erase(m_self);
   } else if (it == lenders.end()) {
-    lenders[m_self] = {share, now, TimeMs::Never()};
+    lenders[m_self] = {0, share, now, TimeMs::Never()};
   } else {
     it->second.share = share;
   }
@@ -137,6 +135,14 @@
   return it->second.told;
 }
 
+double QuotaIssuer::Further(const AskQuota& ask, const QuotaBucket& bucket) {
+  const double left = bucket.level() - ask.amount;
+  const double waiting = std::min(ask.waiting - ask.amount, left);
+  const double spare = left - waiting - bucket.depth() * kSparePart;
+  const double ahead = std::min(ask.wanted - ask.waiting, spare * kAheadPart);
+  return std::max(waiting, 0.0) + std::max(ahead, 0.0);
+}
+
 TellQuota QuotaIssuer::Grant(const AskQuota& ask, TimeMs now) {
   EndShares(now);
   Account& account = AccountFor(ask, now);
@@ -150,11 +156,13 @@
     needed = std::min(needed, bucket.depth());
   }
   told.wait = bucket.TimeUntil(needed);
-  if (told.wait > ask.max_wait) return told;
-  const double spare = bucket.level() - bucket.depth() * kSparePart;
-  const double ahead = std::min(ask.wanted - ask.amount, spare * kAheadPart);
+  if (told.wait > ask.max_wait) {
+    // An issuer without shares has some after this, or is none any more.
+    if (bucket.depth() <= 0) told.wait = m_times.lent;
+    return told;
+  }
   told.granted = ask.amount;
-  if (told.wait == DurationMs(0)) told.granted += std::max(ahead, 0.0);
+  if (told.wait == DurationMs(0)) told.granted += Further(ask, bucket);
   bucket.Take(told.granted);
   return told;
 }
--- a/lib/coordination/quota/quota_lender.cc
+++ b/lib/coordination/quota/quota_lender.cc
@@ -12,6 +12,8 @@
 
 // Loans are renewed this many times before they end.
 constexpr std::int64_t kRenewals = 3;
+// An issuer has ended, or is cut off, that does not answer for this many times.
+constexpr std::int64_t kSilentLoans = 2;
 // An issuer that has not answered is passed over for this long.
 constexpr DurationMs kPassOverTime{5'000};
 
@@ -22,28 +24,33 @@
 
 }  // namespace
 
-void QuotaLender::SetNodes(const std::map<NodeId, NodeRecord>& nodes,
+void QuotaLender::SetNodes(const QuotaMembers& members,
+                           const std::map<NodeId, NodeRecord>& registered,
                            TimeMs now) {
-  const bool is_same = std::equal(
-      nodes.begin(), nodes.end(), m_nodes.begin(), m_nodes.end(),
-      [](const auto& item, const NodeId& node) { return item.first == node; });
-  if (is_same) return;
-  m_nodes.clear();
+  // One that has ended is tried again once it has registered.
+  std::erase_if(m_silent, [&registered, now](const auto& item) {
+    return now >= item.second && registered.contains(item.first);
+  });
+  if (members != m_members) {
+    m_members = members;
+    Rank();
+  }
+  Choose(now);
+}
+
+void QuotaLender::Rank() {
   std::vector<std::pair<std::uint64_t, NodeId>> scored;
-  scored.reserve(nodes.size());
-  for (const auto& [node, record] : nodes) {
-    m_nodes.insert(node);
-    scored.emplace_back(Score(m_pool, node), node);
+  for (const auto* kind : {&m_members.joining, &m_members.settled}) {
+    for (const NodeId& node : *kind) {
+      scored.emplace_back(Score(m_pool, node), node);
+    }
   }
   std::sort(scored.begin(), scored.end());
   m_ranked.clear();
   for (auto& [score, node] : scored) m_ranked.push_back(std::move(node));
-  Choose(now);
 }
 
 void QuotaLender::Choose(TimeMs now) {
-  std::erase_if(m_silent,
-                [now](const auto& item) { return now >= item.second; });
   const auto first = std::find_if(
       m_ranked.begin(), m_ranked.end(), [this](const NodeId& node) {
         return node == m_self || !m_silent.contains(node);
@@ -56,28 +63,54 @@
   m_told = TimeMs();
 }
 
-std::optional<LendQuota> QuotaLender::OnTick(double share, TimeMs now) {
-  const bool is_silent = m_issuer != m_self &&
-                         now - std::max(m_answered, m_chosen) >= m_times.lent;
+void QuotaLender::CheckSilence(TimeMs now) {
+  const bool is_silent =
+      m_issuer != m_self &&
+      now - std::max(m_answered, m_chosen) >= m_times.lent * kSilentLoans;
   if (is_silent) m_silent[m_issuer] = now + kPassOverTime;
   Choose(now);
-  if (m_issuer == m_self) return std::nullopt;
-  const DurationMs interval = m_times.lent / kRenewals;
-  if (now - m_told < interval) return std::nullopt;
+}
+
+LendQuota QuotaLender::Lend(double share, const IssuerStamp& stamp) {
+  return {m_self, m_pool, ++m_last_number, share, stamp};
+}
+
+std::vector<QuotaLender::Outgoing> QuotaLender::OnTick(double share,
+                                                       TimeMs now) {
+  CheckSilence(now);
+  std::vector<Outgoing> due;
+  if (now - m_told < m_times.lent / kRenewals) return due;
   m_told = now;
-  LendQuota lend{m_self, m_pool, share, m_stamp};
-  // The share may still be lent to an earlier issuer.
-  const bool may_lend = IsFree(now) || m_lent_to == m_issuer;
-  if (!may_lend) lend.share = 0;
-  if (lend.share > 0 && m_stamp.process != 0) {
+  const bool is_elsewhere = !IsFree(now) && m_lent_to != m_issuer;
+  if (is_elsewhere) {
+    due.push_back({m_lent_to, Lend(0, m_lent_stamp)});
+    m_ending = m_last_number;
+  }
+  if (m_issuer == m_self) return due;
+  // An issuer can use the share once it gets a stamp of its own back.
+  const bool lends = share > 0 && !is_elsewhere && m_stamp.process != 0;
+  due.push_back({m_issuer, Lend(lends ? share : 0, m_stamp)});
+  if (lends) {
     m_lent_to = m_issuer;
+    m_lent_stamp = m_stamp;
     m_lent_until = now + m_times.lent;
+    m_ending.reset();
   }
-  return lend;
+  return due;
 }
 
 bool QuotaLender::OnAccept(const AcceptQuota& accept, TimeMs now) {
-  if (accept.issuer != m_issuer || accept.pool != m_pool) return false;
+  if (accept.pool != m_pool) return false;
+  const bool has_ended = m_ending && accept.issuer == m_lent_to &&
+                         accept.number == *m_ending &&
+                         accept.stamp.process == m_lent_stamp.process;
+  if (has_ended) {
+    m_ending.reset();
+    m_lent_until = now;
+    m_told = TimeMs();
+    return true;
+  }
+  if (accept.issuer != m_issuer) return false;
   const bool is_first = m_stamp.process != accept.stamp.process;
   // Answers may overtake each other.
   if (!is_first && accept.stamp.time < m_stamp.time) return false;
--- a/lib/coordination/quota/quota_members.cc
+++ b/lib/coordination/quota/quota_members.cc
@@ -58,7 +58,7 @@
 QuotaTimes QuotaTimes::For(DurationMs max_propagation_delay) {
   QuotaTimes times;
   times.current = max_propagation_delay / 2;
-  times.lent = max_propagation_delay * 2 / 5;
+  times.lent = max_propagation_delay / 5;
   times.activation = max_propagation_delay;
   return times;
 }
--- a/lib/coordination/quota/tenant_quotas.cc
+++ b/lib/coordination/quota/tenant_quotas.cc
@@ -13,12 +13,14 @@
 // Some round trips between failure domains, with late wake-ups.
 constexpr DurationMs kAskAgain{60};
 constexpr DurationMs kNoAnswerTime{200};
+// Requests that come meanwhile share the next question.
+constexpr DurationMs kQuestionInterval{20};
 // A node asks for what it uses in this time, so that most requests wait for no
 // answer. Also how long such credit may be used after it was asked for.
 constexpr DurationMs kAheadTime{400};
-// A tenant at its limit is asked for again at least this often, since others
-// may have returned credit.
-constexpr DurationMs kMaxRefusedTime{250};
+// A refusal stands for this long at most: other nodes may need less than
+// before.
+constexpr DurationMs kRefusedTime{250};
 constexpr DurationMs kViewInterval{100};
 constexpr DurationMs kUseTime{1'000};
 constexpr DurationMs kUnusedTime{10'000};
@@ -52,14 +54,19 @@
   if (now - m_viewed >= kViewInterval) {
     m_viewed = now;
     m_share.OnMembers(members, current_at, now);
-    for (QuotaLender& lender : m_lenders) lender.SetNodes(nodes, now);
+    for (QuotaLender& lender : m_lenders) lender.SetNodes(members, nodes, now);
   }
   m_issuer.OnTick(now);
   for (QuotaLender& lender : m_lenders) Lend(lender, now);
-  CheckQuestions(now);
+  Decisions decisions;
+  for (auto& [tenant, account] : m_accounts) {
+    CheckQuestion(tenant, account, now, decisions);
+  }
   std::erase_if(m_accounts, [now](const auto& item) {
-    return now - item.second.used > kUnusedTime;
+    const Account& account = item.second;
+    return account.waiting.empty() && now - account.used > kUnusedTime;
   });
+  Tell(decisions);
 }
 
 void TenantQuotas::Lend(QuotaLender& lender, TimeMs now) {
@@ -68,9 +75,7 @@
   // What this node itself issues is not lent at the same time.
   if (lender.issuer() != m_self) m_issuer.SetOwnShare(pool, 0, now);
   if (m_in_use) {
-    if (const auto lend = lender.OnTick(part, now)) {
-      m_send(lender.issuer(), *lend);
-    }
+    for (const auto& [to, lend] : lender.OnTick(part, now)) m_send(to, lend);
   }
   const bool issues = lender.issuer() == m_self && lender.IsFree(now);
   m_issuer.SetOwnShare(pool, issues ? part : 0, now);
@@ -117,43 +122,67 @@
   return true;
 }
 
+bool TenantQuotas::IsRefused(const Account& account, DurationMs max_wait,
+                             TimeMs now) {
+  return account.refused && now - *account.refused < kRefusedTime &&
+         account.available > now + max_wait;
+}
+
 std::uint64_t TenantQuotas::Ask(const QuotaNeed& need, OnDecision on_decision,
                                 TimeMs now) {
   const std::uint64_t number = m_next_number++;
   Account& account = m_accounts[need.tenant];
+  account.quota = need.quota;
+  account.version = need.version;
   NoteUse(account, need.amount, now);
-  if (TakeCredit(account, need.amount, now)) {
+  if (account.waiting.empty() && TakeCredit(account, need.amount, now)) {
     on_decision({QuotaVerdict::kGranted, DurationMs(0)});
     return number;
   }
-  if (account.refused_until > now + need.max_wait) {
-    on_decision({QuotaVerdict::kOverQuota, account.refused_until - now});
+  if (IsRefused(account, need.max_wait, now)) {
+    on_decision({QuotaVerdict::kOverQuota, account.available - now});
     return number;
   }
-  Question& question =
-      m_questions
-          .emplace(number, Question{need, std::move(on_decision), now, now})
-          .first->second;
-  SendAsk(number, question, now);
+  account.waiting.push_back(
+      {number, need.amount, now + need.max_wait, std::move(on_decision)});
+  const bool asks = !account.question && now >= account.next_question;
+  if (asks) SendQuestion(need.tenant, account, now);
   return number;
 }
 
-void TenantQuotas::SendAsk(std::uint64_t number, Question& question,
-                           TimeMs now) {
-  const QuotaNeed& need = question.need;
-  question.last_sent = now;
+void TenantQuotas::Drop(std::uint64_t number) {
+  for (auto& [tenant, account] : m_accounts) {
+    const auto dropped = std::erase_if(
+        account.waiting,
+        [number](const Waiting& waiting) { return waiting.number == number; });
+    if (dropped > 0) return;
+  }
+}
+
+void TenantQuotas::SendQuestion(const TenantId& tenant, Account& account,
+                                TimeMs now) {
   AskQuota ask;
   ask.node = m_self;
-  ask.number = number;
-  ask.tenant = need.tenant;
-  ask.quota = need.quota;
-  ask.version = need.version;
-  ask.amount = need.amount;
-  ask.wanted = std::max(need.amount, m_accounts[need.tenant].use_per_second *
+  ask.number = m_next_number++;
+  ask.tenant = tenant;
+  ask.quota = account.quota;
+  ask.version = account.version;
+  ask.amount = account.waiting.front().amount;
+  for (const Waiting& waiting : account.waiting) {
+    ask.waiting += waiting.amount;
+    ask.max_wait = std::max(ask.max_wait, waiting.latest - now);
+  }
+  ask.wanted = std::max(ask.waiting, account.use_per_second *
                                          static_cast<double>(kAheadTime.ms()) /
                                          kMsPerSecond);
-  ask.max_wait = need.max_wait;
-  const NodeId& issuer = LenderOf(need.tenant).issuer();
+  account.question = Question{ask, now, now};
+  account.next_question = now + kQuestionInterval;
+  m_questions[ask.number] = tenant;
+  AskIssuer(ask, now);
+}
+
+void TenantQuotas::AskIssuer(const AskQuota& ask, TimeMs now) {
+  const NodeId& issuer = LenderOf(ask.tenant).issuer();
   if (issuer == m_self) {
     OnTell(m_issuer.OnAsk(ask, now), now);
   } else {
@@ -162,51 +191,91 @@
 }
 
 void TenantQuotas::OnTell(const TellQuota& told, TimeMs now) {
-  const auto it = m_questions.find(told.number);
-  // What was granted to a question that was dropped is lost.
-  if (it == m_questions.end()) return;
-  const Question& question = it->second;
-  Account& account = m_accounts[question.need.tenant];
-  // Credit that was asked for ahead may have come meanwhile.
-  const bool is_refused = told.granted < question.need.amount;
-  if (is_refused && TakeCredit(account, question.need.amount, now)) {
-    Decide(told.number, {QuotaVerdict::kGranted, DurationMs(0)});
+  const auto question = m_questions.find(told.number);
+  // What was granted to a question that is not open any more is lost.
+  if (question == m_questions.end()) return;
+  const auto account = m_accounts.find(question->second);
+  m_questions.erase(question);
+  if (account == m_accounts.end()) return;
+  Decisions decisions;
+  TakeAnswer(account->second, told, now, decisions);
+  Tell(decisions);
+}
+
+void TenantQuotas::TakeAnswer(Account& account, const TellQuota& told,
+                              TimeMs now, Decisions& decisions) {
+  const Question question = *account.question;
+  account.question.reset();
+  if (told.granted <= 0) {
+    account.refused = now;
+    account.available = now + told.wait;
+    ServeWaiting(account, now, decisions);
+    RefuseWaiting(account, now, decisions);
     return;
   }
-  if (is_refused) {
-    account.refused_until = now + std::min(told.wait, kMaxRefusedTime);
-    Decide(told.number, {QuotaVerdict::kOverQuota, told.wait});
+  account.refused.reset();
+  if (told.wait > DurationMs(0)) {
+    // Granted to one request, for later.
+    if (account.waiting.empty()) return;
+    if (account.waiting.front().amount > told.granted) return;
+    decisions.push_back({std::move(account.waiting.front().on_decision),
+                         {QuotaVerdict::kGranted, told.wait}});
+    account.waiting.pop_front();
     return;
   }
-  account.refused_until = now;
-  const double ahead = told.granted - question.need.amount;
-  if (ahead > 0) {
-    account.credit.push_back({ahead, question.asked + kAheadTime});
+  account.credit.push_back({told.granted, question.asked + kAheadTime});
+  ServeWaiting(account, now, decisions);
+}
+
+void TenantQuotas::ServeWaiting(Account& account, TimeMs now,
+                                Decisions& decisions) {
+  while (!account.waiting.empty()) {
+    Waiting& first = account.waiting.front();
+    if (!TakeCredit(account, first.amount, now)) return;
+    decisions.push_back({std::move(first.on_decision),
+                         {QuotaVerdict::kGranted, DurationMs(0)}});
+    account.waiting.pop_front();
   }
-  Decide(told.number, {QuotaVerdict::kGranted, told.wait});
 }
 
-void TenantQuotas::Decide(std::uint64_t number, const QuotaDecision& decision) {
-  const auto it = m_questions.find(number);
-  const OnDecision on_decision = std::move(it->second.on_decision);
-  m_questions.erase(it);
-  on_decision(decision);
+// Refuses those that would wait too long.
+void TenantQuotas::RefuseWaiting(Account& account, TimeMs now,
+                                 Decisions& decisions) {
+  for (Waiting& waiting : account.waiting) {
+    if (waiting.latest >= account.available) continue;
+    decisions.push_back({std::move(waiting.on_decision),
+                         {QuotaVerdict::kOverQuota, account.available - now}});
+  }
+  std::erase_if(account.waiting, [&account](const Waiting& waiting) {
+    return waiting.latest < account.available;
+  });
 }
 
-void TenantQuotas::CheckQuestions(TimeMs now) {
-  std::vector<std::uint64_t> due;
-  for (const auto& [number, question] : m_questions) {
-    if (now - question.last_sent >= kAskAgain) due.push_back(number);
+void TenantQuotas::CheckQuestion(const TenantId& tenant, Account& account,
+                                 TimeMs now, Decisions& decisions) {
+  if (!account.question) {
+    const bool asks = !account.waiting.empty() && now >= account.next_question;
+    if (asks) SendQuestion(tenant, account, now);
+    return;
   }
-  for (const std::uint64_t number : due) {
-    const auto it = m_questions.find(number);
-    // An earlier decision may have ended the request.
-    if (it == m_questions.end()) continue;
-    if (now - it->second.asked >= kNoAnswerTime) {
-      Decide(number, {QuotaVerdict::kNoAnswer, kNoAnswerRetryAfter});
-    } else {
-      SendAsk(number, it->second, now);
+  Question& question = *account.question;
+  if (now - question.asked >= kNoAnswerTime) {
+    m_questions.erase(question.ask.number);
+    account.question.reset();
+    for (Waiting& waiting : account.waiting) {
+      decisions.push_back({std::move(waiting.on_decision),
+                           {QuotaVerdict::kNoAnswer, kNoAnswerRetryAfter}});
     }
+    account.waiting.clear();
+  } else if (now - question.last_sent >= kAskAgain) {
+    question.last_sent = now;
+    AskIssuer(AskQuota(question.ask), now);
+  }
+}
+
+void TenantQuotas::Tell(const Decisions& decisions) {
+  for (const Decided& decided : decisions) {
+    decided.on_decision(decided.decision);
   }
 }
 
--- a/lib/protocol/fleet/quota_codec.cc
+++ b/lib/protocol/fleet/quota_codec.cc
@@ -37,6 +37,7 @@
   json["type"] = kLend;
   json["node"] = lend.node.str();
   json["pool"] = lend.pool.value();
+  json["number"] = lend.number;
   json["share"] = lend.share;
   json["stamp"] = Encode(lend.stamp);
   return json;
@@ -47,6 +48,7 @@
   json["type"] = kAccept;
   json["issuer"] = accept.issuer.str();
   json["pool"] = accept.pool.value();
+  json["number"] = accept.number;
   json["stamp"] = Encode(accept.stamp);
   return json;
 }
@@ -61,6 +63,7 @@
   json["burst"] = ask.quota.burst;
   json["version"] = ask.version.value();
   json["amount"] = ask.amount;
+  json["waiting"] = ask.waiting;
   json["wanted"] = ask.wanted;
   json["max_wait_ms"] = ask.max_wait.ms();
   return json;
@@ -78,7 +81,8 @@
 LendQuota DecodeLend(const Json& json) {
   LendQuota lend{json.at("node").get<NodeId>(),
                  QuotaPool(GetUnsigned(json.at("pool"))),
-                 AmountOf(json.at("share")), DecodeStamp(json.at("stamp"))};
+                 GetUnsigned(json.at("number")), AmountOf(json.at("share")),
+                 DecodeStamp(json.at("stamp"))};
   if (lend.share > 1 || lend.pool.value() >= kQuotaPools) {
     throw Json::other_error::create(501, "share or pool out of range", &json);
   }
@@ -94,6 +98,7 @@
   ask.quota.burst = AmountOf(json.at("burst"));
   ask.version = Revision(GetUnsigned(json.at("version")));
   ask.amount = AmountOf(json.at("amount"));
+  ask.waiting = AmountOf(json.at("waiting"));
   ask.wanted = AmountOf(json.at("wanted"));
   ask.max_wait = DurationOf(json.at("max_wait_ms"));
   return ask;
@@ -111,6 +116,7 @@
   if (type == kAccept) {
     return AcceptQuota{json.at("issuer").get<NodeId>(),
                        QuotaPool(GetUnsigned(json.at("pool"))),
+                       GetUnsigned(json.at("number")),
                        DecodeStamp(json.at("stamp"))};
   }
   if (type == kAsk) return DecodeAsk(json);
--- a/lib/transport/fleet/exchange_quota.cc
+++ b/lib/transport/fleet/exchange_quota.cc
@@ -43,6 +43,13 @@
       return;
     case QuotaVerdict::kOverQuota:
       m_context.node.metrics.over_quota.Add();
+      m_context.node.log.Event("over_quota")
+          .Text("request", m_meta.attempt.str())
+          .Text("tenant", m_tenant.str())
+          .Real("units", QuotaUnits())
+          .Real("rate_per_second", m_quota.rate_per_second)
+          .Real("burst", m_quota.burst)
+          .Ms("wait_ms", decision.wait);
       RefuseWith(kTooManyRequests, "over quota",
                  HonouredRetryAfter(decision.wait, now));
       return;
--- a/lib/transport/fleet/quota_keeper.cc
+++ b/lib/transport/fleet/quota_keeper.cc
@@ -1,5 +1,6 @@
 #include "yuccamoor/transport/fleet/quota_keeper.h"
 
+#include <cmath>
 #include <cstdint>
 #include <utility>
 
@@ -12,6 +13,8 @@
 constexpr char kMembersName[] = "quota-members";
 // Nodes that start together become members in few writes.
 constexpr DurationMs kMembersInterval{1'000};
+// Smaller changes of what is lent to this node are not logged.
+constexpr double kLoggedChange = 0.2;
 
 // A number that no other process of any node has, and that is not zero.
 std::uint64_t ProcessNumber(const NodeContext& context) {
@@ -79,7 +82,24 @@
                     });
 }
 
+void QuotaKeeper::NoteIssued() {
+  for (std::uint64_t pool = 0; pool < kQuotaPools; ++pool) {
+    const double share = m_quotas.issuer().ShareOf(QuotaPool(pool));
+    const NodeId& issuer = m_quotas.IssuerOf(QuotaPool(pool));
+    Issued& logged = m_logged[pool];
+    const bool is_same = issuer == logged.issuer &&
+                         std::abs(share - logged.share) < kLoggedChange;
+    if (is_same) continue;
+    logged = {issuer, share};
+    m_context.log.Event("quota_issuer")
+        .Number("pool", pool)
+        .Text("issuer", issuer.str())
+        .Real("share_issued_here", share);
+  }
+}
+
 void QuotaKeeper::NoteState(TimeMs now) {
+  NoteIssued();
   const double part = m_quotas.share().Part(now);
   m_context.metrics.quota_share.Set(part);
   if (part == m_logged_part) return;
