Share an engine's room fairly between tenants

By time left alone, a tenant that sends far more than its share of an engine kept the prompts of all others waiting at the engine's holder until they were late.

FairOrder queues by tenant inside a priority (start-time fair queueing with a bounded credit); tenants whose use differs little still go by time left, and prompts without tenants go exactly as before. The tenant travels with the request for admission.

A queued prompt is also quoted a wait that takes account of later prompts which go before it: it was held with a short quote until its caller left. A refusal names the time at which there is room, also when that is late.

--- a/include/yuccamoor/coordination/fleet/prompt_queue.h
+++ b/include/yuccamoor/coordination/fleet/prompt_queue.h
@@ -9,38 +9,19 @@
 #ifndef YUCCAMOOR_COORDINATION_FLEET_PROMPT_QUEUE_H_
 #define YUCCAMOOR_COORDINATION_FLEET_PROMPT_QUEUE_H_
 
-#include <compare>
-#include <cstdint>
 #include <map>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/fair_order.h"
+#include "yuccamoor/coordination/fleet/pending_prompt.h"
 #include "yuccamoor/coordination/fleet/prefill_pacing.h"
+#include "yuccamoor/coordination/fleet/queue_progress.h"
 #include "yuccamoor/state/clock.h"
-#include "yuccamoor/state/ids.h"
 
 namespace yuccamoor::fleet {
 
-/// Identifies a request for admission: the node, and its number there.
-struct AdmissionId {
-  NodeId node;
-  std::uint64_t number = 0;
-
-  friend auto operator<=>(const AdmissionId&, const AdmissionId&) = default;
-};
-
-/// A prompt that a node wants to send.
-struct PendingPrompt {
-  AdmissionId id;
-  std::uint32_t tokens = 0;
-  /// 0 is the highest priority.
-  int priority = 0;
-  /// The prompt has to be sent by this time for its request to be on time.
-  TimeMs send_by;
-};
-
 /// The prompts that wait for one engine, and those that were admitted and not
-/// yet sent. Prompts that can still be on time come first, by priority and then
-/// by the time that they have left.
+/// yet sent. FairOrder decides on the order.
 class PromptQueue {
  public:
   /// Returns the estimated time until the prompt may be sent. Zero admits it:
@@ -48,7 +29,8 @@
   DurationMs Quote(const PendingPrompt& prompt, const PrefillLoad& load,
                    TimeMs now);
   /// Queues a prompt until it is admitted, or refreshes it. A prompt that is
-  /// not refreshed expires. Returns the estimated time until it is admitted.
+  /// not refreshed expires. Returns the estimated time until it is admitted,
+  /// which grows while later prompts go before it or before one ahead of it.
   DurationMs Enqueue(const PendingPrompt& prompt, const PrefillLoad& load,
                      TimeMs now);
   /// Records that a prompt was sent: the load that is passed in contains it
@@ -61,25 +43,33 @@
 
  private:
   struct Reservation {
-    std::uint32_t tokens = 0;
+    PendingPrompt prompt;
+    TimeMs arrived_at;
     TimeMs expires;
+    /// The engine's load contains the prompt, but not its request yet.
+    bool sent = false;
   };
   struct QueuedPrompt {
     PendingPrompt prompt;
     TimeMs queued_at;
     TimeMs refreshed_at;
+    QueueProgress progress;
   };
 
   void Expire(TimeMs now);
+  FairOrder::Prompts Waiting() const;
   PrefillLoad WithReservations(PrefillLoad load) const;
-  DurationMs WaitBehind(const PendingPrompt& prompt, const PrefillLoad& load,
+  /// Returns the estimated wait of \p asked, which need not be in the queue.
+  DurationMs WaitBehind(const QueuedPrompt& asked, const PrefillLoad& load,
                         TimeMs now) const;
-  void Reserve(const PendingPrompt& prompt, TimeMs now);
-  static bool GoesBefore(const PendingPrompt& first,
-                         const PendingPrompt& second, TimeMs now);
+  void Reserve(const QueuedPrompt& queued, TimeMs now);
+  /// Drops the reservation of a prompt that was not sent, if it has one.
+  void CancelReservation(const AdmissionId& id);
+  std::vector<QueuedPrompt>::iterator Find(const AdmissionId& id);
 
   std::map<AdmissionId, Reservation> m_reserved;
   std::vector<QueuedPrompt> m_queue;
+  FairOrder m_order;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -113,6 +113,8 @@
   AdapterRevision least_version;
   std::uint32_t prompt_tokens = 0;
   int priority = 0;
+  /// Empty if the request has none.
+  TenantId tenant;
   /// How much time is left until the prompt has to be sent to be on time; not
   /// positive if it is late.
   DurationMs send_within{0};
--- a/include/yuccamoor/transport/fleet/admission_client.h
+++ b/include/yuccamoor/transport/fleet/admission_client.h
@@ -24,6 +24,8 @@
   EndpointQuery query;
   std::uint32_t prompt_tokens = 0;
   int priority = 0;
+  /// Empty if the request has none.
+  TenantId tenant;
   /// The prompt has to be sent by this time for the request to be on time.
   TimeMs send_by;
 };
--- a/lib/coordination/fleet/prompt_queue.cc
+++ b/lib/coordination/fleet/prompt_queue.cc
@@ -1,6 +1,8 @@
 #include "yuccamoor/coordination/fleet/prompt_queue.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 namespace yuccamoor::fleet {
 
@@ -26,97 +28,132 @@
 }  // namespace
 
 void PromptQueue::Expire(TimeMs now) {
-  std::erase_if(m_reserved,
-                [now](const auto& item) { return now >= item.second.expires; });
+  std::erase_if(m_reserved, [this, now](const auto& item) {
+    const Reservation& reservation = item.second;
+    if (now < reservation.expires) return false;
+    if (!reservation.sent) m_order.OnReturned(reservation.prompt);
+    return true;
+  });
   std::erase_if(m_queue, [now](const QueuedPrompt& queued) {
     return now - queued.refreshed_at > kQueuedLifetime;
   });
+  m_order.Rebase(Waiting(), now);
+}
+
+FairOrder::Prompts PromptQueue::Waiting() const {
+  FairOrder::Prompts prompts;
+  prompts.reserve(m_queue.size());
+  for (const QueuedPrompt& queued : m_queue) prompts.push_back(&queued.prompt);
+  return prompts;
 }
 
 PrefillLoad PromptQueue::WithReservations(PrefillLoad load) const {
   for (const auto& [id, reservation] : m_reserved) {
     ++load.requests;
-    load.backlog = load.backlog + ReservedPrefill(reservation.tokens);
+    // The request itself is reported a moment after its prompt.
+    if (reservation.sent) continue;
+    load.backlog = load.backlog + ReservedPrefill(reservation.prompt.tokens);
   }
   return load;
 }
 
-bool PromptQueue::GoesBefore(const PendingPrompt& first,
-                             const PendingPrompt& second, TimeMs now) {
-  const bool first_late = now > first.send_by;
-  const bool second_late = now > second.send_by;
-  if (first_late != second_late) return second_late;
-  if (first.priority != second.priority) {
-    return first.priority < second.priority;
-  }
-  return first.send_by < second.send_by;
-}
-
-DurationMs PromptQueue::WaitBehind(const PendingPrompt& prompt,
+DurationMs PromptQueue::WaitBehind(const QueuedPrompt& asked,
                                    const PrefillLoad& load, TimeMs now) const {
-  DurationMs ahead{0};
+  const PrefillLoad reserved = WithReservations(load);
+  std::vector<const QueuedPrompt*> waiting{&asked};
+  FairOrder::Prompts prompts{&asked.prompt};
   for (const QueuedPrompt& queued : m_queue) {
-    if (queued.prompt.id == prompt.id) continue;
-    if (GoesBefore(queued.prompt, prompt, now)) {
-      ahead = ahead + ReservedPrefill(queued.prompt.tokens);
-    }
+    if (queued.prompt.id == asked.prompt.id) continue;
+    waiting.push_back(&queued);
+    prompts.push_back(&queued.prompt);
+  }
+  DurationMs ahead{0};
+  // A prompt does not start before one ahead of it.
+  DurationMs slowest{0};
+  for (const std::size_t position : m_order.Sort(prompts, now)) {
+    const QueuedPrompt& next = *waiting[position];
+    const DurationMs wait =
+        ahead + PromptWait(reserved, OfferOf(next.prompt, now));
+    const DurationMs expected =
+        next.progress.ExpectedWait(wait, now - next.queued_at);
+    if (expected > wait) slowest = std::max(slowest, expected);
+    if (&next == &asked) return std::max(wait, slowest);
+    ahead = ahead + ReservedPrefill(next.prompt.tokens);
   }
-  return ahead + PromptWait(WithReservations(load), OfferOf(prompt, now));
+  return ahead;
 }
 
-void PromptQueue::Reserve(const PendingPrompt& prompt, TimeMs now) {
-  m_reserved[prompt.id] = {prompt.tokens, now + kReservationTime};
+void PromptQueue::Reserve(const QueuedPrompt& queued, TimeMs now) {
+  m_reserved[queued.prompt.id] = {queued.prompt, queued.queued_at,
+                                  now + kReservationTime, false};
+  m_order.OnAdmitted(queued.prompt);
+}
+
+void PromptQueue::CancelReservation(const AdmissionId& id) {
+  const auto it = m_reserved.find(id);
+  if (it == m_reserved.end()) return;
+  if (!it->second.sent) m_order.OnReturned(it->second.prompt);
+  m_reserved.erase(it);
+}
+
+std::vector<PromptQueue::QueuedPrompt>::iterator PromptQueue::Find(
+    const AdmissionId& id) {
+  return std::find_if(
+      m_queue.begin(), m_queue.end(),
+      [&id](const QueuedPrompt& queued) { return queued.prompt.id == id; });
 }
 
 DurationMs PromptQueue::Quote(const PendingPrompt& prompt,
                               const PrefillLoad& load, TimeMs now) {
   Expire(now);
-  m_reserved.erase(prompt.id);
-  const DurationMs wait = WaitBehind(prompt, load, now);
-  if (wait == DurationMs(0)) Reserve(prompt, now);
+  CancelReservation(prompt.id);
+  const QueuedPrompt asked{prompt, now, now, {}};
+  const DurationMs wait = WaitBehind(asked, load, now);
+  if (wait == DurationMs(0)) Reserve(asked, now);
   return wait;
 }
 
 DurationMs PromptQueue::Enqueue(const PendingPrompt& prompt,
                                 const PrefillLoad& load, TimeMs now) {
   Expire(now);
-  const auto it = std::find_if(m_queue.begin(), m_queue.end(),
-                               [&prompt](const QueuedPrompt& queued) {
-                                 return queued.prompt.id == prompt.id;
-                               });
+  auto it = Find(prompt.id);
   if (it == m_queue.end()) {
-    m_queue.push_back({prompt, now, now});
-  } else {
-    it->refreshed_at = now;
+    m_queue.push_back({prompt, now, now, {}});
+    it = std::prev(m_queue.end());
   }
+  it->refreshed_at = now;
   // Its admission comes from Admit, which looks at all of them.
-  return std::max(WaitBehind(prompt, load, now), DurationMs(1));
+  return std::max(WaitBehind(*it, load, now), DurationMs(1));
 }
 
 void PromptQueue::OnSent(const AdmissionId& id) {
+  const auto queued = Find(id);
+  if (queued != m_queue.end()) m_queue.erase(queued);
   const auto it = m_reserved.find(id);
-  // The request itself is reported a moment after its prompt.
-  if (it != m_reserved.end()) it->second.tokens = 0;
-  std::erase_if(m_queue, [&id](const QueuedPrompt& queued) {
-    return queued.prompt.id == id;
-  });
+  if (it == m_reserved.end() || it->second.sent) return;
+  Reservation& reservation = it->second;
+  reservation.sent = true;
+  const DurationMs work = ReservedPrefill(reservation.prompt.tokens);
+  for (QueuedPrompt& waiting : m_queue) {
+    waiting.progress.OnSent(work, reservation.arrived_at > waiting.queued_at);
+  }
 }
 
 std::vector<AdmissionId> PromptQueue::Admit(const PrefillLoad& load,
                                             TimeMs now) {
   Expire(now);
   std::vector<AdmissionId> admitted;
-  std::stable_sort(m_queue.begin(), m_queue.end(),
-                   [now](const QueuedPrompt& a, const QueuedPrompt& b) {
-                     return GoesBefore(a.prompt, b.prompt, now);
-                   });
-  while (!m_queue.empty()) {
-    const PendingPrompt prompt = m_queue.front().prompt;
-    if (!AllowsPrompt(WithReservations(load), OfferOf(prompt, now))) break;
-    Reserve(prompt, now);
-    admitted.push_back(prompt.id);
-    m_queue.erase(m_queue.begin());
+  for (const std::size_t position : m_order.Sort(Waiting(), now)) {
+    const QueuedPrompt& next = m_queue[position];
+    const PromptOffer offer = OfferOf(next.prompt, now);
+    if (!AllowsPrompt(WithReservations(load), offer)) break;
+    Reserve(next, now);
+    admitted.push_back(next.prompt.id);
   }
+  std::erase_if(m_queue, [&admitted](const QueuedPrompt& queued) {
+    return std::find(admitted.begin(), admitted.end(), queued.prompt.id) !=
+           admitted.end();
+  });
   return admitted;
 }
 
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -181,6 +181,7 @@
   json["accept_older"] = false;
   json["tokens"] = ask.prompt_tokens;
   json["priority"] = ask.priority;
+  if (!ask.tenant.empty()) json["tenant"] = ask.tenant.str();
   json["send_within_ms"] = ask.send_within.ms();
   json["demand"] = ask.demand;
   json["ready_within_ms"] = ask.ready_within.ms();
@@ -278,6 +279,7 @@
                           : ask.version;
   ask.prompt_tokens = GetUnsigned32(json.at("tokens"));
   ask.priority = json.at("priority").get<int>();
+  if (json.contains("tenant")) ask.tenant = json["tenant"].get<TenantId>();
   ask.send_within = DurationOf(json.at("send_within_ms"));
   ask.demand = GetUnsigned32(json.at("demand"));
   ask.ready_within = DurationOf(json.at("ready_within_ms"));
--- a/lib/transport/fleet/admission_client.cc
+++ b/lib/transport/fleet/admission_client.cc
@@ -81,6 +81,7 @@
     ask.least_version = needs.query.least_version;
     ask.prompt_tokens = needs.prompt_tokens;
     ask.priority = needs.priority;
+    ask.tenant = needs.tenant;
     ask.send_within = needs.send_by - now;
     const WaitingDemand demand = m_dispatcher.DemandFor(ask.adapter);
     ask.demand = std::max<std::uint32_t>(demand.requests, 1);
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -23,7 +23,8 @@
 }
 
 PendingPrompt PromptOf(const AskAdmission& ask, TimeMs now) {
-  return {ask.id, ask.prompt_tokens, ask.priority, now + ask.send_within};
+  return {ask.id, ask.prompt_tokens, ask.priority, now + ask.send_within,
+          ask.tenant};
 }
 
 AskLoad LoadAskOf(const AskAdmission& ask) {
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -184,7 +184,8 @@
       .Text("adapter", ToString(*m_meta.adapter))
       .Ms("expected_in_ms", expected - now)
       .Ms("latest_in_ms", latest - now);
-  Refuse(reason, HonouredRetryAfter(expected - now, now));
+  // An earlier return would find no room.
+  Refuse(reason, expected - now);
   return true;
 }
 
--- a/lib/transport/fleet/exchange_admission.cc
+++ b/lib/transport/fleet/exchange_admission.cc
@@ -7,6 +7,7 @@
   needs.query = MakeQuery(now);
   needs.prompt_tokens = m_meta.prompt_tokens;
   needs.priority = m_priority;
+  needs.tenant = m_tenant;
   needs.send_by = m_request.received + m_route.latency_objective - kPrefillTime;
   return needs;
 }
--- a/unittests/coordination/fleet/admission_fleet_test.cc
+++ b/unittests/coordination/fleet/admission_fleet_test.cc
@@ -243,7 +243,7 @@
     for (const AdmissionAsk& ask : step.asks) {
       const AdmissionId id{m_nodes[node].id, number};
       const PendingPrompt prompt{id, request.tokens, 0,
-                                 request.arrived + DurationMs(680)};
+                                 request.arrived + DurationMs(680), TenantId()};
       Send([this, ask, prompt, adapter = request.adapter] {
         OnAsk(ask, prompt, adapter);
       });
--- a/unittests/coordination/fleet/prompt_queue_test.cc
+++ b/unittests/coordination/fleet/prompt_queue_test.cc
@@ -16,7 +16,8 @@
   return {{NodeId("n" + std::to_string(number)), number},
           tokens,
           priority,
-          send_by};
+          send_by,
+          TenantId()};
 }
 
 PrefillLoad IdleEngine() { return {4, 16, DurationMs(0)}; }
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -127,6 +127,7 @@
   ask.least_version = AdapterRevision(3);
   ask.prompt_tokens = 2'400;
   ask.priority = 1;
+  ask.tenant = TenantId("t1");
   ask.send_within = DurationMs(-20);
   ask.demand = 3;
   ask.ready_within = DurationMs(400);
@@ -141,6 +142,7 @@
   CHECK(decoded.least_version == ask.least_version);
   CHECK(decoded.prompt_tokens == ask.prompt_tokens);
   CHECK(decoded.priority == 1);
+  CHECK(decoded.tenant == ask.tenant);
   CHECK(decoded.send_within == ask.send_within);
   CHECK(decoded.demand == 3);
   CHECK(decoded.ready_within == ask.ready_within);
@@ -271,6 +273,19 @@
   CHECK(std::get<AskAdmission>(*asked).least_version == AdapterRevision(4));
 }
 
+// Nodes of the release before name no tenant.
+TEST_CASE("A request for admission without a tenant is understood",
+          "[fleet][peer]") {
+  AskAdmission ask;
+  ask.engine = EndpointId("e1");
+  ask.adapter = {ModelId("m"), "a1"};
+  const std::string text = EncodePeerMessage(ask);
+  CHECK(text.find("tenant") == std::string::npos);
+  const auto asked = DecodePeerMessage(text);
+  REQUIRE(asked);
+  CHECK(std::get<AskAdmission>(*asked).tenant.empty());
+}
+
 TEST_CASE("Messages with figures out of range are dropped", "[fleet][peer]") {
   TellAdmission told;
   told.answer.quote.engine = EndpointId("e1");
