Read tenants from operators' files

The product's own configuration files could not name tenants; only fleets on the platform could. A file now holds tenants by name with keys, priority and quota. A key that is given twice, in one file or in two owners', an empty key or name, and a wrong quota are findings with file and field.

Keys are secret: findings, differences and config show tell their place or number, and a syntax error no longer quotes what the parser read. Parts without tenants keep their bytes and hashes. The gateway does not ask for keys yet.

--- a/include/yuccamoor/protocol/config/config_schema.h
+++ b/include/yuccamoor/protocol/config/config_schema.h
@@ -25,6 +25,8 @@
   /// A path that starts with '/'.
   kPath,
   kPriority,
+  /// What a quota counts.
+  kQuotaUnit,
   kBoolean,
   /// A whole number within the bounds.
   kInteger,
@@ -37,6 +39,8 @@
   /// An array of elements, at least one.
   kNameList,
   kObjectList,
+  /// An array of secret texts, which no finding shows.
+  kKeyList,
   /// An object by name of objects from "adapter@version" to a whole number.
   kWeights,
 };
--- a/include/yuccamoor/protocol/config/config_text.h
+++ b/include/yuccamoor/protocol/config/config_text.h
@@ -12,6 +12,8 @@
 
 /// The longest name, in characters.
 constexpr std::size_t kLongestConfigName = 64;
+/// The longest key of a tenant, in characters.
+constexpr std::size_t kLongestConfigKey = 256;
 /// The longest path prefix, in characters.
 constexpr std::size_t kLongestConfigPath = 256;
 
@@ -27,6 +29,9 @@
 /// Whether the text is a path of printable characters that starts with '/'.
 bool IsConfigPath(std::string_view text);
 
+/// Whether the text can be a tenant's key: printable characters, no spaces.
+bool IsConfigKey(std::string_view text);
+
 /// Whether the text is "adapter@version".
 bool IsConfigTarget(std::string_view text);
 
--- a/include/yuccamoor/state/config_records.h
+++ b/include/yuccamoor/state/config_records.h
@@ -63,7 +63,7 @@
   OwnerId owner;
   /// The hash of the whole part, adapters included.
   SegmentHash digest;
-  /// Holds the part's cells, services and aliases.
+  /// Holds the part's cells, services, aliases and tenants.
   SegmentHash segment;
   /// The publication that last changed the part.
   Revision revision;
@@ -102,6 +102,7 @@
   std::vector<CellConfig> cells;
   std::vector<ServiceConfig> services;
   std::vector<AliasConfig> aliases;
+  std::vector<TenantConfig> tenants;
   std::vector<AdapterConfig> adapters;
 };
 
--- a/include/yuccamoor/state/config_snapshot.h
+++ b/include/yuccamoor/state/config_snapshot.h
@@ -16,6 +16,7 @@
 
 #include "yuccamoor/state/cell_state.h"
 #include "yuccamoor/state/clock.h"
+#include "yuccamoor/state/fleet/fleet_config.h"
 #include "yuccamoor/state/ids.h"
 #include "yuccamoor/state/priority.h"
 
@@ -101,6 +102,16 @@
   double requests_per_second = 0;
 };
 
+/// A tenant: callers that share priority and quota.
+struct TenantConfig {
+  TenantId id;
+  /// Each names this tenant. Secret: never logged nor shown.
+  std::vector<std::string> keys;
+  /// Precedes that of the adapter.
+  std::optional<Priority> priority;
+  fleet::QuotaSpec quota;
+};
+
 /// An immutable configuration revision. Parts are shared between revisions, so
 /// that a new revision costs what changed.
 class ConfigSnapshot {
@@ -113,6 +124,7 @@
   std::map<ServiceId, std::shared_ptr<const ServiceConfig>> services;
   std::map<std::string, std::shared_ptr<const AliasConfig>, std::less<>>
       aliases;
+  std::map<TenantId, std::shared_ptr<const TenantConfig>> tenants;
   /// The adapters of a snapshot that was made by hand; unused if there are
   /// buckets.
   std::shared_ptr<const AdapterMap> adapters;
--- a/lib/coordination/config/config_checks.cc
+++ b/lib/coordination/config/config_checks.cc
@@ -38,6 +38,36 @@
   std::unordered_map<std::string, const ConfigUnit*> m_owners;
 };
 
+/// Finds keys that name two tenants. Keys are secret: a finding tells where
+/// they are.
+class KeyChecker {
+ public:
+  explicit KeyChecker(Findings& findings) : m_findings(findings) {}
+
+  void Claim(const TenantConfig& tenant, const ConfigUnit& unit) {
+    for (std::size_t i = 0; i < tenant.keys.size(); ++i) {
+      Holder holder{
+          &unit, "/tenants/" + tenant.id.str() + "/keys/" + std::to_string(i)};
+      const auto [it, fresh] = m_holders.emplace(tenant.keys[i], holder);
+      if (fresh) continue;
+      const Holder& other = it->second;
+      m_findings.Add(PlaceIn(unit, holder.pointer), "the key is given twice",
+                     "see " + other.unit->source + " " + other.pointer +
+                         " of owner \"" + other.unit->owner.str() +
+                         "\"; give each tenant keys of its own");
+    }
+  }
+
+ private:
+  struct Holder {
+    const ConfigUnit* unit = nullptr;
+    std::string pointer;
+  };
+
+  Findings& m_findings;
+  std::unordered_map<std::string, Holder> m_holders;
+};
+
 void CheckClaims(const ConfigUnits& units, Findings& findings) {
   ClaimChecker cells("cell", findings);
   ClaimChecker workers("worker", findings);
@@ -45,6 +75,8 @@
   ClaimChecker services("service", findings);
   ClaimChecker aliases("alias", findings);
   ClaimChecker adapters("adapter", findings);
+  ClaimChecker tenants("tenant", findings);
+  KeyChecker keys(findings);
   for (const auto& [owner, unit] : units) {
     for (const CellConfig& cell : unit.cells) {
       const std::string pointer = "/cells/" + cell.id.str();
@@ -61,6 +93,10 @@
     for (const AliasConfig& alias : unit.aliases) {
       aliases.Claim(alias.name, unit, "/aliases/" + alias.name);
     }
+    for (const TenantConfig& tenant : unit.tenants) {
+      tenants.Claim(tenant.id.str(), unit, "/tenants/" + tenant.id.str());
+      keys.Claim(tenant, unit);
+    }
     for (const AdapterConfig& adapter : unit.adapters) {
       adapters.Claim(adapter.id.str(), unit, "/adapters/" + adapter.id.str());
     }
--- a/lib/coordination/config/config_segments.cc
+++ b/lib/coordination/config/config_segments.cc
@@ -26,6 +26,10 @@
     snapshot.aliases.emplace(alias.name,
                              std::shared_ptr<const AliasConfig>(unit, &alias));
   }
+  for (const TenantConfig& tenant : unit->tenants) {
+    snapshot.tenants.emplace(
+        tenant.id, std::shared_ptr<const TenantConfig>(unit, &tenant));
+  }
 }
 
 }  // namespace
--- a/lib/coordination/config/publisher_write.cc
+++ b/lib/coordination/config/publisher_write.cc
@@ -87,12 +87,13 @@
   for (const ManifestUnit& unit : encoded.manifest.units) {
     const std::string& bytes = encoded.segments.at(unit.segment);
     if (bytes.size() <= kKvMaxValueBytes) continue;
-    m_outcome.findings.Add(
-        Place{"owner " + unit.owner.str(), "", 0, 0},
-        "cells, services and aliases need " + std::to_string(bytes.size()) +
-            " bytes, more than the " + std::to_string(kKvMaxValueBytes) +
-            " that the key-value service holds",
-        "split the file over two owners");
+    m_outcome.findings.Add(Place{"owner " + unit.owner.str(), "", 0, 0},
+                           "cells, services, aliases and tenants need " +
+                               std::to_string(bytes.size()) +
+                               " bytes, more than the " +
+                               std::to_string(kKvMaxValueBytes) +
+                               " that the key-value service holds",
+                           "split the file over two owners");
   }
   if (m_outcome.findings.empty()) return false;
   End(PublishStatus::kInvalid, m_root.current.revision);
--- a/lib/protocol/config/config_diff.cc
+++ b/lib/protocol/config/config_diff.cc
@@ -5,12 +5,39 @@
 
 #include <ostream>
 #include <set>
+#include <string>
+#include <string_view>
 
 #include "yuccamoor/protocol/config/config_json.h"
 
 namespace yuccamoor {
 namespace {
 
+/// Whether the pointer is that of a tenant's keys.
+bool IsKeys(const std::string& pointer) {
+  constexpr std::string_view kTenants = "/tenants/";
+  if (!pointer.starts_with(kTenants)) return false;
+  const std::size_t field = pointer.find('/', kTenants.size());
+  return field != std::string::npos && pointer.substr(field) == "/keys";
+}
+
+/// Returns the value with the number of a tenant's keys in place of the keys.
+Json WithoutKeys(const std::string& pointer, const Json& value) {
+  if (IsKeys(pointer)) return std::to_string(value.size()) + " keys";
+  if (!value.is_object()) return value;
+  Json shown = Json::object();
+  for (const auto& [name, member] : value.items()) {
+    std::string below = pointer;
+    below.append("/").append(name);
+    shown[name] = WithoutKeys(below, member);
+  }
+  return shown;
+}
+
+std::string Shown(const std::string& pointer, const Json* value) {
+  return value == nullptr ? "" : WithoutKeys(pointer, *value).dump();
+}
+
 /// Collects what differs between two values, objects member by member and
 /// anything else as a whole.
 void Compare(const OwnerId& owner, const std::string& pointer,
@@ -20,8 +47,8 @@
   const bool descend = before != nullptr && after != nullptr &&
                        before->is_object() && after->is_object();
   if (!descend) {
-    found.push_back({owner, pointer, before == nullptr ? "" : before->dump(),
-                     after == nullptr ? "" : after->dump()});
+    found.push_back(
+        {owner, pointer, Shown(pointer, before), Shown(pointer, after)});
     return;
   }
   std::set<std::string> names;
--- a/lib/protocol/config/config_json.cc
+++ b/lib/protocol/config/config_json.cc
@@ -15,6 +15,9 @@
     {Priority::kBackground, "background"},
 }};
 
+constexpr std::string_view kRequestsName = "requests";
+constexpr std::string_view kTokensName = "tokens";
+
 /// Reads the member into \p value if it is there.
 template <class T>
 void ReadOptional(const Json& json, const char* name, T& value) {
@@ -148,6 +151,46 @@
   return alias;
 }
 
+Json QuotaToJson(const fleet::QuotaSpec& quota) {
+  const bool tokens = quota.unit == fleet::QuotaUnit::kTokens;
+  return Json{{"unit", tokens ? kTokensName : kRequestsName},
+              {"per_second", quota.rate_per_second},
+              {"burst", quota.burst},
+              {"plain_tokens", quota.plain_tokens}};
+}
+
+fleet::QuotaSpec QuotaFromJson(const Json& json) {
+  fleet::QuotaSpec quota;
+  std::string unit(kRequestsName);
+  ReadOptional(json, "unit", unit);
+  quota.unit = QuotaUnitFromName(unit).value_or(quota.unit);
+  json.at("per_second").get_to(quota.rate_per_second);
+  quota.burst = quota.rate_per_second;
+  ReadOptional(json, "burst", quota.burst);
+  ReadOptional(json, "plain_tokens", quota.plain_tokens);
+  return quota;
+}
+
+Json TenantToJson(const TenantConfig& tenant) {
+  Json json{{"keys", tenant.keys}};
+  if (tenant.priority) json["priority"] = PriorityName(*tenant.priority);
+  if (tenant.quota.is_limited()) json["quota"] = QuotaToJson(tenant.quota);
+  return json;
+}
+
+TenantConfig TenantFromJson(const std::string& id, const Json& json) {
+  TenantConfig tenant;
+  tenant.id = TenantId(id);
+  json.at("keys").get_to(tenant.keys);
+  const auto priority = json.find("priority");
+  if (priority != json.end()) {
+    tenant.priority = PriorityFromName(priority->get<std::string>());
+  }
+  const auto quota = json.find("quota");
+  if (quota != json.end()) tenant.quota = QuotaFromJson(*quota);
+  return tenant;
+}
+
 }  // namespace
 
 std::string_view PriorityName(Priority priority) {
@@ -164,6 +207,21 @@
   return Priority::kNormal;
 }
 
+std::optional<fleet::QuotaUnit> QuotaUnitFromName(std::string_view name) {
+  if (name == kRequestsName) return fleet::QuotaUnit::kRequests;
+  if (name == kTokensName) return fleet::QuotaUnit::kTokens;
+  return std::nullopt;
+}
+
+Json UnitToShow(const ConfigUnit& unit) {
+  Json json = UnitToJson(unit);
+  if (unit.tenants.empty()) return json;
+  for (Json& tenant : json["tenants"]) {
+    tenant["keys"] = std::to_string(tenant["keys"].size()) + " keys";
+  }
+  return json;
+}
+
 Json UnitToJson(const ConfigUnit& unit) {
   Json json;
   json["owner"] = unit.owner;
@@ -186,6 +244,10 @@
   for (const AdapterConfig& adapter : unit.adapters) {
     json["adapters"][adapter.id.str()] = AdapterToJson(adapter);
   }
+  // Parts without tenants keep the bytes, and so the hash, that they had.
+  for (const TenantConfig& tenant : unit.tenants) {
+    json["tenants"][tenant.id.str()] = TenantToJson(tenant);
+  }
   return json;
 }
 
@@ -205,6 +267,9 @@
     unit.adapters.push_back(AdapterFromJson(id, adapter));
     unit.adapters.back().owner = unit.owner;
   }
+  for (const auto& [id, tenant] : MemberOrEmpty(json, "tenants").items()) {
+    unit.tenants.push_back(TenantFromJson(id, tenant));
+  }
   return unit;
 }
 
--- a/lib/protocol/config/config_schema.cc
+++ b/lib/protocol/config/config_schema.cc
@@ -17,6 +17,10 @@
 constexpr double kMostCells = 1'000;
 constexpr double kMostServices = 1'000;
 constexpr double kMostCalls = 256;
+constexpr double kMostTenants = 10'000;
+constexpr double kMostKeys = 64;
+constexpr double kMostUnits = 100'000'000;
+constexpr double kMostTokens = 1'000'000;
 constexpr double kMostPerSecond = 1'000'000;
 constexpr double kMostMs = 3'600'000;
 
@@ -107,6 +111,31 @@
 };
 constexpr ObjectSchema kService = Object("Service", kServiceFields);
 
+constexpr std::array kQuotaFields{
+    FieldSchema{"unit", FieldType::kQuotaUnit, false, 0, 0, nullptr, "requests",
+                "What it counts: requests or tokens."},
+    FieldSchema{"per_second", FieldType::kNumber, true, 0.001, kMostUnits,
+                nullptr, "", "Units per second over all gateways together."},
+    FieldSchema{"burst", FieldType::kNumber, false, 0, kMostUnits, nullptr,
+                "one second's",
+                "Units that may be saved up while fewer are used."},
+    FieldSchema{"plain_tokens", FieldType::kInteger, false, 0, kMostTokens,
+                nullptr, "0",
+                "Tokens that a request counts which states none."},
+};
+constexpr ObjectSchema kQuota = Object("Quota", kQuotaFields);
+
+constexpr std::array kTenantFields{
+    FieldSchema{"keys", FieldType::kKeyList, true, 1, kMostKeys, nullptr, "",
+                "The keys by which its callers are known. Secret: no report "
+                "shows them."},
+    FieldSchema{"priority", FieldType::kPriority, false, 0, 0, nullptr,
+                "that of the adapter", "Goes before the adapter's."},
+    FieldSchema{"quota", FieldType::kObject, false, 0, 0, &kQuota, "no limit",
+                "What it may use."},
+};
+constexpr ObjectSchema kTenant = Object("Tenant", kTenantFields);
+
 constexpr std::array kFileFields{
     FieldSchema{"owner", FieldType::kName, true, 0, 0, nullptr, "",
                 "Who owns what the file holds. A publication replaces all "
@@ -122,6 +151,8 @@
                 "share is fixed by a hash of its key."},
     FieldSchema{"services", FieldType::kMap, false, 0, kMostServices, &kService,
                 "none", "Plain services by name."},
+    FieldSchema{"tenants", FieldType::kMap, false, 0, kMostTenants, &kTenant,
+                "none", "Tenants by name."},
 };
 constexpr ObjectSchema kFile = Object("File", kFileFields);
 
@@ -137,6 +168,10 @@
       return "path";
     case FieldType::kPriority:
       return "priority";
+    case FieldType::kQuotaUnit:
+      return "requests or tokens";
+    case FieldType::kKeyList:
+      return "list of keys";
     case FieldType::kBoolean:
       return "true or false";
     case FieldType::kInteger:
--- a/lib/protocol/config/config_schema_check.cc
+++ b/lib/protocol/config/config_schema_check.cc
@@ -96,6 +96,7 @@
         return;
       case FieldType::kNameList:
       case FieldType::kObjectList:
+      case FieldType::kKeyList:
         CheckList(json, field, place);
         return;
       default:
@@ -124,6 +125,14 @@
         Require(PriorityName(PriorityFromName(text)) == text, place,
                 "unknown priority", "one of interactive, normal, background");
         return;
+      case FieldType::kQuotaUnit:
+        Require(QuotaUnitFromName(text).has_value(), place,
+                "unknown quota unit", "one of requests, tokens");
+        return;
+      case FieldType::kKeyList:
+        Require(IsConfigKey(text), place, "not a key",
+                "use 1 to 256 printable characters without spaces");
+        return;
       default:
         CheckName(text, place);
     }
--- a/lib/protocol/config/config_text.cc
+++ b/lib/protocol/config/config_text.cc
@@ -20,6 +20,8 @@
          (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
 }
 
+bool IsPrintable(char c) { return c > ' ' && c <= '~'; }
+
 bool IsIpAddress(const std::string& host) {
   std::array<unsigned char, sizeof(in6_addr)> bytes{};
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
@@ -54,8 +56,12 @@
 
 bool IsConfigPath(std::string_view text) {
   return !text.empty() && text.size() <= kLongestConfigPath && text[0] == '/' &&
-         std::all_of(text.begin(), text.end(),
-                     [](char c) { return c > ' ' && c <= '~'; });
+         std::all_of(text.begin(), text.end(), IsPrintable);
+}
+
+bool IsConfigKey(std::string_view text) {
+  return !text.empty() && text.size() <= kLongestConfigKey &&
+         std::all_of(text.begin(), text.end(), IsPrintable);
 }
 
 bool IsConfigTarget(std::string_view text) {
--- a/lib/protocol/json.cc
+++ b/lib/protocol/json.cc
@@ -45,6 +45,13 @@
   return false;
 }
 
+/// Returns the parser's reason without the text that it read, which may be
+/// secret.
+std::string ReasonOf(const Json::exception& error) {
+  const std::string reason = error.what();
+  return reason.substr(0, reason.find("; last read:"));
+}
+
 }  // namespace
 
 Json ParseUntrusted(std::string_view text) {
@@ -94,7 +101,7 @@
     return ParseUntrusted(text);
   } catch (const Json::parse_error& error) {
     return Findings(Finding{PlaceOfByte(text, error.byte, source),
-                            "JSON syntax error", error.what()});
+                            "JSON syntax error", ReasonOf(error)});
   } catch (const Json::exception& error) {
     // A number that no double holds, or too deep a nesting: there is no place.
     return Findings(Finding{Place{source, "", 0, 0}, "unreadable JSON value",
--- a/tools/yuccamoorctl/config_commands.cc
+++ b/tools/yuccamoorctl/config_commands.cc
@@ -40,7 +40,8 @@
                       {"cells", unit.cells.size()},
                       {"adapters", unit.adapters.size()},
                       {"aliases", unit.aliases.size()},
-                      {"services", unit.services.size()}});
+                      {"services", unit.services.size()},
+                      {"tenants", unit.tenants.size()}});
   }
   return Json{{"revision", outcome.revision}, {"owners", std::move(owners)}};
 }
@@ -59,7 +60,7 @@
   if (owner.empty()) return CommandResult{0, Summary(outcome), {}};
   const auto it = outcome.before.find(OwnerId(owner));
   if (it != outcome.before.end()) {
-    return CommandResult{0, UnitToJson(it->second), {}};
+    return CommandResult{0, UnitToShow(it->second), {}};
   }
   std::string owners;
   for (const auto& [known, unit] : outcome.before) owners += " " + known.str();
