--- a/include/yuccamoor/transport/fleet/admission_server.h
+++ b/include/yuccamoor/transport/fleet/admission_server.h
@@ -35,6 +35,7 @@
  private:
   AdmissionAnswer Answer(const AskAdmission& ask, const Endpoint& engine,
                          TimeMs now);
+  void LogAnswer(const AskAdmission& ask, const AdmissionAnswer& answer) const;
   CopyChoice ChooseCopies(const AskAdmission& ask, const Endpoint& engine,
                           bool holds, TimeMs now);
   void AskForCopies(const AskAdmission& ask,
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -61,17 +61,24 @@
   if (serves) {
     told.answer = Answer(ask, *engine, now);
   }
-  m_context.log.Event("admission_answer")
-      .Text("node", ask.id.node.str())
+  LogAnswer(ask, told.answer);
+  m_send(ask.id.node, told);
+}
+
+void AdmissionServer::LogAnswer(const AskAdmission& ask,
+                                const AdmissionAnswer& answer) const {
+  auto line = m_context.log.Event("admission_answer");
+  line.Text("node", ask.id.node.str())
       .Number("number", ask.id.number)
       .Text("engine", ask.engine.str())
       .Text("adapter", ToString(ask.adapter))
-      .Ms("adapter_wait_ms",
-          told.answer.quote.adapter_wait.value_or(DurationMs(-1)))
-      .Ms("prompt_wait_ms", told.answer.quote.prompt_wait)
-      .Number("load", told.answer.quote.requests)
-      .Number("choices", told.answer.choices.size());
-  m_send(ask.id.node, told);
+      .Ms("adapter_wait_ms", answer.quote.adapter_wait.value_or(DurationMs(-1)))
+      .Ms("prompt_wait_ms", answer.quote.prompt_wait)
+      .Number("load", answer.quote.requests)
+      .Number("choices", answer.choices.size());
+  if (!ask.tenant.empty()) {
+    line.Text("tenant", ask.tenant.str()).Number("priority", ask.priority);
+  }
 }
 
 AdmissionAnswer AdmissionServer::Answer(const AskAdmission& ask,
