Tell of a loaded adapter when the engine says that it holds it

A holder took a load for complete after the time that a load usually takes.

The load's order is now repeated at the expected time, and then after each tenth of the time that it has taken. The engine answers that the order already holds once the adapter is in place; until then it does not count the order. Waiting for the engine's report instead would cost up to 350 ms.

--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -109,7 +109,9 @@
 /// orders the engine to hold more adapters than it has slots, even when the
 /// outcome of an order is unknown. Such an order cannot take effect after a
 /// later one was accepted, because it names the expected count of accepted
-/// orders.
+/// orders. An adapter counts as loaded once the engine has said so: when a load
+/// should be complete, its order is repeated until the engine answers that it
+/// already holds the adapter.
 class EngineHost {
  public:
   /// Neither orders nor report fetches are issued before
@@ -171,6 +173,8 @@
   struct AdapterSlot {
     AdapterSlotState state = AdapterSlotState::kLoading;
     AdapterRevision version;
+    TimeMs ordered_at;
+    // When the load is expected to be complete, or is checked again.
     TimeMs ready_at;
     TimeMs loaded_at;
     TimeMs retired_at;
@@ -195,7 +199,9 @@
     std::map<NodeId, Requester> requesters;
   };
 
-  void FinishLoads(TimeMs now);
+  std::optional<EngineOrder> NextConfirmation(TimeMs now) const;
+  void ApplyConfirmation(const AdapterRef& adapter, OrderOutcome outcome,
+                         TimeMs now);
   void CollectNotices(std::vector<LoadNotice>& notices);
   bool IsLoaded(const QueuedLoad& queued) const;
   std::optional<EngineOrder> NextOrder(TimeMs now);
@@ -244,6 +250,8 @@
   std::map<AdapterRef, AdapterSlot> m_slots;
   std::list<QueuedLoad> m_queue;
   std::optional<EngineOrder> m_order_in_flight;
+  // Whether that order repeats a load to learn whether it is complete.
+  bool m_order_confirms = false;
   // Adapters that are probably still in the engine's host memory, most recently
   // loaded first.
   std::list<AdapterRef> m_in_host_memory;
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -119,6 +119,11 @@
     Resync(now + kReportLag);
     return;
   }
+  if (m_order_confirms) {
+    ApplyConfirmation(m_order_in_flight->adapter, outcome, now);
+    m_order_in_flight.reset();
+    return;
+  }
   if (outcome == OrderOutcome::kUnknown) {
     // The slot is still counted as free. The order can take effect only while
     // the engine's count of accepted orders is unchanged: once the next order
@@ -157,6 +162,7 @@
     return;
   }
   slot.state = AdapterSlotState::kLoading;
+  slot.ordered_at = now;
   slot.ready_at = now + EstimateLoad(m_order_in_flight->adapter);
 }
 
@@ -189,27 +195,18 @@
     actions.fetch_report = true;
   }
   if (!m_synced) return actions;
-  FinishLoads(now);
   CollectNotices(actions.notices);
   RetireLeastUsed(now, actions.retired);
   if (!m_order_in_flight && !m_report_in_flight) {
-    m_order_in_flight = NextOrder(now);
+    // Requests wait for these, so they go first.
+    m_order_in_flight = NextConfirmation(now);
+    m_order_confirms = m_order_in_flight.has_value();
+    if (!m_order_in_flight) m_order_in_flight = NextOrder(now);
     actions.order = m_order_in_flight;
   }
   return actions;
 }
 
-void EngineHost::FinishLoads(TimeMs now) {
-  for (auto& [adapter, slot] : m_slots) {
-    if (slot.state != AdapterSlotState::kLoading || now < slot.ready_at)
-      continue;
-    slot.state = AdapterSlotState::kResident;
-    if (slot.misses == 0) slot.loaded_at = now;
-    slot.last_used = now;
-    RecordInHostMemory(adapter);
-  }
-}
-
 bool EngineHost::IsLoaded(const QueuedLoad& queued) const {
   const auto it = m_slots.find(queued.adapter);
   return it != m_slots.end() &&
--- a/lib/coordination/fleet/engine_host_reports.cc
+++ b/lib/coordination/fleet/engine_host_reports.cc
@@ -30,7 +30,10 @@
       slot.version = version;
       slot.misses = 0;
       slot.ready_at = now + EstimateLoad(adapter);
-      if (known == m_slots.end()) slot.loaded_at = now;
+      if (known == m_slots.end()) {
+        slot.loaded_at = now;
+        slot.ordered_at = now;
+      }
       slots[adapter] = slot;
       RecordInHostMemory(adapter);
     }
--- a/unittests/coordination/fleet/engine_host_test.cc
+++ b/unittests/coordination/fleet/engine_host_test.cc
@@ -24,6 +24,12 @@
     if (order.load && m_replacing.contains(order.adapter)) {
       return OrderOutcome::kAccepted;
     }
+    const auto held = m_adapters.find(order.adapter);
+    if (order.load && held != m_adapters.end() &&
+        held->second >= order.version) {
+      return m_loading.contains(order.adapter) ? OrderOutcome::kAccepted
+                                               : OrderOutcome::kDone;
+    }
     ++m_accepted_orders;
     if (order.load && m_busy.contains(order.adapter)) {
       m_replacing[order.adapter] = order.version;
@@ -39,6 +45,10 @@
     return OrderOutcome::kDone;
   }
 
+  // Loads of this adapter stay incomplete until FinishLoad.
+  void HoldUpLoad(const AdapterRef& adapter) { m_loading[adapter] = {}; }
+  void FinishLoad(const AdapterRef& adapter) { m_loading.erase(adapter); }
+
   void SetBusy(const AdapterRef& adapter) { m_busy[adapter] = {}; }
   void EndRuns(const AdapterRef& adapter) {
     m_busy.erase(adapter);
@@ -66,6 +76,7 @@
   std::uint64_t m_accepted_orders = 0;
   AdapterSet m_adapters;
   AdapterSet m_busy;
+  AdapterSet m_loading;
   // Versions that wait for the runs of older versions to end.
   AdapterSet m_replacing;
   std::size_t m_max_adapters = 0;
@@ -135,6 +146,29 @@
   CHECK(Holds(host, "a1"));
 }
 
+// Requests were sent when a load was expected to be complete, which it was not.
+TEST_CASE("A load that takes longer than expected is not told as complete",
+          "[fleet][engine][load]") {
+  EngineHost host = MakeHost();
+  FakeEngine engine(kSlots);
+  TimeMs now(0);
+  std::vector<LoadNotice> notices;
+  engine.HoldUpLoad(Adapter("a1"));
+  host.Request(MakeRequest("a1"), now);
+  Run(host, engine, now, DurationMs(900), &notices);
+  CHECK(notices.empty());
+  CHECK_FALSE(Holds(host, "a1"));
+  CHECK(host.loads_in_flight() == 1);
+  engine.FinishLoad(Adapter("a1"));
+  Run(host, engine, now, DurationMs(150), &notices);
+  CHECK(notices.size() == 1);
+  CHECK(Holds(host, "a1"));
+  // The repeated orders were not counted: the next one does not conflict.
+  host.Request(MakeRequest("a2"), now);
+  Run(host, engine, now, DurationMs(350), &notices);
+  CHECK(Holds(host, "a2"));
+}
+
 TEST_CASE("No order is given before its time", "[fleet][engine]") {
   EngineHostOptions options;
   options.adapter_slots = kSlots;
