Estimate the loads in flight from the engines heard of lately

In a large fleet a holder took the mean of its last quotes, which rose over some twenty of them. When traffic begins, all engines therefore began several loads at once: up to 223 were in flight where the weight store serves 64 to 72 at full speed, and the loads of the first second took 0.7 to 0.9 s each.

The estimate is now the mean over the engines heard of within 0.7 s, own ones included, and an engine begins further loads only where twice the estimate leaves room.

--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -86,6 +86,8 @@
 struct FleetConditions {
   /// Adapter loads in flight to other engines.
   std::uint32_t loads_elsewhere = 0;
+  /// What these seldom exceed; the same where each node tells its loads.
+  std::uint32_t max_loads_elsewhere = 0;
   /// Interval at which nodes report to each other which adapters they use.
   DurationMs status_interval{250};
   /// Time from the announcement that an adapter is retired until every node
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/adapter_popularity.h"
+#include "yuccamoor/coordination/fleet/concurrent_loads.h"
 #include "yuccamoor/coordination/fleet/endpoint_choice.h"
 #include "yuccamoor/coordination/fleet/fleet_size.h"
 #include "yuccamoor/coordination/fleet/peer_loads.h"
@@ -100,6 +101,8 @@
   void OnLocalHeld(const std::map<EndpointId, HeldEngineStatus>& held);
   /// Adapters on their way to engines that other nodes hold.
   std::uint32_t LoadsElsewhere() const;
+  /// What LoadsElsewhere seldom exceeds in truth.
+  std::uint32_t MaxLoadsElsewhere() const;
 
   /// Whether some node has just said that it cannot reach the store.
   bool SomeNodeWithoutStore() const;
@@ -167,7 +170,7 @@
   // The nodes that use engines of this one.
   std::map<NodeId, PeerUse> m_peer_uses;
   // Means over the engines that were asked lately.
-  double m_mean_loading = 0;
+  ConcurrentLoads m_loads;
   double m_mean_requests = 0;
   // Plain endpoints that have said their load, and when.
   std::map<EndpointId, TimeMs> m_load_told;
--- a/lib/coordination/fleet/engine_host.cc
+++ b/lib/coordination/fleet/engine_host.cc
@@ -304,7 +304,8 @@
   // Every engine may always have one cold load in flight, and more only while
   // the weight store serves them at full speed.
   return !cold || own_loads == 0 ||
-         m_conditions.loads_elsewhere + own_loads < m_options.full_speed_loads;
+         m_conditions.max_loads_elsewhere + own_loads <
+             m_options.full_speed_loads;
 }
 
 std::optional<EngineOrder> EngineHost::OrderFor(const QueuedLoad& queued,
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -308,6 +308,7 @@
   EndpointTable& endpoints = m_context.view.endpoints();
   for (const auto& [engine, state] : held) {
     NoteOrdering(engine, state);
+    m_loads.OnSample(engine, state.loading, now);
     if (endpoints.SetAdapters(engine, state.adapters, now)) {
       NoteHomes(engine, state.adapters);
     }
@@ -359,9 +360,8 @@
 
 std::uint32_t Dispatcher::LoadsElsewhere() const {
   if (IsLarge()) {
-    const auto engines =
-        static_cast<double>(m_context.view.endpoints().all().size());
-    return static_cast<std::uint32_t>(m_mean_loading * engines);
+    return m_loads.Expected(m_context.view.endpoints().all().size(),
+                            m_context.clock.Now());
   }
   std::uint32_t loads = 0;
   for (const auto& [node, peer] : m_peers) {
@@ -370,6 +370,12 @@
   return loads;
 }
 
+std::uint32_t Dispatcher::MaxLoadsElsewhere() const {
+  if (!IsLarge()) return LoadsElsewhere();
+  return m_loads.AtMost(m_context.view.endpoints().all().size(),
+                        m_context.clock.Now());
+}
+
 NodeStatus Dispatcher::TakeStatus() {
   NodeStatus status;
   status.node = m_context.settings.node;
@@ -409,6 +415,7 @@
 
 void Dispatcher::Sweep(TimeMs now) {
   m_popularity.Expire(now);
+  m_loads.Expire(now);
   std::erase_if(m_demand, [this, now](const auto& item) {
     return !m_asked.contains(item.first) &&
            now - item.second.on_time_until > kAskLifetime;
--- a/lib/transport/fleet/dispatcher_large_fleet.cc
+++ b/lib/transport/fleet/dispatcher_large_fleet.cc
@@ -35,7 +35,7 @@
 }
 
 void Dispatcher::OnEngineQuote(const EngineQuote& quote) {
-  m_mean_loading += (quote.loading - m_mean_loading) * kQuoteWeight;
+  m_loads.OnSample(quote.engine, quote.loading, m_context.clock.Now());
   m_mean_requests += (quote.requests - m_mean_requests) * kQuoteWeight;
 }
 
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -233,6 +233,7 @@
   m_dispatcher.OnLocalHeld(m_holder.Status());
   const bool large = m_dispatcher.IsLarge();
   m_holder.SetPace({m_dispatcher.LoadsElsewhere(),
+                    m_dispatcher.MaxLoadsElsewhere(),
                     large ? EngineUseReports::kRepeatInterval : kTellInterval,
                     large ? DurationMs(0) : kRetireTime});
   m_holder.OnTick(now);
--- a/unittests/coordination/fleet/engine_host_test.cc
+++ b/unittests/coordination/fleet/engine_host_test.cc
@@ -93,7 +93,7 @@
 }
 
 FleetConditions MakeConditions(std::uint32_t loads_elsewhere) {
-  return {loads_elsewhere, DurationMs(250), DurationMs(60)};
+  return {loads_elsewhere, loads_elsewhere, DurationMs(250), DurationMs(60)};
 }
 
 LoadRequest MakeRequest(const std::string& name, std::uint32_t demand = 1) {
