Do not load an adapter twice that a busy home has passed on

A busy home left loads to the next engine, and loaded the adapter itself from the weight store at the next request that found it less busy. It also passed on what its engine held lately and loads from host memory in a tenth of the time. It now remembers whom it has passed an adapter on to, for 20 s without requests, and keeps what it held lately.

--- a/include/yuccamoor/coordination/fleet/copy_directory.h
+++ b/include/yuccamoor/coordination/fleet/copy_directory.h
@@ -30,6 +30,8 @@
   EndpointId home;
   /// Whether the home itself holds the adapter.
   bool home_holds = false;
+  /// Whether the home held it lately, and loads it from its host memory.
+  bool home_held_lately = false;
   /// The number of engines that can serve the adapter.
   std::uint32_t engines = 0;
   /// Requests per second to all engines.
@@ -69,7 +71,15 @@
   };
   using Copies = std::map<EndpointId, Copy>;
 
+  // Where an adapter's requests go that a busy home passed on.
+  struct PassedOn {
+    EndpointId engine;
+    TimeMs requested;
+  };
+
   static bool IsBusy(const HomeRequest& request);
+  CopyChoice ChooseSingle(const HomeRequest& request, const Ranking& ranking,
+                          TimeMs now);
   std::uint32_t DesiredCopies(const HomeRequest& request, TimeMs now) const;
   static bool IsReady(const Copy& copy, TimeMs now);
 
@@ -78,6 +88,7 @@
 
   AdapterPopularity m_popularity{kMinRequests};
   std::map<AdapterRef, Copies> m_copies;
+  std::map<AdapterRef, PassedOn> m_passed_on;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -152,6 +152,8 @@
   /// The loaded version of one adapter, as Resident.
   std::optional<AdapterRevision> ResidentVersion(
       const AdapterRef& adapter) const;
+  /// Whether the adapter is probably in the engine's host memory.
+  bool HeldLately(const AdapterRef& adapter) const { return !IsCold(adapter); }
   /// The number of adapter loads in flight.
   std::uint32_t loads_in_flight() const;
   /// Whether adapters can be loaded: the engine's state was read and the model
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -46,6 +46,8 @@
   std::optional<TellQueued> OnAskLoad(const AskLoad& ask);
   /// Whether this node holds the engine.
   bool Holds(const EndpointId& engine) const { return m_held.contains(engine); }
+  /// Whether the engine held the adapter lately, as EngineHost::HeldLately.
+  bool HeldLately(const EndpointId& engine, const AdapterRef& adapter) const;
   /// Whether this node may have adapters loaded by the engine now.
   bool MayLoad(const EndpointId& engine) const;
   /// The version of the adapter that a held engine holds, if it does. Of a base
--- a/lib/coordination/fleet/copy_directory.cc
+++ b/lib/coordination/fleet/copy_directory.cc
@@ -16,6 +16,9 @@
 // suddenly becomes popular are spread over its requests.
 constexpr std::size_t kMaxAsksPerRequest = 2;
 
+// Without requests for this long, an adapter may be loaded by its home again.
+constexpr DurationMs kPassedOnLifetime{20'000};
+
 // A home with more requests in flight than the average engine, by this factor,
 // has its more popular adapters copied, and leaves loads to other engines.
 constexpr double kBusyFactor = 1.4;
@@ -43,19 +46,35 @@
   return copy.confirmed && now - *copy.confirmed < kConfirmedLifetime;
 }
 
+// Returns the choice for an adapter that needs no copies. A home that would
+// have to load it from the weight store leaves that to the next engine while it
+// is busy, and later does not load it a second time.
+CopyChoice CopyDirectory::ChooseSingle(const HomeRequest& request,
+                                       const Ranking& ranking, TimeMs now) {
+  CopyChoice choice;
+  if (request.home_holds || request.home_held_lately) {
+    m_passed_on.erase(request.adapter);
+    return choice;
+  }
+  const auto known = m_passed_on.find(request.adapter);
+  if (known == m_passed_on.end() && !IsBusy(request)) return choice;
+  const std::vector<EndpointId> engines = ranking();
+  if (engines.size() < 2) return choice;
+  const bool usable = known != m_passed_on.end() &&
+                      std::find(engines.begin(), engines.end(),
+                                known->second.engine) != engines.end();
+  const EndpointId engine = usable ? known->second.engine : engines[1];
+  m_passed_on[request.adapter] = {engine, now};
+  choice.choices = {engine};
+  return choice;
+}
+
 CopyChoice CopyDirectory::OnRequest(const HomeRequest& request,
                                     const Ranking& ranking, TimeMs now) {
   m_popularity.AddRequests(request.adapter, 1, now);
   const std::uint32_t desired = DesiredCopies(request, now);
+  if (desired <= 1) return ChooseSingle(request, ranking, now);
   CopyChoice choice;
-  if (desired <= 1) {
-    // A home that would have to load it leaves that to the next engine.
-    const bool pass_on = IsBusy(request) && !request.home_holds;
-    if (!pass_on) return choice;
-    const std::vector<EndpointId> engines = ranking();
-    if (engines.size() > 1) choice.choices = {engines[1]};
-    return choice;
-  }
   Copies& copies = m_copies[request.adapter];
   std::vector<EndpointId> ready;
   if (request.home_holds) ready.push_back(request.home);
@@ -94,6 +113,9 @@
     });
   }
   std::erase_if(m_copies, [](const auto& item) { return item.second.empty(); });
+  std::erase_if(m_passed_on, [now](const auto& item) {
+    return now - item.second.requested > kPassedOnLifetime;
+  });
 }
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -144,6 +144,7 @@
       StableBucketHash(ask.id.node.str() + "#" + std::to_string(ask.id.number));
   request.home = ask.engine;
   request.home_holds = holds;
+  request.home_held_lately = m_holder.HeldLately(ask.engine, ask.adapter);
   request.engines = m_dispatcher.CountEngines(engine.entry.service, now);
   request.fleet_rate = m_dispatcher.FleetRate();
   request.home_requests = engine.load();
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -306,6 +306,12 @@
   return has_model ? std::make_optional(AdapterRevision()) : std::nullopt;
 }
 
+bool EngineHolder::HeldLately(const EndpointId& engine,
+                              const AdapterRef& adapter) const {
+  const auto it = m_held.find(engine);
+  return it != m_held.end() && it->second.host.HeldLately(adapter);
+}
+
 std::uint32_t EngineHolder::LoadsInFlight(const EndpointId& engine) const {
   const auto it = m_held.find(engine);
   return it == m_held.end() ? 0 : it->second.host.loads_in_flight();
--- a/unittests/coordination/fleet/copy_directory_test.cc
+++ b/unittests/coordination/fleet/copy_directory_test.cc
@@ -94,6 +94,35 @@
   }
 }
 
+// Once it was less busy, the home loaded from the weight store what the next
+// engine had loaded for it.
+TEST_CASE("An adapter that a busy home passed on is not loaded twice",
+          "[fleet][copies][large]") {
+  CopyDirectory directory;
+  HomeRequest request = Request(1);
+  request.home_holds = false;
+  request.mean_requests = 4;
+  request.home_requests = 9;
+  const std::vector<EndpointId> next{EndpointId("e1")};
+  REQUIRE(directory.OnRequest(request, Ranking, TimeMs(0)).choices == next);
+  request.home_requests = 4;
+  CHECK(directory.OnRequest(request, Ranking, TimeMs(9'000)).choices == next);
+  directory.Expire(TimeMs(60'000));
+  CHECK(directory.OnRequest(request, Ranking, TimeMs(60'000)).choices.empty());
+}
+
+// Another engine loaded from the weight store what the home's host memory held.
+TEST_CASE("A busy home loads again what it held lately",
+          "[fleet][copies][large]") {
+  CopyDirectory directory;
+  HomeRequest request = Request(1);
+  request.home_holds = false;
+  request.home_held_lately = true;
+  request.mean_requests = 4;
+  request.home_requests = 9;
+  CHECK(directory.OnRequest(request, Ranking, TimeMs(0)).choices.empty());
+}
+
 TEST_CASE("A copy that is no longer confirmed is not chosen",
           "[fleet][copies]") {
   CopyDirectory directory;
