Count requests for the fleet's rate when they come

An adapter gets copies by its share of all requests. The share's denominator counted requests when they were sent to an engine, the numerator when they came: while adapters were being loaded, each popular one seemed to need several times the copies that it needs.

--- a/include/yuccamoor/coordination/fleet/engine_use.h
+++ b/include/yuccamoor/coordination/fleet/engine_use.h
@@ -31,14 +31,17 @@
 /// repeatedly while requests are in flight, as reports may be lost.
 class EngineUseReports {
  public:
-  void OnBegin(const EndpointId& engine, const AdapterRef& adapter, TimeMs now);
+  /// Counts a new request, whether or not an engine can serve it yet.
+  void OnRequest(TimeMs now);
+  void OnBegin(const EndpointId& engine, const AdapterRef& adapter);
   void OnEnd(const EndpointId& engine, const AdapterRef& adapter);
 
   /// Returns the reports that are due, by holder.
   std::map<NodeId, EngineUse> Take(
       const std::map<EndpointId, HolderRecord>& holders, TimeMs now);
 
-  /// The node's requests to engines per second, averaged over a second or two.
+  /// The node's new requests for engines per second, averaged over a second or
+  /// two.
   double RequestRate(TimeMs now) const;
 
   /// Reports are repeated this often while requests are in flight.
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -86,6 +86,8 @@
   void OnPeerStatus(const NodeStatus& status);
   /// Notes how another node uses the engines that this one holds.
   void OnPeerUse(const TellUse& told);
+  /// Counts a new request for an engine.
+  void OnEngineRequest();
   /// Returns what to tell the holders of the engines in use, where it is due.
   std::map<NodeId, TellUse> TakeUse(TimeMs now);
   /// The estimated requests per second of the whole fleet to engines.
--- a/lib/coordination/fleet/engine_use.cc
+++ b/lib/coordination/fleet/engine_use.cc
@@ -17,13 +17,16 @@
 
 }  // namespace
 
+void EngineUseReports::OnRequest(TimeMs now) {
+  m_recent_requests = Decayed(m_recent_requests, m_recent_at, now) + 1;
+  m_recent_at = now;
+}
+
 void EngineUseReports::OnBegin(const EndpointId& engine,
-                               const AdapterRef& adapter, TimeMs now) {
+                               const AdapterRef& adapter) {
   ++m_running[engine][adapter];
   ++m_begun[engine][adapter];
   m_changed.insert(engine);
-  m_recent_requests = Decayed(m_recent_requests, m_recent_at, now) + 1;
-  m_recent_at = now;
 }
 
 void EngineUseReports::OnEnd(const EndpointId& engine,
--- a/lib/transport/fleet/admission_client.cc
+++ b/lib/transport/fleet/admission_client.cc
@@ -21,6 +21,7 @@
 std::unique_ptr<AdmissionTicket> AdmissionClient::Open(AdmissionNeeds needs,
                                                        OnStep on_step) {
   const std::uint64_t number = m_next_number++;
+  m_dispatcher.OnEngineRequest();
   const bool any_engine =
       !needs.query.adapter || needs.query.adapter->name.empty();
   m_searches.emplace(
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -217,7 +217,7 @@
   if (!adapter) return;
   ++m_running[endpoint][*adapter];
   if (IsLarge()) {
-    m_use.OnBegin(endpoint, *adapter, m_context.clock.Now());
+    m_use.OnBegin(endpoint, *adapter);
   } else {
     ++m_begun[endpoint][*adapter];
   }
--- a/lib/transport/fleet/dispatcher_large_fleet.cc
+++ b/lib/transport/fleet/dispatcher_large_fleet.cc
@@ -16,6 +16,8 @@
   ShowPeerLoads(m_peer_loads.Set(told.node, told.use.in_flight));
 }
 
+void Dispatcher::OnEngineRequest() { m_use.OnRequest(m_context.clock.Now()); }
+
 std::map<NodeId, TellUse> Dispatcher::TakeUse(TimeMs now) {
   std::map<NodeId, TellUse> messages;
   for (auto& [holder, use] : m_use.Take(m_context.view.holders(), now)) {
--- a/unittests/coordination/fleet/admission_fleet_test.cc
+++ b/unittests/coordination/fleet/admission_fleet_test.cc
@@ -152,6 +152,7 @@
       if (Uniform() >= expected) continue;
       const std::uint64_t number = m_next_number++;
       const auto tokens = static_cast<std::uint32_t>(200 + Uniform() * 1'500);
+      m_nodes[i].use.OnRequest(m_now);
       m_nodes[i].requests.emplace(
           number, Request{number,
                           DrawAdapter(),
@@ -260,7 +261,7 @@
       m_ages.push_back(m_now - request.answered[id]);
     }
     ++engine.running;
-    m_nodes[node].use.OnBegin(id, request.adapter, m_now);
+    m_nodes[node].use.OnBegin(id, request.adapter);
     Send([this, &engine, admission = AdmissionId{m_nodes[node].id, number},
           tokens = request.tokens] {
       RecordPrompt(engine.endpoint, tokens, m_now);
--- a/unittests/coordination/fleet/engine_use_test.cc
+++ b/unittests/coordination/fleet/engine_use_test.cc
@@ -24,8 +24,8 @@
           "[fleet][use]") {
   EngineUseReports reports;
   CHECK(reports.Take(OneHolder(), TimeMs(0)).empty());
-  reports.OnBegin(kFirst, Adapter("a1"), TimeMs(0));
-  reports.OnBegin(kFirst, Adapter("a1"), TimeMs(0));
+  reports.OnBegin(kFirst, Adapter("a1"));
+  reports.OnBegin(kFirst, Adapter("a1"));
   auto taken = reports.Take(OneHolder(), TimeMs(20));
   REQUIRE(taken.contains(kHolder));
   CHECK(taken[kHolder].in_flight.at(kFirst) == 2);
@@ -43,9 +43,9 @@
     "engines",
     "[fleet][use]") {
   EngineUseReports reports;
-  reports.OnBegin(kFirst, Adapter("a1"), TimeMs(0));
+  reports.OnBegin(kFirst, Adapter("a1"));
   reports.Take(OneHolder(), TimeMs(0));
-  reports.OnBegin(kSecond, Adapter("a2"), TimeMs(100));
+  reports.OnBegin(kSecond, Adapter("a2"));
   auto taken = reports.Take(OneHolder(), TimeMs(100));
   CHECK(taken[kHolder].in_flight.size() == 2);
   // In use, but not requested again.
@@ -57,19 +57,31 @@
 TEST_CASE("Without a holder nothing is reported, and nothing kept",
           "[fleet][use]") {
   EngineUseReports reports;
-  reports.OnBegin(kFirst, Adapter("a1"), TimeMs(0));
+  reports.OnBegin(kFirst, Adapter("a1"));
   CHECK(reports.Take({}, TimeMs(20)).empty());
   const auto taken = reports.Take(OneHolder(), TimeMs(600));
   REQUIRE(taken.contains(kHolder));
   CHECK(taken.at(kHolder).used.at(kFirst).at(Adapter("a1")) == 0);
 }
 
+// Requests that waited for their adapters were not counted, so that an
+// adapter's share of all requests seemed several times as large.
+TEST_CASE("The rate of requests counts those that no engine serves yet",
+          "[fleet][use]") {
+  EngineUseReports reports;
+  reports.OnRequest(TimeMs(0));
+  CHECK(reports.RequestRate(TimeMs(0)) > 0);
+  const double before = reports.RequestRate(TimeMs(100));
+  reports.OnBegin(kFirst, Adapter("a1"));
+  CHECK(reports.RequestRate(TimeMs(100)) == before);
+}
+
 TEST_CASE("The rate of requests follows the last seconds", "[fleet][use]") {
   EngineUseReports reports;
   TimeMs now(0);
   for (int i = 0; i < 100; ++i) {
     now = now + DurationMs(100);
-    reports.OnBegin(kFirst, Adapter("a1"), now);
+    reports.OnRequest(now);
   }
   CHECK(reports.RequestRate(now) > 8);
   CHECK(reports.RequestRate(now) < 12);
