--- a/include/yuccamoor/coordination/fleet/engine_host.h
+++ b/include/yuccamoor/coordination/fleet/engine_host.h
@@ -86,6 +86,8 @@
 struct FleetConditions {
   /// Adapter loads in flight to other engines.
   std::uint32_t loads_elsewhere = 0;
+  /// What these seldom exceed; the same where each node tells its loads.
+  std::uint32_t max_loads_elsewhere = 0;
   /// Interval at which nodes report to each other which adapters they use.
   DurationMs status_interval{250};
   /// Time from the announcement that an adapter is retired until every node
@@ -109,7 +111,9 @@
 /// orders the engine to hold more adapters than it has slots, even when the
 /// outcome of an order is unknown. Such an order cannot take effect after a
 /// later one was accepted, because it names the expected count of accepted
-/// orders.
+/// orders. An adapter counts as loaded once the engine has said so: when a load
+/// should be complete, its order is repeated until the engine answers that it
+/// already holds the adapter.
 class EngineHost {
  public:
   /// Neither orders nor report fetches are issued before
@@ -148,6 +152,8 @@
   /// The loaded version of one adapter, as Resident.
   std::optional<AdapterRevision> ResidentVersion(
       const AdapterRef& adapter) const;
+  /// Whether the adapter is probably in the engine's host memory.
+  bool HeldLately(const AdapterRef& adapter) const { return !IsCold(adapter); }
   /// The number of adapter loads in flight.
   std::uint32_t loads_in_flight() const;
   /// Whether adapters can be loaded: the engine's state was read and the model
@@ -171,6 +177,8 @@
   struct AdapterSlot {
     AdapterSlotState state = AdapterSlotState::kLoading;
     AdapterRevision version;
+    TimeMs ordered_at;
+    // When the load is expected to be complete, or is checked again.
     TimeMs ready_at;
     TimeMs loaded_at;
     TimeMs retired_at;
@@ -195,7 +203,9 @@
     std::map<NodeId, Requester> requesters;
   };
 
-  void FinishLoads(TimeMs now);
+  std::optional<EngineOrder> NextConfirmation(TimeMs now) const;
+  void ApplyConfirmation(const AdapterRef& adapter, OrderOutcome outcome,
+                         TimeMs now);
   void CollectNotices(std::vector<LoadNotice>& notices);
   bool IsLoaded(const QueuedLoad& queued) const;
   std::optional<EngineOrder> NextOrder(TimeMs now);
@@ -244,6 +254,8 @@
   std::map<AdapterRef, AdapterSlot> m_slots;
   std::list<QueuedLoad> m_queue;
   std::optional<EngineOrder> m_order_in_flight;
+  // Whether that order repeats a load to learn whether it is complete.
+  bool m_order_confirms = false;
   // Adapters that are probably still in the engine's host memory, most recently
   // loaded first.
   std::list<AdapterRef> m_in_host_memory;
--- a/lib/transport/fleet/dispatcher_large_fleet.cc
+++ b/lib/transport/fleet/dispatcher_large_fleet.cc
@@ -16,6 +16,8 @@
   ShowPeerLoads(m_peer_loads.Set(told.node, told.use.in_flight));
 }
 
+void Dispatcher::OnEngineRequest() { m_use.OnRequest(m_context.clock.Now()); }
+
 std::map<NodeId, TellUse> Dispatcher::TakeUse(TimeMs now) {
   std::map<NodeId, TellUse> messages;
   for (auto& [holder, use] : m_use.Take(m_context.view.holders(), now)) {
@@ -35,7 +37,7 @@
 }
 
 void Dispatcher::OnEngineQuote(const EngineQuote& quote) {
-  m_mean_loading += (quote.loading - m_mean_loading) * kQuoteWeight;
+  m_loads.OnSample(quote.engine, quote.loading, m_context.clock.Now());
   m_mean_requests += (quote.requests - m_mean_requests) * kQuoteWeight;
 }
 
