Read the present state after missing many configurations

The cause is a class: repeats that are made because of slowness, and add to what is slow. The watch brought every configuration in between whole, over the link of a small VM; reads that were answered slowly were taken for overdue and repeated beside themselves, also because other nodes told of more changes; reads that had become useless were received to their end; and each configuration was decoded.

An answer whose bytes arrive is not asked for again, and a useless one ends. A node that has not been current for the maximum propagation delay, and has been told of changes since, reads the present state once.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -96,6 +96,9 @@
   DurationMs timeout{0};
   /// Whether to use a new connection, as kept ones may have fallen silent.
   bool new_connection = false;
+  /// Called, if set, each time a part of the answer has come. If it returns
+  /// false, the answer is not needed any more and the read ends as unanswered.
+  std::function<bool()> on_progress;
 };
 
 struct LeaseReply {
--- a/include/yuccamoor/coordination/fleet/watch_plan.h
+++ b/include/yuccamoor/coordination/fleet/watch_plan.h
@@ -13,6 +13,9 @@
 /// that is overdue goes on, and further ones begin beside it at regular
 /// intervals. The first answer counts. So the time from the store's return to
 /// the next read is one interval, however long the outage was.
+///
+/// An answer of which parts are arriving is not overdue, however long it takes:
+/// further reads would share the same link and delay it.
 
 #ifndef YUCCAMOOR_COORDINATION_FLEET_WATCH_PLAN_H_
 #define YUCCAMOOR_COORDINATION_FLEET_WATCH_PLAN_H_
@@ -53,6 +56,8 @@
   void SetNodes(const std::map<NodeId, NodeRecord>& nodes);
   /// Records the beginning of this node's own read, beside those under way.
   void OnReadBegun(TimeMs now);
+  /// Records that a part of an answer has come.
+  void OnProgress(TimeMs now) { m_last_progress = now; }
   /// Records the end of this node's own read. After an answer, the others under
   /// way do not count any more.
   void OnRead(ReadOutcome outcome, TimeMs now);
@@ -85,6 +90,8 @@
   bool HasFailed() const;
   // How long a read may take until it is overdue.
   DurationMs Patience() const;
+  // The time between reads of a store that does not answer.
+  DurationMs OverdueInterval() const;
   // When the next read begins beside those under way.
   TimeMs NextReadBeside() const;
   TimeMs NextReadAfterLast() const;
@@ -104,6 +111,7 @@
   TimeMs m_last_read;
   ReadOutcome m_last_outcome = ReadOutcome::kUnchanged;
   TimeMs m_last_begun;
+  std::optional<TimeMs> m_last_progress;
   std::size_t m_under_way = 0;
   // A read was overdue or lost, and the store has not answered since.
   bool m_is_silent = false;
--- a/include/yuccamoor/transport/fleet/http_caller.h
+++ b/include/yuccamoor/transport/fleet/http_caller.h
@@ -33,6 +33,9 @@
   /// Whether to use a new connection and close the idle ones, which may have
   /// fallen silent.
   bool new_connection = false;
+  /// Called, if set, each time a part of the response has come. If it returns
+  /// false, the call ends without an answer.
+  std::function<bool()> on_progress;
 };
 
 /// The end of a call.
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -50,6 +50,9 @@
   void Read();
   // Sends the call to the store.
   void Send(const Call& call);
+  // Whether to read the present state instead of all changes since the view's
+  // revision, each of which may be large and superseded by now.
+  bool IsFarBehind(TimeMs now) const;
   void OnReading(const StoreReadResult& reading, const Call& call);
   // Returns the read's outcome, after what it has brought was taken up.
   ReadOutcome TakeReading(const StoreReadResult& reading, const Call& call);
@@ -92,6 +95,8 @@
   bool m_reachable = true;
   // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
+  // The latest revision that another node told of without all changes up to it.
+  Revision m_missed;
   // When the store was last seen to be back after an outage.
   std::optional<TimeMs> m_recovered;
 };
--- a/lib/coordination/fleet/watch_plan.cc
+++ b/lib/coordination/fleet/watch_plan.cc
@@ -113,22 +113,24 @@
 bool WatchPlan::IsReader() const { return m_rank < kReadersPerDomain; }
 
 ReadOptions WatchPlan::NextReadOptions() const {
-  const DurationMs interval = m_max_propagation_delay / kOverduePart;
   const bool is_overdue = m_is_silent || m_under_way > 0;
   ReadOptions options;
   // What the node asks for after a silence is there already.
   if (!is_overdue && !m_catches_up) {
     options.wait = m_max_propagation_delay / kWatchPart;
   }
-  options.timeout = options.wait + interval * kMaxReadsUnderWay;
+  options.timeout = options.wait + OverdueInterval() * kMaxReadsUnderWay;
   options.new_connection = is_overdue;
   return options;
 }
 
+DurationMs WatchPlan::OverdueInterval() const {
+  return m_max_propagation_delay / kOverduePart;
+}
+
 DurationMs WatchPlan::Patience() const {
-  const DurationMs interval = m_max_propagation_delay / kOverduePart;
-  if (m_is_silent || m_catches_up) return interval;
-  return m_max_propagation_delay / kWatchPart + interval;
+  if (m_is_silent || m_catches_up) return OverdueInterval();
+  return m_max_propagation_delay / kWatchPart + OverdueInterval();
 }
 
 bool WatchPlan::HasFailed() const {
@@ -169,7 +171,9 @@
   if (IsFollower() && m_last_received) {
     next = std::max(next, *m_last_received + FollowerTimeout());
   }
-  return m_requested ? std::min(next, *m_requested) : next;
+  if (m_requested) next = std::min(next, *m_requested);
+  if (!m_last_progress) return next;
+  return std::max(next, *m_last_progress + OverdueInterval());
 }
 
 TimeMs WatchPlan::NextReadAfterLast() const {
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -130,6 +130,10 @@
       return;
     }
     m_received += result.bytes;
+    if (!IsWanted(result.bytes)) {
+      End(false);
+      return;
+    }
     if (!m_kept.Set({HeapBytes(m_in) + m_parser->kept_bytes(), m_received})) {
       End(false);
       return;
@@ -137,6 +141,12 @@
     AwaitResponse();
   }
 
+  // Whether to read on after these bytes.
+  bool IsWanted(std::size_t bytes) const {
+    if (bytes == 0 || !m_call.on_progress || !*m_alive) return true;
+    return m_call.on_progress();
+  }
+
   void End(bool answered) {
     if (m_ended) return;
     m_ended = true;
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -77,7 +77,9 @@
   Call call;
   call.number = m_next_number++;
   call.began = m_context.clock.Now();
-  if (m_has_view && !m_history_gone) call.after = m_as_of;
+  const bool continues =
+      m_has_view && !m_history_gone && !IsFarBehind(call.began);
+  if (continues) call.after = m_as_of;
   const bool is_first = m_plan.reads_under_way() == 0;
   if (is_first) {
     m_first_call = call;
@@ -91,7 +93,12 @@
 
 void StoreSession::Send(const Call& call) {
   m_context.metrics.store_calls.Add();
-  const ReadOptions options = m_plan.NextReadOptions();
+  ReadOptions options = m_plan.NextReadOptions();
+  options.on_progress = [this, number = call.number] {
+    if (number < m_first_counted) return false;
+    m_plan.OnProgress(m_context.clock.Now());
+    return true;
+  };
   const auto done = [this, call](const StoreReadResult& reading) {
     OnReading(reading, call);
   };
@@ -102,6 +109,13 @@
   }
 }
 
+bool StoreSession::IsFarBehind(TimeMs now) const {
+  if (m_missed <= m_as_of) return false;
+  const auto& current_at = m_context.view.current_at();
+  return !current_at ||
+         now - *current_at > m_context.settings.max_propagation_delay;
+}
+
 void StoreSession::OnStoreRestored(StoreEra era) {
   if (!m_has_view || era <= m_era) return;
   const TimeMs now = m_context.clock.Now();
@@ -109,6 +123,7 @@
       .Number("era", era.value())
       .Number("revision_before", m_as_of.value());
   m_history_gone = true;
+  m_missed = Revision();
   m_recovered = now;
   m_context.view.OnStoreRestored(now);
   m_first_counted = m_next_number;
@@ -121,7 +136,10 @@
   NoteAnswer(reading, call);
   const ReadOutcome outcome = TakeReading(reading, call);
   if (IsAnswer(outcome)) m_first_counted = m_next_number;
-  m_plan.OnRead(outcome, m_context.clock.Now());
+  const TimeMs now = m_context.clock.Now();
+  m_plan.OnRead(outcome, now);
+  // The answer may be older than what another node has told of.
+  if (IsAnswer(outcome) && m_missed > m_as_of) m_plan.RequestRead(now);
   if (reading.status == StoreStatus::kCompacted) {
     Read();
   } else {
@@ -152,6 +170,10 @@
 
 bool StoreSession::OnReadAll(const StoreReadResult& reading, TimeMs began,
                              TimeMs now) {
+  // Changes received from a reader meanwhile went beyond these.
+  const bool is_older = m_has_view && !m_history_gone && reading.era == m_era &&
+                        reading.read_revision < m_as_of;
+  if (is_older) return false;
   m_context.view.Reset(reading.changes, now, WrittenFrom(now, LearningTime()));
   // Its first page may be as old as the call.
   m_context.view.SetCurrentAt(began);
@@ -217,6 +239,7 @@
       m_context.view.SetCurrentAt(now);
       if (!told.changes.empty()) OnViewChanged();
     } else {
+      m_missed = std::max(m_missed, told.read);
       m_plan.RequestRead(now);
     }
   }
--- a/unittests/coordination/fleet/watch_plan_test.cc
+++ b/unittests/coordination/fleet/watch_plan_test.cc
@@ -215,6 +215,25 @@
   }
 }
 
+// A node that had missed many configurations began further reads of them while
+// the first answer was arriving. All shared its narrow link, so each took
+// longer than a change may.
+TEST_CASE("An answer that is arriving is not asked for again",
+          "[fleet][watch]") {
+  WatchPlan plan(NodeId("n"), FailureDomainId("d"), kMaxDelay, TimeMs(0));
+  plan.OnRead(ReadOutcome::kFailed, TimeMs(10'000));
+  plan.OnReadBegun(TimeMs(10'250));
+  const TimeMs last(16'000);
+  for (TimeMs now(10'400); now <= last; now = now + DurationMs(100)) {
+    plan.OnProgress(now);
+    // Nor because another node tells of more changes.
+    plan.RequestRead(now);
+    REQUIRE(plan.NextRead() > now + DurationMs(100));
+  }
+  // The rest of it may be lost.
+  CHECK(plan.NextRead() <= last + kMaxDelay / 4);
+}
+
 TEST_CASE("Watches wait longer for the answers of a slow store",
           "[fleet][watch]") {
   WatchPlan plan(NodeId("n"), FailureDomainId("d"), DurationMs(2'000),
--- a/unittests/transport/fleet/fake_fleet_store.h
+++ b/unittests/transport/fleet/fake_fleet_store.h
@@ -21,10 +21,12 @@
   void ListenForEras(std::function<void(StoreEra)> on_new_era) override {
     era_listener = std::move(on_new_era);
   }
-  void ReadAll(ReadOptions /*options*/, ReadDone done) override {
+  void ReadAll(ReadOptions options, ReadDone done) override {
+    options_given.push_back(std::move(options));
     reads.push_back(std::move(done));
   }
-  void Watch(Revision after, ReadOptions /*options*/, ReadDone done) override {
+  void Watch(Revision after, ReadOptions options, ReadDone done) override {
+    options_given.push_back(std::move(options));
     watched_after.push_back(after);
     watches.push_back(std::move(done));
   }
@@ -46,6 +48,8 @@
   }
 
   std::function<void(StoreEra)> era_listener;
+  /// Of all reads and watches, in their order.
+  std::vector<ReadOptions> options_given;
   std::vector<ReadDone> reads;
   std::vector<ReadDone> watches;
   std::vector<Revision> watched_after;
--- a/unittests/transport/fleet/http_caller_test.cc
+++ b/unittests/transport/fleet/http_caller_test.cc
@@ -74,6 +74,24 @@
   }
 }
 
+TEST_CASE("A call whose response is not needed any more ends", "[fleet]") {
+  boost::asio::io_context io;
+  const BootClock clock;
+  KeptBytes kept(io, clock);
+  HttpCaller caller(io, clock, kept);
+  EndlessEndpoint endpoint(io, Endless(1));
+  HttpCall call = CallTo(endpoint.port());
+  int parts_left = 3;
+  call.on_progress = [&parts_left] { return --parts_left > 0; };
+  std::vector<HttpCallEnd> ends;
+  caller.Start(std::move(call),
+               [&ends](const HttpCallEnd& end) { ends.push_back(end); });
+  RunUntilSettled(io, endpoint, 1);
+  REQUIRE(ends.size() == 1);
+  CHECK(ends.front().status == 0);
+  CHECK(parts_left == 0);
+}
+
 TEST_CASE("A call's response has a bound of its own", "[fleet][endless]") {
   boost::asio::io_context io;
   const BootClock clock;
--- a/unittests/transport/fleet/store_session_test.cc
+++ b/unittests/transport/fleet/store_session_test.cc
@@ -11,13 +11,16 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "platform/store_client.h"
 #include "transport/fleet/context_parts.h"
+#include "transport/fleet/endless_endpoint.h"
 #include "transport/fleet/fake_fleet_store.h"
 #include "yuccamoor/protocol/request/base64.h"
 #include "yuccamoor/state/fleet/boot_clock.h"
@@ -209,6 +212,109 @@
   CHECK(least() == AdapterRevision(4));
 }
 
+// A node that the store had turned away for seconds read every configuration
+// since, one after another, over a link that took seconds for them.
+TEST_CASE("A node that is far behind reads the present state once",
+          "[fleet][store][large]") {
+  ManualClock clock;
+  ContextParts parts(clock, Settings());
+  FakeFleetStore store;
+  StoreSession session(parts.context, store, [](const TellChanges&) {});
+  session.Start([] {});
+  store.reads.at(0)(Reading(10, 1));
+  const auto run_until = [&](const auto& done) {
+    while (!done()) {
+      clock.Advance(DurationMs(50));
+      parts.io.run_one();
+    }
+  };
+  run_until([&] { return store.watches.size() == 1; });
+  StoreReadResult refusal;
+  refusal.status = StoreStatus::kRefused;
+  store.watches[0](refusal);
+  clock.Advance(DurationMs(2'100));
+  const bool was_told = GENERATE(true, false);
+  if (was_told) {
+    TellChanges told;
+    told.after = Revision(12);
+    told.read = Revision(20);
+    session.OnTellChanges(told);
+  }
+  run_until([&] { return store.reads.size() + store.watches.size() == 3; });
+  CHECK(store.reads.size() == (was_told ? 2 : 1));
+  if (!was_told) return;
+  SECTION("which brings what it had missed") {
+    store.reads[1](Reading(20, 9));
+    CHECK(parts.view.routes()->config().version == Revision(9));
+    run_until([&] { return store.watches.size() == 2; });
+    CHECK(store.watched_after.back() == Revision(20));
+  }
+  SECTION("and asks again for changes told of since") {
+    store.reads[1](Reading(19, 8));
+    CHECK(parts.view.routes()->config().version == Revision(8));
+    run_until([&] { return store.watches.size() == 2; });
+    CHECK(store.watched_after.back() == Revision(19));
+  }
+}
+
+// Answers that a later read had gone beyond were received to their end, beside
+// the read that counted.
+TEST_CASE("An answer that has become useless is not received any further",
+          "[fleet][store]") {
+  BootClock clock;
+  NodeSettings settings = Settings();
+  settings.max_propagation_delay = DurationMs(40);
+  ContextParts parts(clock, settings);
+  FakeFleetStore store;
+  StoreSession session(parts.context, store, [](const TellChanges&) {});
+  session.Start([] {});
+  store.reads.at(0)(Reading(10, 1));
+  while (store.watches.size() < 2) parts.io.run_one();
+  CHECK(store.options_given.at(1).on_progress());
+  store.watches[1](Reading(11, 2));
+  CHECK_FALSE(store.options_given.at(1).on_progress());
+}
+
+// Each configuration between two reads was decoded, of which the last one only
+// came into force.
+TEST_CASE("Of an answer's configurations only the last usable one is decoded",
+          "[fleet][store]") {
+  const auto event = [](int revision, const std::string& value) {
+    return R"({"key":"op/config","rev":)" + std::to_string(revision) +
+           R"(,"value":")" + EncodeBase64(value) + R"("})";
+  };
+  const auto config = [](int version) {
+    return R"({"version":)" + std::to_string(version) +
+           R"(,"routes":[],"services":[]})";
+  };
+  const std::string body = R"({"events":[)" + event(1, config(1)) + "," +
+                           event(2, "broken") + "," + event(3, config(3)) +
+                           "," + event(4, "broken") + R"(],"as-of":4})";
+  boost::asio::io_context io;
+  const BootClock clock;
+  KeptBytes kept(io, clock);
+  HttpCaller caller(io, clock, kept);
+  EndlessAnswer answer;
+  answer.beginning = Reply(body);
+  answer.silent_after = answer.beginning.size();
+  EndlessEndpoint store(io, answer);
+  std::size_t problems = 0;
+  platform::StoreClient client(
+      caller, {kIp, store.port()},
+      [&problems](std::string_view, const Findings&) { ++problems; });
+  std::optional<StoreReadResult> reading;
+  ReadOptions options;
+  options.timeout = DurationMs(600'000);
+  client.Watch(Revision(0), options,
+               [&reading](const StoreReadResult& read) { reading = read; });
+  while (!reading) io.run_one();
+  REQUIRE(reading->changes.size() == 1);
+  const auto* written = std::get_if<ConfigWritten>(reading->changes.data());
+  REQUIRE(written);
+  CHECK(written->config.version == Revision(3));
+  CHECK(problems == 1);
+}
+
 // A watch on a connection that had fallen silent for good held up every change
 // for longer than the time after which the node counts as connected again.
 TEST_CASE("A configuration is applied although the watch fell silent",
