Have retry budgets follow the registered nodes

After a common start each saw itself alone, and kept what is meant for all. The class: a share of something that all nodes have together, taken from a count of nodes that is not settled.

RetryBudgets, a module without I/O, takes this out of Dispatcher. Each node earns its part of the fraction by its own requests; of the burst it has the share that quotas use, which counts nodes for as long as they may send, and gives none to a node that has just been registered. A process that starts has nothing saved up. The same class elsewhere, by reading: PermitClient keeps a count from falling, but a node that has just started may take its own share for that of a fleet of one; not mended here.

--- a/include/yuccamoor/coordination/request/retry_budget.h
+++ b/include/yuccamoor/coordination/request/retry_budget.h
@@ -24,6 +24,9 @@
  public:
   explicit RetryBudget(const RetryBudgetOptions& options);
 
+  /// Changes the limits at \p now. What was saved up stays, within the new
+  /// ones.
+  void SetOptions(const RetryBudgetOptions& options, TimeMs now);
   /// Notes a success, which earns a share of a retry.
   void OnSuccess(TimeMs now);
   /// Takes one retry; false if none is left.
--- a/include/yuccamoor/transport/fleet/dispatcher.h
+++ b/include/yuccamoor/transport/fleet/dispatcher.h
@@ -16,7 +16,6 @@
 #include "yuccamoor/coordination/fleet/fleet_size.h"
 #include "yuccamoor/coordination/fleet/peer_loads.h"
 #include "yuccamoor/coordination/fleet/prefill_pacing.h"
-#include "yuccamoor/coordination/request/retry_budget.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/node_context.h"
 
@@ -77,11 +76,6 @@
   /// Stops using the adapter there, unless requests of this node run on it.
   std::optional<TellInUse> OnRetired(const TellRetired& told);
 
-  /// Takes one retry to the service out of the budget; false if none is left.
-  bool TakeRetry(const ServiceId& service);
-  /// Notes a client's request to the service, which earns a share of a retry.
-  void EarnRetry(const ServiceId& service);
-
   void OnPeerStatus(const NodeStatus& status);
   /// Notes how another node uses the engines that this one holds.
   void OnPeerUse(const TellUse& told);
@@ -171,7 +165,6 @@
   double m_mean_requests = 0;
   // Plain endpoints that have said their load, and when.
   std::map<EndpointId, TimeMs> m_load_told;
-  std::map<ServiceId, RetryBudget> m_retries;
   TimeMs m_swept;
 };
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/retry_budgets.h"
 #include "yuccamoor/coordination/fleet/route_table.h"
 #include "yuccamoor/coordination/quota/tenant_quotas.h"
 #include "yuccamoor/protocol/fleet/event_cutter.h"
@@ -35,6 +36,7 @@
   CrashGuard& crashes;
   PermitClient& permits;
   TenantQuotas& quotas;
+  RetryBudgets& retries;
   IdleConnections& idle;
   /// Set while the node shuts down: responses end their connections.
   const bool& closing;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -18,7 +18,8 @@
  public:
   static Result<std::unique_ptr<FrontServer>> Create(
       NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-      CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas);
+      CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas,
+      RetryBudgets& retries);
 
   void OnTick(TimeMs now);
 
@@ -45,7 +46,8 @@
  private:
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
               AdmissionClient& admissions, CrashGuard& crashes,
-              PermitClient& permits, TenantQuotas& quotas);
+              PermitClient& permits, TenantQuotas& quotas,
+              RetryBudgets& retries);
 
   /// Whether the node may end before the request.
   bool MayOutlastNode(const FrontRequest& request,
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -12,6 +12,7 @@
 
 #include "yuccamoor/coordination/fleet/engine_control.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/coordination/fleet/retry_budgets.h"
 #include "yuccamoor/coordination/quota/tenant_quotas.h"
 #include "yuccamoor/transport/fleet/admission_client.h"
 #include "yuccamoor/transport/fleet/admission_server.h"
@@ -60,6 +61,8 @@
   void FlushLog(TimeMs now);
   void TellPeers(TimeMs now);
   void KeepQuotas(TimeMs now);
+  /// Has the retry budgets follow the registered nodes.
+  void KeepRetryBudgets(TimeMs now);
   /// Takes up the changed view of the store.
   void OnViewChanged();
   void OnPeerMessage(const PeerMessage& message, bool direct);
@@ -81,6 +84,7 @@
   PermitClient m_permits;
   PermitServer m_permit_server;
   TenantQuotas m_quotas;
+  RetryBudgets m_retries;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<FrontServer> m_front;
   std::unique_ptr<StatusServer> m_ready;
--- a/lib/coordination/request/retry_budget.cc
+++ b/lib/coordination/request/retry_budget.cc
@@ -23,6 +23,12 @@
                                                       elapsed / kMsPerSecond);
 }
 
+void RetryBudget::SetOptions(const RetryBudgetOptions& options, TimeMs now) {
+  Refill(now);
+  m_options = options;
+  m_tokens = std::min(m_tokens, m_options.burst);
+}
+
 void RetryBudget::OnSuccess(TimeMs now) {
   Refill(now);
   m_tokens = std::min(m_options.burst, m_tokens + m_options.share);
--- a/lib/transport/fleet/dispatcher.cc
+++ b/lib/transport/fleet/dispatcher.cc
@@ -22,10 +22,6 @@
 constexpr DurationMs kAskLifetime{3'000};
 constexpr DurationMs kOrderingLifetime{1'200};
 constexpr DurationMs kPeerLifetime{1'500};
-// Arrivals at a service beyond the first of each request are bounded over all
-// nodes; each node keeps well within its part.
-constexpr double kBudgetPart = 0.5;
-constexpr double kMsPerSecond = 1'000;
 // What an endpoint has said of its load says little of later.
 constexpr DurationMs kToldLoadLifetime{1'000};
 
@@ -257,31 +253,6 @@
   return std::nullopt;
 }
 
-bool Dispatcher::TakeRetry(const ServiceId& service) {
-  const auto it = m_retries.find(service);
-  if (it == m_retries.end()) return false;
-  const bool taken = it->second.TryTake(m_context.clock.Now());
-  if (taken) m_context.metrics.retries.Add();
-  return taken;
-}
-
-void Dispatcher::EarnRetry(const ServiceId& service) {
-  const NodeSettings& settings = m_context.settings;
-  auto it = m_retries.find(service);
-  if (it == m_retries.end()) {
-    const auto nodes = static_cast<double>(
-        std::max<std::size_t>(m_context.view.nodes().size(), 1));
-    RetryBudgetOptions options;
-    options.share = settings.retry_fraction * kBudgetPart;
-    // A window may see the whole burst and what refills in it.
-    options.burst = settings.retry_burst * kBudgetPart / nodes;
-    options.min_per_second = options.burst * kMsPerSecond /
-                             static_cast<double>(settings.retry_window.ms());
-    it = m_retries.emplace(service, RetryBudget(options)).first;
-  }
-  it->second.OnSuccess(m_context.clock.Now());
-}
-
 void Dispatcher::OnPeerStatus(const NodeStatus& status) {
   const TimeMs now = m_context.clock.Now();
   m_peers[status.node] = {now, status};
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -63,7 +63,7 @@
 }
 
 void Exchange::Start() {
-  m_context.dispatcher.EarnRetry(m_service);
+  m_context.retries.OnRequest(m_service, m_request.received);
   if (m_quota.is_limited()) {
     SeekQuota(m_request.received);
   } else {
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -183,7 +183,8 @@
   const TimeMs now = m_context.node.clock.Now();
   const bool time_left = m_deadline - now > kShortestOffer;
   if (!time_left || m_sends >= kMaxSends) return false;
-  if (!m_context.dispatcher.TakeRetry(m_service)) return false;
+  if (!m_context.retries.TryTake(m_service, now)) return false;
+  m_context.node.metrics.retries.Add();
   m_context.node.log.Event("request_retry")
       .Text("request", m_meta.attempt.str())
       .Text("reason", reason)
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -25,9 +25,10 @@
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-    CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas) {
-  std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions, crashes, permits, quotas));
+    CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas,
+    RetryBudgets& retries) {
+  std::unique_ptr<FrontServer> server(new FrontServer(
+      node, dispatcher, admissions, crashes, permits, quotas, retries));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -39,9 +40,10 @@
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
                          AdmissionClient& admissions, CrashGuard& crashes,
-                         PermitClient& permits, TenantQuotas& quotas)
-    : m_node(node), m_context{node,    dispatcher, admissions, crashes,
-                              permits, quotas,     m_idle,     m_closing} {}
+                         PermitClient& permits, TenantQuotas& quotas,
+                         RetryBudgets& retries)
+    : m_node(node), m_context{node,   dispatcher, admissions, crashes,  permits,
+                              quotas, retries,    m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
   auto connection = std::make_shared<FrontConnection>(
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -37,6 +37,11 @@
          1;
 }
 
+RetryLimits RetryLimitsOf(const NodeSettings& settings) {
+  return {settings.retry_fraction, static_cast<double>(settings.retry_burst),
+          settings.retry_window};
+}
+
 }  // namespace
 
 Result<std::unique_ptr<Node>> Node::Create(NodeContext& context,
@@ -105,6 +110,9 @@
                [this](const NodeId& node, const QuotaMessage& message) {
                  m_peers->Send(node, message);
                }),
+      m_retries(context.settings.node, RetryLimitsOf(context.settings),
+                QuotaTimes::For(context.settings.max_propagation_delay),
+                context.settings.first_start),
       m_signals(context.io),
       m_timer(context.io) {}
 
@@ -124,7 +132,7 @@
                         }),
        m_peers);
   take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_crashes,
-                           m_permits, m_quotas),
+                           m_permits, m_quotas, m_retries),
        m_front);
   take(StatusServer::Create(m_context, settings.readiness_address,
                             [this](const std::string& path) {
@@ -239,6 +247,7 @@
   m_permits.OnTick(now);
   m_permit_server.OnTick(now);
   KeepQuotas(now);
+  KeepRetryBudgets(now);
   m_front->OnTick(now);
   m_crashes.OnTick(now);
   if (large) {
@@ -284,6 +293,16 @@
                   routes && routes->has_quotas(), now);
 }
 
+void Node::KeepRetryBudgets(TimeMs now) {
+  const FleetView& view = m_context.view;
+  const double before = m_retries.own_burst();
+  m_retries.OnTick(view.nodes(), view.current_at(), now);
+  if (m_retries.own_burst() == before) return;
+  m_context.log.Event("retry_burst_changed")
+      .Number("nodes", view.nodes().size())
+      .Real("burst", m_retries.own_burst());
+}
+
 void Node::TellPeers(TimeMs now) {
   if (now - m_told < kTellInterval) return;
   m_told = now;
--- /dev/null
+++ b/unittests/coordination/fleet/retry_budgets_test.cc
@@ -0,0 +1,136 @@
+/// \file
+/// \brief Tests of the retries that all nodes of a fleet send together.
+
+#include "yuccamoor/coordination/fleet/retry_budgets.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+namespace yuccamoor::fleet {
+namespace {
+
+constexpr int kNodes = 9;
+constexpr DurationMs kStep{50};
+constexpr DurationMs kWindow{10'000};
+constexpr DurationMs kMaxDelay{2'000};
+constexpr double kFraction = 0.1;
+constexpr double kBurst = 58;
+
+using Nodes = std::map<NodeId, NodeRecord>;
+
+NodeId Name(int number) { return NodeId("n" + std::to_string(number)); }
+
+Nodes All(int count) {
+  Nodes nodes;
+  for (int i = 0; i < count; ++i) nodes[Name(i)] = NodeRecord();
+  return nodes;
+}
+
+// Nodes that send each retry that they may.
+class RetryingFleet {
+ public:
+  // What a node sees registered.
+  using View = std::function<Nodes(int node, TimeMs now)>;
+
+  explicit RetryingFleet(View view) : m_view(std::move(view)) {
+    for (int i = 0; i < kNodes; ++i) Start(i, false);
+  }
+
+  void Start(int node, bool first_start) {
+    m_nodes.insert_or_assign(
+        node, RetryBudgets(Name(node), {kFraction, kBurst, kWindow},
+                           QuotaTimes::For(kMaxDelay), first_start));
+  }
+
+  // Returns the most retries beyond kFraction of the requests in any window.
+  double MostUntil(TimeMs end) {
+    double most = 0;
+    for (; m_now < end; m_now = m_now + kStep) {
+      for (auto& [number, node] : m_nodes) Step(number, node);
+      while (m_sent.front().at <= m_now - kWindow) m_sent.pop_front();
+      double beyond = 0;
+      for (const Sent& sent : m_sent) beyond += sent.beyond;
+      most = std::max(most, beyond);
+    }
+    return most;
+  }
+
+  TimeMs now() const { return m_now; }
+
+ private:
+  struct Sent {
+    TimeMs at;
+    double beyond = 0;
+  };
+
+  void Step(int number, RetryBudgets& node) {
+    const ServiceId service("s");
+    node.OnTick(m_view(number, m_now), m_now, m_now);
+    node.OnRequest(service, m_now);
+    double beyond = -kFraction;
+    while (node.TryTake(service, m_now)) ++beyond;
+    m_sent.push_back({m_now, beyond});
+  }
+
+  View m_view;
+  TimeMs m_now{100'000};
+  std::map<int, RetryBudgets> m_nodes;
+  std::deque<Sent> m_sent;
+};
+
+}  // namespace
+
+// After a loss of power, each node took its requests before the others were
+// registered, and used what is meant for all nodes for the rest of its life.
+TEST_CASE("Nodes that start together keep the retries of all within the limit",
+          "[fleet][retry]") {
+  RetryingFleet fleet([](int node, TimeMs now) {
+    if (now < TimeMs(100'200)) return Nodes();
+    if (now < TimeMs(100'800)) return Nodes{{Name(node), NodeRecord()}};
+    return All(kNodes);
+  });
+  CHECK(fleet.MostUntil(TimeMs(140'000)) <= kBurst);
+}
+
+// Nodes that the store refuses go on sending.
+TEST_CASE("Nodes whose registration lapses still count for retries",
+          "[fleet][retry]") {
+  RetryingFleet fleet([](int node, TimeMs now) {
+    const bool lapsed = TimeMs(120'000) <= now && now < TimeMs(128'000);
+    // Those that see the others lapse are the ones that are left.
+    return lapsed && node < 3 ? All(3) : All(kNodes);
+  });
+  CHECK(fleet.MostUntil(TimeMs(150'000)) <= kBurst);
+}
+
+// A process that started again had saved up its whole part at once, after the
+// one before it had used its own.
+TEST_CASE("Restarts do not multiply retries", "[fleet][retry]") {
+  RetryingFleet fleet([](int, TimeMs) { return All(kNodes); });
+  double most = fleet.MostUntil(TimeMs(130'000));
+  for (int round = 0; round < 10; ++round) {
+    for (int node = 0; node < kNodes; ++node) fleet.Start(node, false);
+    most = std::max(most, fleet.MostUntil(fleet.now() + kMaxDelay));
+  }
+  CHECK(most <= kBurst);
+}
+
+TEST_CASE("A settled fleet may use most of the limit on retries",
+          "[fleet][retry]") {
+  RetryingFleet fleet([](int, TimeMs) { return All(kNodes); });
+  fleet.MostUntil(TimeMs(130'000));
+  // Refills alone are half of the burst, and half of the fraction is kept.
+  CHECK(fleet.MostUntil(TimeMs(160'000)) > -kFraction * kNodes * 200);
+  RetryBudgets budgets(Name(0), {kFraction, kBurst, kWindow},
+                       QuotaTimes::For(kMaxDelay), true);
+  budgets.OnTick(All(kNodes), TimeMs(0), TimeMs(0));
+  budgets.OnTick(All(kNodes), TimeMs(20'000), TimeMs(20'000));
+  CHECK(budgets.own_burst() == Approx(kBurst / kNodes));
+}
+
+}  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -61,7 +61,6 @@
   settings.node = NodeId("n1");
   settings.domain = FailureDomainId("a");
   settings.client_address = {kIp, 0};
-  settings.retry_burst = 40;
   return settings;
 }
 
@@ -142,12 +141,16 @@
             [](const PeerMessage&) {}),
         quotas(settings.node, 1, true, QuotaTimes(),
                [](const NodeId&, const QuotaMessage&) {}),
+        retries(settings.node, {0.2, 40, DurationMs(1)}, QuotaTimes::For({}),
+                true),
         end_timer(io),
         script_timer(io) {
     view.Apply(ConfigWritten{Config()}, clock.Now());
     view.SetCurrentAt(TimeMs::Never());
+    retries.OnTick({{settings.node, NodeRecord()}}, TimeMs::Never(),
+                   clock.Now());
     front = std::move(FrontServer::Create(context, dispatcher, admissions,
-                                          crashes, permits, quotas))
+                                          crashes, permits, quotas, retries))
                 .value();
   }
 
@@ -165,6 +168,7 @@
   CrashGuard crashes;
   PermitClient permits;
   TenantQuotas quotas;
+  RetryBudgets retries;
   std::unique_ptr<FrontServer> front;
   boost::asio::steady_timer end_timer;
   boost::asio::steady_timer script_timer;
