Keep a stopped node until its clients have their answers

The class: work counts as done when it is handed to the next queue, and the process ends with the queue.

A node is quiet when its connections have nothing pending and their peers have acknowledged what was written. Clients may read until 0.1 s before the end of the grace; in its last half second, what is left goes to the operating system as far as it takes it.

--- a/include/yuccamoor/transport/fleet/front_connection.h
+++ b/include/yuccamoor/transport/fleet/front_connection.h
@@ -65,6 +65,11 @@
 
   /// Bytes that the client has not taken yet.
   std::size_t pending_bytes() const { return m_out.size() - m_out_begin; }
+  /// The same, with what the operating system holds for the client.
+  std::size_t UndeliveredBytes();
+  /// Leaves as much as possible of what is pending to the operating system,
+  /// which delivers it also after the end of the process.
+  void HandOver();
 
  private:
   void AwaitReadable();
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -29,8 +29,11 @@
   void BeginShutdown(TimeMs streams_until, TimeMs end);
   /// Ends the requests under way, each with its final answer.
   void EndRequests();
-  /// Whether no request is under way.
-  bool quiet() const { return m_exchanges.empty(); }
+  /// Whether no request is under way and clients have all of their answers.
+  bool IsQuiet() const;
+  /// Leaves what clients have not taken to the operating system, as the process
+  /// may end at any time from now on.
+  void HandOver();
   std::size_t connections() const { return m_connections.size(); }
   std::size_t in_flight() const { return m_exchanges.size(); }
   /// The port that clients reach.
@@ -55,6 +58,7 @@
   /// Whether what is missing in the view is known to be missing in the
   /// configuration in force.
   bool IsCurrent(TimeMs now) const;
+  std::vector<std::shared_ptr<FrontConnection>> OpenConnections() const;
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
              int status, const char* reason,
--- a/include/yuccamoor/transport/fleet/socket.h
+++ b/include/yuccamoor/transport/fleet/socket.h
@@ -56,6 +56,11 @@
   /// Whether all that the peer sent has been read and it has closed.
   bool PeerHasClosed();
 
+  /// Written bytes that the peer has not acknowledged.
+  std::size_t UnacknowledgedBytes();
+  /// Lets the operating system hold so many unsent bytes, as far as it allows.
+  void ReserveSendBuffer(std::size_t bytes);
+
   /// Stops the event loop from waking up for this socket, until a callback is
   /// asked for again. Read and Write go on working.
   void Detach();
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -214,6 +214,16 @@
   if (m_closing) Close();
 }
 
+std::size_t FrontConnection::UndeliveredBytes() {
+  return m_open ? pending_bytes() + m_socket.UnacknowledgedBytes() : 0;
+}
+
+void FrontConnection::HandOver() {
+  if (!m_open || pending_bytes() == 0) return;
+  m_socket.ReserveSendBuffer(UndeliveredBytes());
+  Flush();
+}
+
 void FrontConnection::Finish(bool close) {
   m_busy = false;
   m_idle_since = m_clock.Now();
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -1,5 +1,6 @@
 #include "yuccamoor/transport/fleet/front_server.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -157,11 +158,30 @@
   if (now - m_checked < kCheckInterval) return;
   m_checked = now;
   m_idle.Expire(now);
+  for (const auto& connection : OpenConnections()) {
+    connection->CheckTimeouts(now);
+  }
+}
+
+std::vector<std::shared_ptr<FrontConnection>> FrontServer::OpenConnections()
+    const {
   std::vector<std::shared_ptr<FrontConnection>> open;
   for (const auto& [key, weak] : m_connections) {
     if (auto connection = weak.lock()) open.push_back(std::move(connection));
   }
-  for (const auto& connection : open) connection->CheckTimeouts(now);
+  return open;
+}
+
+bool FrontServer::IsQuiet() const {
+  if (!m_exchanges.empty()) return false;
+  const auto open = OpenConnections();
+  return std::all_of(open.begin(), open.end(), [](const auto& connection) {
+    return connection->UndeliveredBytes() == 0;
+  });
+}
+
+void FrontServer::HandOver() {
+  for (const auto& connection : OpenConnections()) connection->HandOver();
 }
 
 void FrontServer::BeginShutdown(TimeMs streams_until, TimeMs end) {
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -27,8 +27,8 @@
 constexpr DurationMs kAcceptStreamsTime{3'000};
 // The requests under way are ended that long before the process is killed.
 constexpr DurationMs kEndMargin{500};
-// Clients have read their last answers by then.
-constexpr DurationMs kLastAnswersTime{150};
+// After that, clients may read their last answers for this long.
+constexpr DurationMs kLastAnswersTime{400};
 
 // A number that no other process of any node has, and that is not zero.
 std::uint64_t ProcessNumber(const NodeContext& context) {
@@ -219,13 +219,14 @@
   if (!m_stopping_since) return;
   const DurationMs since = now - *m_stopping_since;
   const bool done =
-      since >= kOutOfRotation && m_front->quiet() &&
+      since >= kOutOfRotation && m_front->IsQuiet() &&
       (m_front->connections() == 0 || since >= kAcceptStreamsTime);
   const DurationMs end = m_context.settings.shutdown_grace - kEndMargin;
-  if (since >= end) m_front->EndRequests();
-  const bool answered = m_front->quiet() && m_front->connections() == 0;
-  const bool out_of_time =
-      since >= end && (answered || since >= end + kLastAnswersTime);
+  if (since >= end) {
+    m_front->EndRequests();
+    m_front->HandOver();
+  }
+  const bool out_of_time = since >= end + kLastAnswersTime;
   if (!done && !out_of_time) return;
   m_context.log.Event("node_stopped")
       .Number("in_flight", m_front->in_flight())
--- a/lib/transport/fleet/socket.cc
+++ b/lib/transport/fleet/socket.cc
@@ -1,6 +1,8 @@
 #include "yuccamoor/transport/fleet/socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +11,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <cerrno>
+#include <climits>
 #include <utility>
 
 namespace yuccamoor::fleet {
@@ -138,6 +141,17 @@
   return ::recv(Handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+std::size_t Socket::UnacknowledgedBytes() {
+  int bytes = 0;
+  if (!is_open() || ::ioctl(Handle(), SIOCOUTQ, &bytes) != 0) return 0;
+  return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
+void Socket::ReserveSendBuffer(std::size_t bytes) {
+  const auto wanted = static_cast<int>(std::min<std::size_t>(bytes, INT_MAX));
+  ::setsockopt(Handle(), SOL_SOCKET, SO_SNDBUF, &wanted, sizeof(wanted));
+}
+
 void Socket::Detach() {
   if (m_detached >= 0 || !m_socket.is_open()) return;
   boost::system::error_code error;
--- a/unittests/transport/fleet/front_shutdown_test.cc
+++ b/unittests/transport/fleet/front_shutdown_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "transport/fleet/endless_endpoint.h"
 #include "transport/fleet/front_texts.h"
 #include "transport/fleet/front_world.h"
 
@@ -11,8 +12,9 @@
 namespace {
 
 // Returns a request whose client waits for that long.
-std::string RequestWaiting(DurationMs time) {
-  std::string text = RequestText("/unsafe/x");
+std::string RequestWaiting(DurationMs time,
+                           const std::string& path = "/unsafe/x") {
+  std::string text = RequestText(path);
   const std::string deadline = "Deadline-Ms: 1500";
   return text.replace(text.find(deadline), deadline.size(),
                       "Deadline-Ms: " + std::to_string(time.ms()));
@@ -57,6 +59,40 @@
   }
 }
 
+// A node ended as soon as it had read the endpoints' answers, of which slow
+// clients had taken a part only.
+TEST_CASE("A node is not quiet while a client still reads its answer",
+          "[fleet][front][shutdown]") {
+  // More than the buffers of both sockets hold.
+  constexpr std::size_t kBodyBytes = 3'932'160;
+  EndlessAnswer answer;
+  answer.beginning = AnswerText(200, "");
+  const std::string empty = "Content-Length: 0";
+  answer.beginning.replace(answer.beginning.find(empty), empty.size(),
+                           "Content-Length: " + std::to_string(kBodyBytes));
+  answer.repeated = "x";
+  answer.silent_after = answer.beginning.size() + kBodyBytes;
+  FrontWorld world({kOk}, {kOk});
+  EndlessEndpoint endpoint(world.io(), answer);
+  world.AddTroubled(endpoint.port());
+  Socket client(world.io());
+  client.Connect({"127.0.0.1", world.front_port()}, [&](bool) {
+    client.Write(RequestWaiting(DurationMs(600'000), "/troubled/x"));
+  });
+  while (endpoint.settled() == 0 || world.requests_under_way() > 0) {
+    world.Run(DurationMs(5));
+  }
+  CHECK_FALSE(world.IsQuiet());
+  std::string got;
+  while (!got.ends_with('x') || !world.IsQuiet()) {
+    world.Run(DurationMs(5));
+    client.Read(got, kBodyBytes);
+  }
+  while (client.Read(got, kBodyBytes).bytes > 0) {
+  }
+  CHECK(got.size() == got.find("\r\n\r\n") + 4 + kBodyBytes);
+}
+
 TEST_CASE("A leaving node takes short requests on, and refuses streams",
           "[fleet][front]") {
   FrontWorld world({kOk}, {kOk});
--- a/unittests/transport/fleet/front_world.cc
+++ b/unittests/transport/fleet/front_world.cc
@@ -289,6 +289,12 @@
   second->peers_in_flight = second->entry.slots;
 }
 
+bool FrontWorld::IsQuiet() const { return m_parts->front->IsQuiet(); }
+
+std::size_t FrontWorld::requests_under_way() const {
+  return m_parts->front->in_flight();
+}
+
 void FrontWorld::Run(DurationMs time) {
   const TimeMs end = m_parts->clock.Now() + time;
   while (m_parts->clock.Now() < end) {
--- a/unittests/transport/fleet/front_world.h
+++ b/unittests/transport/fleet/front_world.h
@@ -133,6 +133,9 @@
   void AddTroubled(std::uint16_t port);
   /// Has the second endpoint look full.
   void FillSecond();
+  /// Whether the node may end without taking an answer from a client.
+  bool IsQuiet() const;
+  std::size_t requests_under_way() const;
   /// Runs the event loop for a while.
   void Run(DurationMs time);
 
