--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -12,6 +12,7 @@
 
 #include "yuccamoor/coordination/fleet/engine_control.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
+#include "yuccamoor/coordination/fleet/retry_budgets.h"
 #include "yuccamoor/transport/fleet/admission_client.h"
 #include "yuccamoor/transport/fleet/admission_server.h"
 #include "yuccamoor/transport/fleet/crash_guard.h"
@@ -59,6 +60,8 @@
   void Tick();
   void FlushLog(TimeMs now);
   void TellPeers(TimeMs now);
+  /// Has the retry budgets follow the registered nodes.
+  void KeepRetryBudgets(TimeMs now);
   /// Takes up the changed view of the store.
   void OnViewChanged();
   void OnPeerMessage(const PeerMessage& message, bool direct);
@@ -80,6 +83,7 @@
   PermitClient m_permits;
   PermitServer m_permit_server;
   QuotaKeeper m_quotas;
+  RetryBudgets m_retries;
   std::unique_ptr<PeerLink> m_peers;
   std::unique_ptr<FrontServer> m_front;
   std::unique_ptr<StatusServer> m_ready;
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -1,5 +1,6 @@
 #include "yuccamoor/transport/fleet/front_server.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -25,9 +26,10 @@
 
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
-    CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas) {
-  std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions, crashes, permits, quotas));
+    CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas,
+    RetryBudgets& retries) {
+  std::unique_ptr<FrontServer> server(new FrontServer(
+      node, dispatcher, admissions, crashes, permits, quotas, retries));
   auto listener = Listener::Create(node.io, node.settings.client_address,
                                    [self = server.get()](auto socket) {
                                      self->OnAccepted(std::move(socket));
@@ -39,9 +41,10 @@
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
                          AdmissionClient& admissions, CrashGuard& crashes,
-                         PermitClient& permits, TenantQuotas& quotas)
-    : m_node(node), m_context{node,    dispatcher, admissions, crashes,
-                              permits, quotas,     m_idle,     m_closing} {}
+                         PermitClient& permits, TenantQuotas& quotas,
+                         RetryBudgets& retries)
+    : m_node(node), m_context{node,   dispatcher, admissions, crashes,  permits,
+                              quotas, retries,    m_idle,     m_closing} {}
 
 void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
   auto connection = std::make_shared<FrontConnection>(
@@ -155,11 +158,30 @@
   if (now - m_checked < kCheckInterval) return;
   m_checked = now;
   m_idle.Expire(now);
+  for (const auto& connection : OpenConnections()) {
+    connection->CheckTimeouts(now);
+  }
+}
+
+std::vector<std::shared_ptr<FrontConnection>> FrontServer::OpenConnections()
+    const {
   std::vector<std::shared_ptr<FrontConnection>> open;
   for (const auto& [key, weak] : m_connections) {
     if (auto connection = weak.lock()) open.push_back(std::move(connection));
   }
-  for (const auto& connection : open) connection->CheckTimeouts(now);
+  return open;
+}
+
+bool FrontServer::IsQuiet() const {
+  if (!m_exchanges.empty()) return false;
+  const auto open = OpenConnections();
+  return std::all_of(open.begin(), open.end(), [](const auto& connection) {
+    return connection->UndeliveredBytes() == 0;
+  });
+}
+
+void FrontServer::HandOver() {
+  for (const auto& connection : OpenConnections()) connection->HandOver();
 }
 
 void FrontServer::BeginShutdown(TimeMs streams_until, TimeMs end) {
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -25,8 +25,13 @@
 constexpr DurationMs kAcceptStreamsTime{3'000};
 // The requests under way are ended that long before the process is killed.
 constexpr DurationMs kEndMargin{500};
-// Clients have read their last answers by then.
-constexpr DurationMs kLastAnswersTime{150};
+// After that, clients may read their last answers for this long.
+constexpr DurationMs kLastAnswersTime{400};
+
+RetryLimits RetryLimitsOf(const NodeSettings& settings) {
+  return {settings.retry_fraction, static_cast<double>(settings.retry_burst),
+          settings.retry_window};
+}
 
 }  // namespace
 
@@ -94,6 +99,9 @@
                [this](const NodeId& node, const QuotaMessage& message) {
                  m_peers->Send(node, message);
                }),
+      m_retries(context.settings.node, RetryLimitsOf(context.settings),
+                ShareTimes::For(context.settings.max_propagation_delay),
+                context.settings.first_start),
       m_signals(context.io),
       m_timer(context.io) {}
 
@@ -113,7 +121,7 @@
                         }),
        m_peers);
   take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_crashes,
-                           m_permits, m_quotas.quotas()),
+                           m_permits, m_quotas.quotas(), m_retries),
        m_front);
   take(StatusServer::Create(m_context, settings.readiness_address,
                             [this](const std::string& path) {
@@ -200,13 +208,14 @@
   if (!m_stopping_since) return;
   const DurationMs since = now - *m_stopping_since;
   const bool done =
-      since >= kOutOfRotation && m_front->quiet() &&
+      since >= kOutOfRotation && m_front->IsQuiet() &&
       (m_front->connections() == 0 || since >= kAcceptStreamsTime);
   const DurationMs end = m_context.settings.shutdown_grace - kEndMargin;
-  if (since >= end) m_front->EndRequests();
-  const bool answered = m_front->quiet() && m_front->connections() == 0;
-  const bool out_of_time =
-      since >= end && (answered || since >= end + kLastAnswersTime);
+  if (since >= end) {
+    m_front->EndRequests();
+    m_front->HandOver();
+  }
+  const bool out_of_time = since >= end + kLastAnswersTime;
   if (!done && !out_of_time) return;
   m_context.log.Event("node_stopped")
       .Number("in_flight", m_front->in_flight())
@@ -229,6 +238,7 @@
   m_permits.OnTick(now);
   m_permit_server.OnTick(now);
   m_quotas.OnTick(now);
+  KeepRetryBudgets(now);
   m_front->OnTick(now);
   m_crashes.OnTick(now);
   if (large) {
@@ -267,6 +277,16 @@
   metrics.requests_in_flight.Set(static_cast<double>(m_front->in_flight()));
 }
 
+void Node::KeepRetryBudgets(TimeMs now) {
+  const FleetView& view = m_context.view;
+  const double before = m_retries.own_burst();
+  m_retries.OnTick(view.nodes(), view.current_at(), now);
+  if (m_retries.own_burst() == before) return;
+  m_context.log.Event("retry_burst_changed")
+      .Number("nodes", view.nodes().size())
+      .Real("burst", m_retries.own_burst());
+}
+
 void Node::TellPeers(TimeMs now) {
   if (now - m_told < kTellInterval) return;
   m_told = now;
