Count a stalled prompt as ahead only until it is late

A prompt that was passed over made those behind it expect its own wait, also those that go before it as soon as it is late.

--- a/lib/coordination/fleet/prompt_queue.cc
+++ b/lib/coordination/fleet/prompt_queue.cc
@@ -25,6 +25,14 @@
   return offer;
 }
 
+// Returns for how long others stay behind a prompt that is expected to wait: it
+// lets them pass once it is late.
+DurationMs TimeAhead(const PendingPrompt& prompt, DurationMs expected,
+                     TimeMs now) {
+  if (now > prompt.send_by) return expected;
+  return std::min(expected, prompt.send_by - now);
+}
+
 }  // namespace
 
 void PromptQueue::Expire(TimeMs now) {
@@ -76,8 +84,10 @@
         ahead + PromptWait(reserved, OfferOf(next.prompt, now));
     const DurationMs expected =
         next.progress.ExpectedWait(wait, now - next.queued_at);
-    if (expected > wait) slowest = std::max(slowest, expected);
-    if (&next == &asked) return std::max(wait, slowest);
+    if (&next == &asked) return std::max(expected, slowest);
+    if (expected > wait) {
+      slowest = std::max(slowest, TimeAhead(next.prompt, expected, now));
+    }
     ahead = ahead + ReservedPrefill(next.prompt.tokens);
   }
   return ahead;
