--- a/cmake/yuccamoor_targets.cmake
+++ b/cmake/yuccamoor_targets.cmake
@@ -49,19 +49,25 @@
                                            ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
-# yuccamoor_test(<name> LAYER <layer> [LABEL <label>] SOURCES ... [LIBS ...])
+# yuccamoor_test(<name> LAYER <layer> [LABEL <label>] [SERIAL] SOURCES ...
+#                [LIBS ...])
 #
 # Declares one Catch2 program and registers each of its test cases with CTest
-# under one label: the layer's name unless another is given.
+# under one label: the layer's name unless another is given. SERIAL tests run
+# while no other test does.
 function(yuccamoor_test NAME)
-  cmake_parse_arguments(ARG "" "LAYER;LABEL" "SOURCES;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "LAYER;LABEL" "SOURCES;LIBS" ${ARGN})
   if(NOT ARG_LABEL)
     set(ARG_LABEL ${ARG_LAYER})
   endif()
+  set(SERIAL FALSE)
+  if(ARG_SERIAL)
+    set(SERIAL TRUE)
+  endif()
   add_executable(${NAME} ${ARG_SOURCES})
   target_include_directories(${NAME} PRIVATE ${PROJECT_SOURCE_DIR}/unittests)
   target_link_libraries(${NAME} PRIVATE yuccamoor::${ARG_LAYER} ${ARG_LIBS}
                                         yuccamoor_test_main yuccamoor_flags)
   catch_discover_tests(${NAME} PROPERTIES LABELS ${ARG_LABEL} TIMEOUT 1800
-                       DISCOVERY_MODE PRE_TEST)
+                       RUN_SERIAL ${SERIAL} DISCOVERY_MODE PRE_TEST)
 endfunction()
--- a/unittests/process/child_process.h
+++ b/unittests/process/child_process.h
@@ -34,6 +34,7 @@
   std::optional<int> Wait();
   /// Whether the child has not ended.
   bool Running();
+  pid_t pid() const { return m_pid; }
 
  private:
   void Reap(int options);
