Bound memory and descriptors by the VM's settings

Connections were accepted without bound, status addresses had no time limits, requests under way and what pipelining clients leave unread were not counted, and VMs of all sizes had one budget. ResourceShares divides the settings' memory and descriptors; ConnectionBudget closes stalled, silent, then idle connections, for each address apart; MessageBudget also counts requests that are served, and gives these up last. A client that does not take its answers has its next requests wait. Requests sent ahead are parsed in a loop.

--- a/include/yuccamoor/coordination/fleet/message_budget.h
+++ b/include/yuccamoor/coordination/fleet/message_budget.h
@@ -34,11 +34,13 @@
   std::size_t bytes = 0;
   /// The bytes of it that have come, and of those passed on, that have gone.
   std::uint64_t moved = 0;
+  /// Whether it waits for this node, not for its peer.
+  bool is_served = false;
 };
 
 /// Counts what messages keep. Beyond the bound, those are given up that are
-/// stalled, then those that keep most. Small messages are never given up, so
-/// they may exceed the bound.
+/// stalled, then those that keep most, and served ones last. Small messages are
+/// never given up, so they may exceed the bound.
 class MessageBudget {
  public:
   explicit MessageBudget(const MessageBudgetOptions& options = {})
@@ -54,6 +56,7 @@
 
   /// What is kept for messages that were not given up.
   std::size_t bytes() const { return m_bytes; }
+  std::size_t max_bytes() const { return m_options.max_bytes; }
 
  private:
   struct Kept {
@@ -61,6 +64,7 @@
     // What had moved at the last progress, and its time.
     std::uint64_t progress = 0;
     TimeMs progress_at;
+    bool is_served = false;
     bool given_up = false;
   };
 
--- a/include/yuccamoor/transport/fleet/front_connection.h
+++ b/include/yuccamoor/transport/fleet/front_connection.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "yuccamoor/coordination/fleet/connection_budget.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/fleet_config.h"
 #include "yuccamoor/transport/fleet/http_parser.h"
@@ -38,6 +40,12 @@
                          FrontRequest request) = 0;
   /// The client has left while its request was being answered.
   virtual void OnClientGone(FrontConnection& connection) = 0;
+  /// Notes what the connection waits for, and the bytes that have come and
+  /// gone. Returns false if there is no descriptor for a call to answer it.
+  virtual bool OnPhase(FrontConnection& connection, ConnectionPhase phase,
+                       std::uint64_t moved) = 0;
+  /// The connection is closed for the memory that it takes up.
+  virtual void OnGivenUp(FrontConnection& connection) = 0;
   /// The connection is closed; nothing more comes from it.
   virtual void OnClosed(FrontConnection& connection) = 0;
   /// Returns a whole response of the system's own, after which the connection
@@ -49,10 +57,14 @@
 /// after that.
 class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
  public:
+  /// What the kernel may receive for a connection that is not read, in bytes.
+  static constexpr std::size_t kMaxUnreadBytes = 65'536;
+
   FrontConnection(boost::asio::ip::tcp::socket socket, FrontHandler& handler,
-                  const Clock& clock, KeptBytes& kept);
+                  const Clock& clock, KeptBytes& kept, ConnectionId id);
 
   void Start();
+  ConnectionId id() const { return m_id; }
 
   /// Sends bytes of the response to the current request.
   void Send(std::string_view data);
@@ -60,7 +72,11 @@
   void Finish(bool close);
   /// Ends the connection at once, so that a response under way looks cut.
   void Abort();
-  /// Closes a connection that waits too long for a request, at \p now.
+  /// Counts what has come and was not read.
+  void NoteUnread();
+  /// Closes the connection for the sake of others.
+  void MakeRoom();
+  /// Closes a connection that waits too long for its client, at \p now.
   void CheckTimeouts(TimeMs now);
 
   /// Bytes that the client has not taken yet.
@@ -70,13 +86,21 @@
   void AwaitReadable();
   void OnReadable();
   void BeginRequest();
+  bool MayParse() const;
+  bool IsPaused() const;
   void ParseInput();
+  void ReadOn();
+  HttpFault ParseOne(std::string_view& input);
+  void SendContinue();
   void OnWhole();
   void Reject(HttpFault fault);
   void RejectWith(int status);
   void Flush();
   void DropSent();
-  /// Notes what is kept, and closes the connection if that is too much.
+  ConnectionPhase Phase() const;
+  KeptSize Kept() const;
+  /// Notes what the connection waits for and keeps, and closes it if that is
+  /// too much.
   void NoteKept();
   void OnGivenUp();
   void CloseUnanswered();
@@ -85,7 +109,9 @@
   Socket m_socket;
   FrontHandler& m_handler;
   const Clock& m_clock;
+  KeptBytes& m_all_kept;
   KeptBytes::Account m_kept;
+  ConnectionId m_id;
   // Bytes that have come or gone.
   std::uint64_t m_moved = 0;
   // Those that the parser applies to the current request.
@@ -94,7 +120,14 @@
   std::string m_in;
   std::string m_out;
   std::size_t m_out_begin = 0;
+  // What is kept of the request that is being answered.
+  std::size_t m_request_bytes = 0;
+  // What was not read when it was last counted.
+  std::size_t m_unread = 0;
+  TimeMs m_moved_at;
   bool m_open = true;
+  bool m_parsing = false;
+  bool m_had_request = false;
   bool m_busy = false;
   bool m_receiving = false;
   bool m_reading = false;
--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -5,9 +5,10 @@
 #define YUCCAMOOR_TRANSPORT_FLEET_FRONT_SERVER_H_
 
 #include <list>
-#include <map>
 #include <memory>
 
+#include "yuccamoor/coordination/fleet/resource_shares.h"
+#include "yuccamoor/transport/fleet/client_connections.h"
 #include "yuccamoor/transport/fleet/exchange.h"
 #include "yuccamoor/transport/fleet/listener.h"
 
@@ -39,13 +40,17 @@
   void OnRequest(std::shared_ptr<FrontConnection> connection,
                  FrontRequest request) override;
   void OnClientGone(FrontConnection& connection) override;
+  bool OnPhase(FrontConnection& connection, ConnectionPhase phase,
+               std::uint64_t moved) override;
+  void OnGivenUp(FrontConnection& connection) override;
   void OnClosed(FrontConnection& connection) override;
   std::string RejectBadRequest(int status, const HttpHead& head) override;
 
  private:
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
               AdmissionClient& admissions, CrashGuard& crashes,
-              PermitClient& permits, TenantQuotas& quotas);
+              PermitClient& permits, TenantQuotas& quotas,
+              const ResourceShares& shares);
 
   /// Whether the node may end before the request.
   bool MayOutlastNode(const FrontRequest& request,
@@ -53,7 +58,6 @@
   /// Whether what is missing in the view is known to be missing in the
   /// configuration in force.
   bool IsCurrent(TimeMs now) const;
-  void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Reply(FrontConnection& connection, const FrontRequest& request,
              int status, const char* reason,
              std::optional<DurationMs> retry_after);
@@ -65,9 +69,9 @@
   TimeMs m_end = TimeMs::Never();
   ExchangeContext m_context;
   std::unique_ptr<Listener> m_listener;
-  std::map<FrontConnection*, std::weak_ptr<FrontConnection>> m_connections;
+  ClientConnections m_connections;
   std::list<std::unique_ptr<Exchange>> m_exchanges;
-  TimeMs m_checked;
+  TimeMs m_expired;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/kept_bytes.h
+++ b/include/yuccamoor/transport/fleet/kept_bytes.h
@@ -50,8 +50,13 @@
   KeptBytes(boost::asio::io_context& io, const Clock& clock,
             const MessageBudgetOptions& options = {});
 
-  /// What is kept now.
+  /// Ends the messages that were given up and do not know it yet. For callers
+  /// that no message is in use by further up the stack.
+  void EndGivenUp();
+
+  /// What is kept now, and may be.
   std::size_t bytes() const;
+  std::size_t max_bytes() const;
 
  private:
   std::shared_ptr<State> m_state;
--- a/include/yuccamoor/transport/fleet/node_metrics.h
+++ b/include/yuccamoor/transport/fleet/node_metrics.h
@@ -31,6 +31,9 @@
   /// node said whether it is.
   Counter& over_quota;
   Counter& quota_unanswered;
+  /// Connections of clients that were closed for the sake of others.
+  Counter& closed_for_descriptors;
+  Counter& closed_for_memory;
   Counter& orders;
   Counter& order_conflicts;
   Counter& store_calls;
@@ -44,6 +47,9 @@
   Gauge& config_version;
   Gauge& engines_held;
   Gauge& requests_in_flight;
+  Gauge& client_connections;
+  /// What is kept for messages that have not ended.
+  Gauge& kept_bytes;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/transport/fleet/socket.h
+++ b/include/yuccamoor/transport/fleet/socket.h
@@ -51,6 +51,8 @@
   IoResult Read(std::string& out, std::size_t limit);
   /// Writes what the socket takes of the data.
   IoResult Write(std::string_view data);
+  /// Returns the bytes that have come and were not read.
+  std::size_t Unread();
   /// Whether an idle connection is still good: open, with nothing to read.
   bool IsQuiet();
   /// Whether all that the peer sent has been read and it has closed.
--- a/include/yuccamoor/transport/fleet/status_server.h
+++ b/include/yuccamoor/transport/fleet/status_server.h
@@ -6,10 +6,10 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
+#include <string_view>
 
-#include "yuccamoor/transport/fleet/front_connection.h"
+#include "yuccamoor/transport/fleet/client_connections.h"
 #include "yuccamoor/transport/fleet/listener.h"
 #include "yuccamoor/transport/fleet/node_context.h"
 
@@ -26,22 +26,29 @@
  public:
   using Answer = std::function<StatusReply(const std::string& path)>;
 
+  /// \p name is that of the address in the log.
   static Result<std::unique_ptr<StatusServer>> Create(
-      NodeContext& node, const SocketAddress& address, Answer answer);
+      NodeContext& node, const SocketAddress& address, std::string_view name,
+      Answer answer);
+
+  void OnTick(TimeMs now) { m_connections.OnTick(now); }
 
   const RequestLimits& limits() const override { return m_limits; }
   void OnRequest(std::shared_ptr<FrontConnection> connection,
                  FrontRequest request) override;
   void OnClientGone(FrontConnection& connection) override;
+  bool OnPhase(FrontConnection& connection, ConnectionPhase phase,
+               std::uint64_t moved) override;
+  void OnGivenUp(FrontConnection& connection) override;
   void OnClosed(FrontConnection& connection) override;
   std::string RejectBadRequest(int status, const HttpHead& head) override;
 
  private:
-  StatusServer(NodeContext& node, Answer answer);
+  StatusServer(NodeContext& node, std::string_view name, Answer answer);
 
-  NodeContext& m_node;
   Answer m_answer;
   RequestLimits m_limits;
+  ClientConnections m_connections;
   std::unique_ptr<Listener> m_listener;
 };
 
--- a/lib/coordination/fleet/message_budget.cc
+++ b/lib/coordination/fleet/message_budget.cc
@@ -12,7 +12,9 @@
   m_bytes = m_bytes - kept.bytes + size.bytes;
   kept.bytes = size.bytes;
   const bool moved = size.moved - kept.progress >= m_options.progress_bytes;
-  if (!is_new && !moved) return;
+  const bool begins = is_new || kept.is_served != size.is_served;
+  kept.is_served = size.is_served;
+  if (!begins && !moved) return;
   kept.progress = size.moved;
   kept.progress_at = now;
 }
@@ -41,7 +43,7 @@
 }
 
 bool MessageBudget::IsStalled(const Kept& kept, TimeMs now) const {
-  return now - kept.progress_at >= m_options.stalled_after;
+  return !kept.is_served && now - kept.progress_at >= m_options.stalled_after;
 }
 
 bool MessageBudget::MayGiveUp(const Kept& kept) const {
@@ -50,7 +52,7 @@
 
 bool MessageBudget::ComesFirst(const Kept& a, const Kept& b, TimeMs now) const {
   const auto rank = [this, now](const Kept& kept) {
-    return std::tuple(IsStalled(kept, now), kept.bytes);
+    return std::tuple(IsStalled(kept, now), !kept.is_served, kept.bytes);
   };
   return rank(a) > rank(b);
 }
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -10,6 +10,11 @@
 constexpr std::size_t kReadLimit = 65'536;
 // What a client may send ahead while its request is being answered.
 constexpr std::size_t kMaxPipelinedBytes = 65'536;
+// With more that the client has not taken, its next request waits.
+constexpr std::size_t kMaxUnsentBytes = 65'536;
+// The memory of a connection without a message: its objects, and the event
+// loop's.
+constexpr std::size_t kConnectionBytes = 2'048;
 // What the client has taken is kept up to here.
 constexpr std::size_t kMaxSentBytes = 65'536;
 
@@ -41,17 +46,23 @@
 
 FrontConnection::FrontConnection(boost::asio::ip::tcp::socket socket,
                                  FrontHandler& handler, const Clock& clock,
-                                 KeptBytes& kept)
+                                 KeptBytes& kept, ConnectionId id)
     : m_socket(std::move(socket)),
       m_handler(handler),
       m_clock(clock),
+      m_all_kept(kept),
       m_kept(kept, [this] { OnGivenUp(); }),
+      m_id(id),
       m_limits(ToParserLimits(handler.limits())),
       m_parser(HttpParser::Create(HttpParser::Kind::kRequest, m_limits)),
-      m_idle_since(clock.Now()),
+      m_moved_at(clock.Now()),
+      m_idle_since(m_moved_at),
       m_idle_timeout(handler.limits().idle_timeout) {}
 
-void FrontConnection::Start() { AwaitReadable(); }
+void FrontConnection::Start() {
+  NoteKept();
+  AwaitReadable();
+}
 
 void FrontConnection::AwaitReadable() {
   if (m_reading || !m_open || m_closing) return;
@@ -63,11 +74,14 @@
 }
 
 void FrontConnection::OnReadable() {
+  m_all_kept.EndGivenUp();
   if (!m_open) return;
   const IoResult result = m_socket.Read(m_in, kReadLimit);
   // Requests of a client that has left are not passed on, also if they were
   // read late and together with its close.
   m_moved += result.bytes;
+  m_moved_at = m_clock.Now();
+  m_unread = 0;
   const bool gone = result.status == IoStatus::kEnd ||
                     result.status == IoStatus::kReset ||
                     m_socket.PeerHasClosed();
@@ -77,9 +91,21 @@
     if (was_busy) m_handler.OnClientGone(*this);
     return;
   }
-  if (!m_busy) ParseInput();
+  ReadOn();
+}
+
+void FrontConnection::ReadOn() {
+  ParseInput();
   NoteKept();
-  if (!m_busy || m_in.size() < kMaxPipelinedBytes) AwaitReadable();
+  if (!IsPaused()) AwaitReadable();
+}
+
+bool FrontConnection::MayParse() const {
+  return m_open && !m_busy && !m_closing && pending_bytes() < kMaxUnsentBytes;
+}
+
+bool FrontConnection::IsPaused() const {
+  return !MayParse() && m_in.size() >= kMaxPipelinedBytes;
 }
 
 void FrontConnection::BeginRequest() {
@@ -91,34 +117,59 @@
   m_parser = HttpParser::Create(HttpParser::Kind::kRequest, m_limits);
 }
 
+// A loop, so that requests that were sent ahead do not nest: answering one of
+// them ends here again.
 void FrontConnection::ParseInput() {
-  if (m_in.empty() || m_closing) return;
-  if (!m_receiving) BeginRequest();
-  const HttpFault fault = m_parser->Feed(m_in);
-  if (m_in.empty()) std::string().swap(m_in);
-  if (m_parser->has_head() && !IsUnambiguous(m_parser->head())) {
-    Reject(HttpFault::kMalformed);
-    return;
+  if (m_parsing) return;
+  m_parsing = true;
+  std::string_view rest = m_in;
+  HttpFault fault = HttpFault::kNone;
+  while (MayParse() && !rest.empty() && fault == HttpFault::kNone) {
+    fault = ParseOne(rest);
+    if (m_receiving) break;
   }
+  m_parsing = false;
   if (fault != HttpFault::kNone) {
     Reject(fault);
     return;
   }
+  if (m_open && !m_closing) m_in.erase(0, m_in.size() - rest.size());
+  if (m_in.empty() || !m_open || m_closing) std::string().swap(m_in);
+}
+
+HttpFault FrontConnection::ParseOne(std::string_view& input) {
+  if (!m_receiving) BeginRequest();
+  const HttpFault fault = m_parser->Consume(input);
+  if (m_parser->has_head() && !IsUnambiguous(m_parser->head())) {
+    return HttpFault::kMalformed;
+  }
+  if (fault != HttpFault::kNone) return fault;
   if (m_parser->complete()) {
     OnWhole();
-    return;
-  }
-  if (m_parser->has_head() && !m_continue_sent &&
-      SameHeaderName(m_parser->head().Find("expect"), "100-continue")) {
-    m_continue_sent = true;
-    Send("HTTP/1.1 100 Continue\r\n\r\n");
+  } else {
+    SendContinue();
   }
+  return HttpFault::kNone;
+}
+
+void FrontConnection::SendContinue() {
+  if (!m_parser->has_head() || m_continue_sent) return;
+  if (!SameHeaderName(m_parser->head().Find("expect"), "100-continue")) return;
+  m_continue_sent = true;
+  Send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void FrontConnection::OnWhole() {
   m_busy = true;
+  m_had_request = true;
   m_receiving = false;
   m_continue_sent = false;
+  // The body is copied for the call to an endpoint.
+  m_request_bytes = m_parser->kept_bytes() + m_parser->body().size();
+  if (!m_handler.OnPhase(*this, Phase(), m_moved)) {
+    RejectWith(503);
+    return;
+  }
   FrontRequest request;
   request.head = std::move(m_parser->head());
   request.body = std::move(m_parser->body());
@@ -151,6 +202,7 @@
 
 void FrontConnection::Send(std::string_view data) {
   if (!m_open) return;
+  if (pending_bytes() == 0) m_moved_at = m_clock.Now();
   DropSent();
   m_out.append(data);
   if (!m_writing) Flush();
@@ -166,14 +218,42 @@
 
 void FrontConnection::NoteKept() {
   if (!m_open) return;
-  KeptSize size{HeapBytes(m_out), m_moved};
-  // What waits behind a request under way is bounded, and no reason to end it.
-  if (!m_busy) size.bytes += HeapBytes(m_in) + m_parser->kept_bytes();
-  if (!m_kept.Set(size)) OnGivenUp();
+  m_handler.OnPhase(*this, Phase(), m_moved);
+  if (!m_kept.Set(Kept())) OnGivenUp();
+}
+
+ConnectionPhase FrontConnection::Phase() const {
+  if (pending_bytes() > 0) return ConnectionPhase::kSending;
+  if (m_busy) return ConnectionPhase::kServed;
+  if (m_receiving) return ConnectionPhase::kReceiving;
+  return m_had_request ? ConnectionPhase::kIdle : ConnectionPhase::kNew;
+}
+
+KeptSize FrontConnection::Kept() const {
+  KeptSize size{kConnectionBytes + HeapBytes(m_out) + HeapBytes(m_in), m_moved,
+                Phase() == ConnectionPhase::kServed};
+  size.bytes += m_busy ? m_request_bytes : m_parser->kept_bytes();
+  size.bytes += IsPaused() ? std::max(m_unread, kMaxUnreadBytes) : m_unread;
+  return size;
+}
+
+void FrontConnection::NoteUnread() {
+  if (!m_open) return;
+  m_unread = m_socket.Unread();
+  NoteKept();
+}
+
+void FrontConnection::MakeRoom() {
+  if (!m_open) return;
+  if (m_receiving && pending_bytes() == 0) RejectWith(503);
+  if (!m_open) return;
+  m_socket.Close(pending_bytes() > 0);
+  CloseUnanswered();
 }
 
 void FrontConnection::OnGivenUp() {
   if (!m_open) return;
+  m_handler.OnGivenUp(*this);
   if (m_receiving && pending_bytes() == 0) {
     // The request is not whole, so it was not passed on.
     RejectWith(503);
@@ -194,6 +274,7 @@
       m_socket.Write(std::string_view(m_out).substr(m_out_begin));
   m_out_begin += result.bytes;
   m_moved += result.bytes;
+  if (result.bytes > 0) m_moved_at = m_clock.Now();
   if (result.status == IoStatus::kReset) {
     CloseUnanswered();
     return;
@@ -205,7 +286,7 @@
       self->m_writing = false;
       if (!self->m_open) return;
       self->Flush();
-      self->NoteKept();
+      self->ReadOn();
     });
     return;
   }
@@ -216,6 +297,7 @@
 
 void FrontConnection::Finish(bool close) {
   m_busy = false;
+  m_request_bytes = 0;
   m_idle_since = m_clock.Now();
   m_idle_timeout = m_handler.limits().idle_timeout;
   if (!m_open) return;
@@ -224,11 +306,7 @@
     if (pending_bytes() == 0) Close();
     return;
   }
-  if (!m_in.empty()) {
-    // Parsed from the event loop, so that long pipelines do not nest.
-    ParseInput();
-  }
-  AwaitReadable();
+  if (!m_parsing) ReadOn();
 }
 
 void FrontConnection::Abort() {
@@ -237,16 +315,25 @@
 }
 
 void FrontConnection::CheckTimeouts(TimeMs now) {
-  if (!m_open || m_busy || m_closing) return;
+  if (!m_open) return;
+  // The client may not know of a shorter limit yet.
+  const DurationMs limit =
+      std::max(m_idle_timeout, m_handler.limits().idle_timeout);
+  if (pending_bytes() > 0) {
+    if (now - m_moved_at < limit) return;
+    m_socket.Close(true);
+    CloseUnanswered();
+    return;
+  }
+  if (m_busy) return;
   if (m_receiving) {
-    const bool late = now - m_first_byte >= m_handler.limits().header_timeout &&
-                      !m_parser->has_head();
+    const bool late =
+        m_parser->has_head()
+            ? now - m_moved_at >= limit
+            : now - m_first_byte >= m_handler.limits().header_timeout;
     if (late) RejectWith(408);
     return;
   }
-  // The client may not know of a shorter limit yet.
-  const DurationMs limit =
-      std::max(m_idle_timeout, m_handler.limits().idle_timeout);
   if (now - m_idle_since >= limit) Close();
 }
 
--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -2,7 +2,6 @@
 
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "yuccamoor/coordination/fleet/caller_identity.h"
 
@@ -15,7 +14,7 @@
 // A node that may have missed a configuration will soon have read it; other
 // nodes may know it.
 constexpr DurationMs kOldConfigRetryAfter{300};
-constexpr DurationMs kCheckInterval{250};
+constexpr DurationMs kExpireInterval{250};
 
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
@@ -26,12 +25,14 @@
 Result<std::unique_ptr<FrontServer>> FrontServer::Create(
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
     CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas) {
-  std::unique_ptr<FrontServer> server(
-      new FrontServer(node, dispatcher, admissions, crashes, permits, quotas));
-  auto listener = Listener::Create(node.io, node.settings.client_address,
-                                   [self = server.get()](auto socket) {
-                                     self->OnAccepted(std::move(socket));
-                                   });
+  const ResourceShares shares = ResourceShares::For(node.settings);
+  std::unique_ptr<FrontServer> server(new FrontServer(
+      node, dispatcher, admissions, crashes, permits, quotas, shares));
+  auto listener =
+      Listener::Create(node.io, node.settings.client_address,
+                       [self = server.get()](auto socket) {
+                         self->m_connections.OnAccepted(std::move(socket));
+                       });
   if (!listener) return listener.error();
   server->m_listener = std::move(listener).value();
   return server;
@@ -39,16 +40,13 @@
 
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
                          AdmissionClient& admissions, CrashGuard& crashes,
-                         PermitClient& permits, TenantQuotas& quotas)
-    : m_node(node), m_context{node,    dispatcher, admissions, crashes,
-                              permits, quotas,     m_idle,     m_closing} {}
-
-void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
-  auto connection = std::make_shared<FrontConnection>(
-      std::move(socket), *this, m_node.clock, m_node.kept);
-  m_connections[connection.get()] = connection;
-  connection->Start();
-}
+                         PermitClient& permits, TenantQuotas& quotas,
+                         const ResourceShares& shares)
+    : m_node(node),
+      m_idle(shares.max_idle_calls),
+      m_context{node,    dispatcher, admissions, crashes,
+                permits, quotas,     m_idle,     m_closing},
+      m_connections(node, *this, "clients", shares.clients) {}
 
 const RequestLimits& FrontServer::limits() const {
   static const RequestLimits defaults;
@@ -132,8 +130,17 @@
   }
 }
 
+bool FrontServer::OnPhase(FrontConnection& connection, ConnectionPhase phase,
+                          std::uint64_t moved) {
+  return m_connections.OnPhase(connection, phase, moved);
+}
+
+void FrontServer::OnGivenUp(FrontConnection& /*connection*/) {
+  m_connections.OnGivenUp();
+}
+
 void FrontServer::OnClosed(FrontConnection& connection) {
-  m_connections.erase(&connection);
+  m_connections.OnClosed(connection);
 }
 
 std::string FrontServer::RejectBadRequest(int status, const HttpHead& head) {
@@ -152,14 +159,10 @@
   // Exchanges that begin during the loop are appended and seen as well.
   for (const auto& exchange : m_exchanges) exchange->OnTick(now);
   m_exchanges.remove_if([](const auto& exchange) { return exchange->ended(); });
-  if (now - m_checked < kCheckInterval) return;
-  m_checked = now;
+  m_connections.OnTick(now);
+  if (now - m_expired < kExpireInterval) return;
+  m_expired = now;
   m_idle.Expire(now);
-  std::vector<std::shared_ptr<FrontConnection>> open;
-  for (const auto& [key, weak] : m_connections) {
-    if (auto connection = weak.lock()) open.push_back(std::move(connection));
-  }
-  for (const auto& connection : open) connection->CheckTimeouts(now);
 }
 
 void FrontServer::BeginShutdown(TimeMs streams_until, TimeMs end) {
--- a/lib/transport/fleet/idle_connections.cc
+++ b/lib/transport/fleet/idle_connections.cc
@@ -26,11 +26,17 @@
 void IdleConnections::Put(const std::string& address,
                           std::unique_ptr<Socket> socket, TimeMs usable_until) {
   std::vector<Idle>& idle = m_idle[address];
-  if (idle.size() >= kMaxIdlePerAddress) return;
+  if (idle.size() >= kMaxIdlePerAddress || Count() >= m_max_idle) return;
   socket->Detach();
   idle.push_back({std::move(socket), usable_until});
 }
 
+std::size_t IdleConnections::Count() const {
+  std::size_t count = 0;
+  for (const auto& [address, idle] : m_idle) count += idle.size();
+  return count;
+}
+
 void IdleConnections::Drop(const std::string& address) {
   m_idle.erase(address);
 }
--- a/lib/transport/fleet/kept_bytes.cc
+++ b/lib/transport/fleet/kept_bytes.cc
@@ -1,6 +1,7 @@
 #include "yuccamoor/transport/fleet/kept_bytes.h"
 
 #include <boost/asio/post.hpp>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -16,10 +17,22 @@
         const MessageBudgetOptions& options)
       : io(event_loop), clock(its_clock), budget(options) {}
 
+  void EndGivenUp() {
+    // Ending one message may give up others.
+    while (!given_up.empty()) {
+      const auto it = accounts.find(given_up.front());
+      given_up.pop_front();
+      if (it == accounts.end()) continue;
+      const Account::GiveUp give_up = it->second;
+      give_up();
+    }
+  }
+
   boost::asio::io_context& io;
   const Clock& clock;
   MessageBudget budget;
   std::map<KeptMessageId, Account::GiveUp> accounts;
+  std::deque<KeptMessageId> given_up;
   std::uint64_t last_id = 0;
 };
 
@@ -27,6 +40,10 @@
                      const MessageBudgetOptions& options)
     : m_state(std::make_shared<State>(io, clock, options)) {}
 
+void KeptBytes::EndGivenUp() { m_state->EndGivenUp(); }
+
+std::size_t KeptBytes::max_bytes() const { return m_state->budget.max_bytes(); }
+
 std::size_t KeptBytes::bytes() const { return m_state->budget.bytes(); }
 
 KeptBytes::Account::Account(KeptBytes& kept, GiveUp give_up)
@@ -58,13 +75,10 @@
       continue;
     }
     // The other message may be in use further up the stack.
-    boost::asio::post(state->io, [weak = m_state, id = *excess] {
+    state->given_up.push_back(*excess);
+    boost::asio::post(state->io, [weak = m_state] {
       const auto owner = weak.lock();
-      if (!owner) return;
-      const auto it = owner->accounts.find(id);
-      if (it == owner->accounts.end()) return;
-      const GiveUp give_up = it->second;
-      give_up();
+      if (owner) owner->EndGivenUp();
     });
   }
   return goes_on;
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -126,13 +126,13 @@
   take(FrontServer::Create(m_context, m_dispatcher, m_admissions, m_crashes,
                            m_permits, m_quotas),
        m_front);
-  take(StatusServer::Create(m_context, settings.readiness_address,
+  take(StatusServer::Create(m_context, settings.readiness_address, "ready",
                             [this](const std::string& path) {
                               const bool ready = path == "/ready" && IsReady();
                               return StatusReply{ready ? 200 : 503, ""};
                             }),
        m_ready);
-  take(StatusServer::Create(m_context, settings.metrics_address,
+  take(StatusServer::Create(m_context, settings.metrics_address, "metrics",
                             [this](const std::string& /*path*/) {
                               return StatusReply{200, m_registry.Render()};
                             }),
@@ -240,6 +240,8 @@
   m_permit_server.OnTick(now);
   KeepQuotas(now);
   m_front->OnTick(now);
+  m_ready->OnTick(now);
+  m_metrics_server->OnTick(now);
   m_crashes.OnTick(now);
   if (large) {
     m_admission_server.OnTick(now);
@@ -275,6 +277,8 @@
   m_counted_drops = m_context.log.dropped();
   metrics.engines_held.Set(static_cast<double>(m_holder.held()));
   metrics.requests_in_flight.Set(static_cast<double>(m_front->in_flight()));
+  metrics.client_connections.Set(static_cast<double>(m_front->connections()));
+  metrics.kept_bytes.Set(static_cast<double>(m_context.kept.bytes()));
 }
 
 void Node::KeepQuotas(TimeMs now) {
--- a/lib/transport/fleet/node_metrics.cc
+++ b/lib/transport/fleet/node_metrics.cc
@@ -35,6 +35,12 @@
       quota_unanswered(
           r.GetCounter("yuccamoor_quota_unanswered_total",
                        "Requests refused as no node answered on the limit")),
+      closed_for_descriptors(
+          r.GetCounter("yuccamoor_connections_closed_for_descriptors_total",
+                       "Connections closed as there were too many")),
+      closed_for_memory(
+          r.GetCounter("yuccamoor_connections_closed_for_memory_total",
+                       "Connections closed as messages took up too much")),
       orders(r.GetCounter("yuccamoor_engine_orders_total",
                           "Orders given to engines")),
       order_conflicts(r.GetCounter("yuccamoor_engine_order_conflicts_total",
@@ -59,6 +65,10 @@
       engines_held(r.GetGauge("yuccamoor_engines_held",
                               "Engines that this node gives orders to")),
       requests_in_flight(r.GetGauge("yuccamoor_requests_in_flight",
-                                    "Requests that have not ended")) {}
+                                    "Requests that have not ended")),
+      client_connections(
+          r.GetGauge("yuccamoor_client_connections", "Connections of clients")),
+      kept_bytes(r.GetGauge("yuccamoor_kept_bytes",
+                            "Bytes kept for messages that have not ended")) {}
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/socket.cc
+++ b/lib/transport/fleet/socket.cc
@@ -1,6 +1,7 @@
 #include "yuccamoor/transport/fleet/socket.h"
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -127,6 +128,12 @@
   return {IoStatus::kOk, total};
 }
 
+std::size_t Socket::Unread() {
+  int bytes = 0;
+  if (::ioctl(Handle(), FIONREAD, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 bool Socket::IsQuiet() {
   char byte = 0;
   const ssize_t n = ::recv(Handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/tools/yuccamoor-node/main.cc
+++ b/tools/yuccamoor-node/main.cc
@@ -13,6 +13,7 @@
 #include "platform/request_dialect.h"
 #include "platform/settings.h"
 #include "platform/store_client.h"
+#include "yuccamoor/coordination/fleet/resource_shares.h"
 #include "yuccamoor/state/fleet/boot_clock.h"
 #include "yuccamoor/transport/fleet/node.h"
 
@@ -28,6 +29,7 @@
 using yuccamoor::fleet::NodeContext;
 using yuccamoor::fleet::NodeMetrics;
 using yuccamoor::fleet::NodeSettings;
+using yuccamoor::fleet::ResourceShares;
 using yuccamoor::fleet::RevisionTimes;
 
 // Exit status for settings or addresses that cannot be used.
@@ -55,7 +57,7 @@
   FleetView view(RevisionTimes::For(settings.max_version_age,
                                     settings.max_propagation_delay));
   const auto dialect = yuccamoor::platform::CreateRequestDialect();
-  KeptBytes kept(io, clock);
+  KeptBytes kept(io, clock, ResourceShares::For(settings).messages);
   NodeContext context{io, clock, settings, *dialect, view, log, metrics, kept};
   HttpCaller caller(io, clock, kept);
   yuccamoor::platform::StoreClient store(
--- a/unittests/coordination/fleet/message_budget_test.cc
+++ b/unittests/coordination/fleet/message_budget_test.cc
@@ -99,4 +99,14 @@
   CHECK_FALSE(budget.TakeExcess(kStart).has_value());
 }
 
+// Failure: requests that waited for an endpoint were given up for others that
+// had not come yet.
+TEST_CASE("A message that waits for the node is given up last",
+          "[fleet][endless]") {
+  MessageBudget budget = Budget();
+  budget.Set(kA, {700, 700, true}, kStart);
+  budget.Set(kB, Size(400), kLater);
+  CHECK(budget.TakeExcess(kLater) == kB);
+}
+
 }  // namespace yuccamoor::fleet
