Free a request's memory when it ends

An exchange that has ended stays until the next tick and kept its head and body, and a closed connection's parser kept its own while the event loop held the object.

--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -373,9 +373,6 @@
   if (m_route.kind == RequestKind::kUnsafe && m_call) return;
   if (m_call) EndCall(false, false);
   End(Outcome::kGone, "client left");
-  // The exchange itself goes with the next tick.
-  std::vector<HeaderField>().swap(m_request.head.fields);
-  std::string().swap(m_request.body);
 }
 
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -203,12 +203,16 @@
       .Ms("longest_pause_ms", m_longest_pause)
       .Ms("longest_pause_end_ms", m_longest_pause_end)
       .Ms("held_ms", Held(now));
+  const bool closes = Closes();
+  // The exchange itself goes with the next tick.
+  std::vector<HeaderField>().swap(m_request.head.fields);
+  std::string().swap(m_request.body);
   if (m_client_gone) return;
   const bool cut = outcome == Outcome::kFailed && m_stream_started;
   if (cut) {
     m_client->Abort();
   } else {
-    m_client->Finish(Closes());
+    m_client->Finish(closes);
   }
 }
 
--- a/lib/transport/fleet/front_connection.cc
+++ b/lib/transport/fleet/front_connection.cc
@@ -341,6 +341,8 @@
   if (!m_open) return;
   m_open = false;
   m_socket.Close();
+  // The event loop may keep the object for a while.
+  m_parser->Restart(false);
   m_handler.OnClosed(*this);
 }
 
