--- a/unittests/clients/crowd.cc
+++ b/unittests/clients/crowd.cc
@@ -42,8 +42,9 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(m_port);
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::connect(member.fd, reinterpret_cast<const sockaddr*>(&address),
-            sizeof(address));
+  const int connected = ::connect(
+      member.fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  member.ended = IsOver(connected);
 }
 
 const std::string* Crowd::NextText(Member& member) {
