--- a/lib/transport/fleet/front_server.cc
+++ b/lib/transport/fleet/front_server.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <string_view>
 #include <utility>
-#include <vector>
 
 #include "yuccamoor/coordination/fleet/caller_identity.h"
 
@@ -16,7 +15,7 @@
 // A node that may have missed a configuration will soon have read it; other
 // nodes may know it.
 constexpr DurationMs kOldConfigRetryAfter{300};
-constexpr DurationMs kCheckInterval{250};
+constexpr DurationMs kExpireInterval{250};
 
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
@@ -28,12 +27,14 @@
     NodeContext& node, Dispatcher& dispatcher, AdmissionClient& admissions,
     CrashGuard& crashes, PermitClient& permits, TenantQuotas& quotas,
     RetryBudgets& retries) {
+  const ResourceShares shares = ResourceShares::For(node.settings);
   std::unique_ptr<FrontServer> server(new FrontServer(
-      node, dispatcher, admissions, crashes, permits, quotas, retries));
-  auto listener = Listener::Create(node.io, node.settings.client_address,
-                                   [self = server.get()](auto socket) {
-                                     self->OnAccepted(std::move(socket));
-                                   });
+      node, dispatcher, admissions, crashes, permits, quotas, retries, shares));
+  auto listener =
+      Listener::Create(node.io, node.settings.client_address,
+                       [self = server.get()](auto socket) {
+                         self->m_connections.OnAccepted(std::move(socket));
+                       });
   if (!listener) return listener.error();
   server->m_listener = std::move(listener).value();
   return server;
@@ -42,16 +43,12 @@
 FrontServer::FrontServer(NodeContext& node, Dispatcher& dispatcher,
                          AdmissionClient& admissions, CrashGuard& crashes,
                          PermitClient& permits, TenantQuotas& quotas,
-                         RetryBudgets& retries)
-    : m_node(node), m_context{node,   dispatcher, admissions, crashes,  permits,
-                              quotas, retries,    m_idle,     m_closing} {}
-
-void FrontServer::OnAccepted(boost::asio::ip::tcp::socket socket) {
-  auto connection = std::make_shared<FrontConnection>(
-      std::move(socket), *this, m_node.clock, m_node.kept);
-  m_connections[connection.get()] = connection;
-  connection->Start();
-}
+                         RetryBudgets& retries, const ResourceShares& shares)
+    : m_node(node),
+      m_idle(shares.max_idle_calls),
+      m_context{node,   dispatcher, admissions, crashes,  permits,
+                quotas, retries,    m_idle,     m_closing},
+      m_connections(node, *this, "clients", shares.clients) {}
 
 const RequestLimits& FrontServer::limits() const {
   static const RequestLimits defaults;
@@ -135,8 +132,17 @@
   }
 }
 
+bool FrontServer::OnPhase(FrontConnection& connection, ConnectionPhase phase,
+                          std::uint64_t moved) {
+  return m_connections.OnPhase(connection, phase, moved);
+}
+
+void FrontServer::OnGivenUp(FrontConnection& /*connection*/) {
+  m_connections.OnGivenUp();
+}
+
 void FrontServer::OnClosed(FrontConnection& connection) {
-  m_connections.erase(&connection);
+  m_connections.OnClosed(connection);
 }
 
 std::string FrontServer::RejectBadRequest(int status, const HttpHead& head) {
@@ -155,33 +161,22 @@
   // Exchanges that begin during the loop are appended and seen as well.
   for (const auto& exchange : m_exchanges) exchange->OnTick(now);
   m_exchanges.remove_if([](const auto& exchange) { return exchange->ended(); });
-  if (now - m_checked < kCheckInterval) return;
-  m_checked = now;
+  m_connections.OnTick(now);
+  if (now - m_expired < kExpireInterval) return;
+  m_expired = now;
   m_idle.Expire(now);
-  for (const auto& connection : OpenConnections()) {
-    connection->CheckTimeouts(now);
-  }
-}
-
-std::vector<std::shared_ptr<FrontConnection>> FrontServer::OpenConnections()
-    const {
-  std::vector<std::shared_ptr<FrontConnection>> open;
-  for (const auto& [key, weak] : m_connections) {
-    if (auto connection = weak.lock()) open.push_back(std::move(connection));
-  }
-  return open;
 }
 
 bool FrontServer::IsQuiet() const {
   if (!m_exchanges.empty()) return false;
-  const auto open = OpenConnections();
+  const auto open = m_connections.Open();
   return std::all_of(open.begin(), open.end(), [](const auto& connection) {
     return connection->UndeliveredBytes() == 0;
   });
 }
 
 void FrontServer::HandOver() {
-  for (const auto& connection : OpenConnections()) connection->HandOver();
+  for (const auto& connection : m_connections.Open()) connection->HandOver();
 }
 
 void FrontServer::BeginShutdown(TimeMs streams_until, TimeMs end) {
--- a/lib/transport/fleet/socket.cc
+++ b/lib/transport/fleet/socket.cc
@@ -130,6 +130,12 @@
   return {IoStatus::kOk, total};
 }
 
+std::size_t Socket::Unread() {
+  int bytes = 0;
+  if (::ioctl(Handle(), FIONREAD, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 bool Socket::IsQuiet() {
   char byte = 0;
   const ssize_t n = ::recv(Handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
