Pace each engine by what its streams and statements show

All engines were paced by one engine's figures: 38 prompt tokens a ms, 5.5 ms a step, 5 steps an event, pauses of 250 ms.

Each node learns what is usual in a service, and each engine's lasting factor and momentary statement against that; nodes report to the engine's holder, which paces all prompts to it. A prompt that would exceed the gap in a slow moment waits while the engine may be in one; a queued prompt asks the other engine again. The gap's limit comes from the routes.

--- a/lib/coordination/fleet/prompt_queue.cc
+++ b/lib/coordination/fleet/prompt_queue.cc
@@ -36,7 +36,8 @@
 PrefillLoad PromptQueue::WithReservations(PrefillLoad load) const {
   for (const auto& [id, reservation] : m_reserved) {
     ++load.requests;
-    load.backlog = load.backlog + ReservedPrefill(reservation.tokens);
+    load.backlog =
+        load.backlog + ReservedPrefill(reservation.tokens, load.pace);
   }
   return load;
 }
@@ -58,7 +59,7 @@
   for (const QueuedPrompt& queued : m_queue) {
     if (queued.prompt.id == prompt.id) continue;
     if (GoesBefore(queued.prompt, prompt, now)) {
-      ahead = ahead + ReservedPrefill(queued.prompt.tokens);
+      ahead = ahead + ReservedPrefill(queued.prompt.tokens, load.pace);
     }
   }
   return ahead + PromptWait(WithReservations(load), OfferOf(prompt, now));
@@ -110,12 +111,18 @@
                    [now](const QueuedPrompt& a, const QueuedPrompt& b) {
                      return GoesBefore(a.prompt, b.prompt, now);
                    });
-  while (!m_queue.empty()) {
-    const PendingPrompt prompt = m_queue.front().prompt;
-    if (!AllowsPrompt(WithReservations(load), OfferOf(prompt, now))) break;
+  for (auto it = m_queue.begin(); it != m_queue.end();) {
+    const PendingPrompt prompt = it->prompt;
+    const PrefillLoad reserved = WithReservations(load);
+    const PromptOffer offer = OfferOf(prompt, now);
+    if (!AllowsPrompt(reserved, offer)) {
+      if (!WaitsForMoment(reserved, offer)) break;
+      ++it;
+      continue;
+    }
     Reserve(prompt, now);
     admitted.push_back(prompt.id);
-    m_queue.erase(m_queue.begin());
+    it = m_queue.erase(it);
   }
   return admitted;
 }
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -69,6 +69,8 @@
           told.answer.quote.adapter_wait.value_or(DurationMs(-1)))
       .Ms("prompt_wait_ms", told.answer.quote.prompt_wait)
       .Number("load", told.answer.quote.requests)
+      .Ms("first_event_ms", told.answer.quote.first_event)
+      .Real("work_time", told.answer.quote.work_time)
       .Number("choices", told.answer.choices.size());
   m_send(ask.id.node, told);
 }
@@ -79,6 +81,11 @@
   EngineQuote& quote = answer.quote;
   quote.engine = ask.engine;
   quote.requests = engine.load();
+  const EnginePace pace = engine.PaceAt(now);
+  quote.first_event = DurationMs(
+      static_cast<std::int64_t>(pace.PrefillMs(ask.prompt_tokens) +
+                                pace.EventIntervalMs(quote.requests)));
+  quote.work_time = engine.speed.Lasting(now) * pace.momentary;
   quote.loading = m_holder.LoadsInFlight(ask.engine);
   const auto version = m_holder.ResidentVersion(ask.engine, ask.adapter);
   const bool holds = version && *version >= LeastVersionFor(ask, engine, now);
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -76,6 +76,7 @@
     return;
   }
   m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
+  if (!m_has_output) NoteFirstEvent();
   NoteOutput(true);
   if (!m_stream_started) StartStream();
   if (m_ended) return;
@@ -110,6 +111,7 @@
     OnBroken();
     return;
   }
+  NoteStreamEnd();
   if (!m_stream_started) StartStream();
   if (m_ended) return;
   m_client->Send(kLastChunk);
@@ -202,6 +204,7 @@
       .Ms("first_ms", m_first_answer)
       .Ms("longest_pause_ms", m_longest_pause)
       .Ms("longest_pause_end_ms", m_longest_pause_end)
+      .Number("work_time_percent", m_work_time_percent.value_or(0))
       .Ms("held_ms", Held(now));
   if (m_client_gone) return;
   const bool cut = outcome == Outcome::kFailed && m_stream_started;
