--- a/lib/coordination/fleet/prefill_pacing.cc
+++ b/lib/coordination/fleet/prefill_pacing.cc
@@ -26,7 +26,7 @@
 constexpr DurationMs kFullBatchWait{50};
 // An engine that takes longer than usual by this factor is slow for a moment.
 constexpr double kSlowMoment = 1.4;
-constexpr DurationMs kSlowMomentWait{500};
+constexpr DurationMs kSlowMomentWait{100};
 // The rest of a gap's limit is left for what the estimate misses.
 constexpr double kUsablePartOfGap = 0.85;
 
