Merge each engine's own pace

The queue's order is the tenants'; its waits and reservations are by the engine's pace. A prompt that waits for a slow moment is passed by others.

--- a/include/yuccamoor/transport/fleet/front_server.h
+++ b/include/yuccamoor/transport/fleet/front_server.h
@@ -54,11 +54,7 @@
   FrontServer(NodeContext& node, Dispatcher& dispatcher,
               AdmissionClient& admissions, CrashGuard& crashes,
               PermitClient& permits, TenantQuotas& quotas,
-<<<<<<< HEAD
-              RetryBudgets& retries);
-=======
-              const ResourceShares& shares);
->>>>>>> part-clients
+              RetryBudgets& retries, const ResourceShares& shares);
 
   /// Whether the node may end before the request.
   bool MayOutlastNode(const FrontRequest& request,
