--- a/unittests/coordination/fleet/engine_pace_test.cc
+++ b/unittests/coordination/fleet/engine_pace_test.cc
@@ -155,7 +155,8 @@
     const PendingPrompt prompt{{NodeId("n"), stream.number},
                                stream.tokens,
                                0,
-                               Now() + DurationMs(680)};
+                               Now() + DurationMs(680),
+                               TenantId()};
     SimulatedEngine& one = *m_engines[first];
     SimulatedEngine& two = *m_engines[second];
     SimulatedEngine& best = Cost(two, prompt) < Cost(one, prompt) ? two : one;
@@ -317,7 +318,8 @@
   PromptQueue queue;
   int admitted = 0;
   for (std::uint64_t i = 0; i < 40; ++i) {
-    const PendingPrompt prompt{{NodeId("n"), i}, 1'200, 0, TimeMs(700)};
+    const PendingPrompt prompt{
+        {NodeId("n"), i}, 1'200, 0, TimeMs(700), TenantId()};
     const PrefillLoad load = PrefillLoadOf(engine, TimeMs(0));
     if (queue.Quote(prompt, load, TimeMs(0)) == DurationMs(0)) ++admitted;
   }
