Pace prompts by the moment that an engine states, not by one that may come

Cause: pacing left room at each engine for a slow moment that may begin at any time, and large prompts waited while one may be there.

Change: the burst goes by the pace that the engine has now, a prompt waits only while a slow moment is stated, and prefill has at least two fifths of an engine's time. What is unused goes.

--- a/include/yuccamoor/coordination/fleet/engine_pace.h
+++ b/include/yuccamoor/coordination/fleet/engine_pace.h
@@ -53,12 +53,8 @@
   /// The longest gap between events that keeps a stream on time; zero if gaps
   /// do not matter.
   DurationMs max_event_gap{250};
-  /// The factor by which the engine takes longer now than it usually does, and
-  /// the one by which it lately did in its slowest moments.
+  /// The factor by which the engine takes longer now than it usually does.
   double momentary = 1;
-  double slowest = 1;
-  /// Whether `momentary` has just been stated.
-  bool is_stated_now = false;
 
   /// Returns the time between two events with that many streams.
   double EventIntervalMs(std::uint32_t streams) const;
@@ -93,11 +89,6 @@
   /// Approaches the mean of its statements as the last one ages.
   double Momentary(TimeMs now) const;
 
-  /// Whether the last statement is so new that it probably still holds.
-  bool IsStatedNow(TimeMs now) const;
-  /// The factor of the slowest moments that it has stated lately.
-  double Slowest(TimeMs now) const;
-
   static constexpr double kMaxFactor = 4;
 
  private:
@@ -107,7 +98,6 @@
   TimeMs m_seen_at;
   double m_stated_factor = 1;
   double m_mean_stated = 1;
-  double m_slowest = 1;
   std::optional<TimeMs> m_stated_at;
 };
 
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -66,9 +66,8 @@
 DurationMs ReservedPrefill(std::uint32_t tokens,
                            const EnginePace& pace = EnginePace());
 
-/// Whether the prompt would delay streams for longer than their limit in one of
-/// the engine's slow moments, and the engine may be in one. Other prompts may
-/// go before it.
+/// Whether the engine states a slow moment in which the prompt would delay
+/// streams for longer than their limit. Other prompts may go before it.
 bool WaitsForMoment(const PrefillLoad& engine, const PromptOffer& prompt);
 
 /// Returns the estimated time until AllowsPrompt holds if nothing else is sent;
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -39,8 +39,6 @@
 EnginePace Endpoint::PaceAt(TimeMs now) const {
   EnginePace pace = usual_pace.SlowedBy(speed.Lasting(now));
   pace.momentary = speed.Momentary(now);
-  pace.slowest = speed.Slowest(now);
-  pace.is_stated_now = speed.IsStatedNow(now);
   return pace;
 }
 
--- a/lib/coordination/fleet/engine_pace.cc
+++ b/lib/coordination/fleet/engine_pace.cc
@@ -34,9 +34,8 @@
 // Without samples, an endpoint's factor goes back to the usual one.
 constexpr double kLastingFadesMs = 20'000;
 constexpr double kStatementFadesMs = 250;
-constexpr double kSlowestFadesMs = 30'000;
+constexpr double kMeanFadesMs = 30'000;
 constexpr double kStatedWeight = 0.1;
-constexpr DurationMs kStatementLifetime{150};
 
 double Faded(TimeMs since, TimeMs now, double fades_ms) {
   return std::exp(-static_cast<double>((now - since).ms()) / fades_ms);
@@ -109,7 +108,6 @@
   if (sample.work_time_percent) {
     m_stated_factor = Bounded(*sample.work_time_percent / kUsualPercent);
     m_mean_stated += (m_stated_factor - m_mean_stated) * kStatedWeight;
-    m_slowest = std::max(m_stated_factor, Slowest(now));
     m_stated_at = now;
   }
 }
@@ -122,20 +120,11 @@
 double EndpointSpeed::Momentary(TimeMs now) const {
   if (!m_stated_at) return 1;
   const double mean =
-      1 + (m_mean_stated - 1) * Faded(*m_stated_at, now, kSlowestFadesMs);
+      1 + (m_mean_stated - 1) * Faded(*m_stated_at, now, kMeanFadesMs);
   return mean +
          (m_stated_factor - mean) * Faded(*m_stated_at, now, kStatementFadesMs);
 }
 
-bool EndpointSpeed::IsStatedNow(TimeMs now) const {
-  return m_stated_at && now - *m_stated_at <= kStatementLifetime;
-}
-
-double EndpointSpeed::Slowest(TimeMs now) const {
-  if (!m_stated_at) return 1;
-  return 1 + (m_slowest - 1) * Faded(*m_stated_at, now, kSlowestFadesMs);
-}
-
 ServicePace::ServicePace()
     : m_first_event(kTypicalFirstEventOverheadMs,
                     1 / EnginePace().prefill_tokens_per_ms,
--- a/lib/coordination/fleet/prefill_pacing.cc
+++ b/lib/coordination/fleet/prefill_pacing.cc
@@ -12,7 +12,7 @@
 // (interval + burst) / (1 - share), with the interval that the event takes
 // without any. The longer that interval, the less is left for prefill.
 constexpr double kMaxPrefillShare = 0.5;
-constexpr double kMinPrefillShare = 0.2;
+constexpr double kMinPrefillShare = 0.4;
 constexpr double kIntervalsPerGap = 2;
 // Allowance for prompts that other nodes send before this one is reported to
 // them.
@@ -40,16 +40,14 @@
 // Returns the longest burst of prefill, by the present pace, that keeps the
 // engine's streams on time, also if a slow moment begins.
 double MaxBurstMs(const PrefillLoad& engine, PromptUrgency urgency) {
-  EnginePace slow = engine.pace;
-  slow.momentary = std::max(slow.momentary, slow.slowest);
-  const auto gap_ms = static_cast<double>(slow.max_event_gap.ms());
+  const auto gap_ms = static_cast<double>(engine.pace.max_event_gap.ms());
   double burst_ms = gap_ms * (1 - PrefillShare(engine.pace)) -
-                    slow.EventIntervalMs(engine.requests) -
+                    engine.pace.EventIntervalMs(engine.requests) -
                     kUnreportedPromptsMs;
   if (urgency == PromptUrgency::kNearDeadline) {
     burst_ms += gap_ms * kNearDeadlineMargin;
   }
-  return std::max(0.0, burst_ms) * engine.pace.momentary / slow.momentary;
+  return std::max(0.0, burst_ms);
 }
 
 // Returns the largest backlog, the prompt included, with which it may be sent.
@@ -82,19 +80,14 @@
 }
 
 bool WaitsForMoment(const PrefillLoad& engine, const PromptOffer& prompt) {
-  EnginePace slow = engine.pace;
-  slow.momentary = std::max(slow.momentary, slow.slowest);
-  if (slow.momentary < kSlowMoment || engine.requests == 0) return false;
+  const EnginePace& pace = engine.pace;
+  if (pace.momentary < kSlowMoment || engine.requests == 0) return false;
+  // Held back, the prompt itself is late.
+  if (prompt.urgency == PromptUrgency::kNearDeadline) return false;
   const double delay_ms =
-      slow.EventIntervalMs(engine.requests) + slow.PrefillMs(prompt.tokens);
-  const auto gap_ms = static_cast<double>(slow.max_event_gap.ms());
-  if (delay_ms <= gap_ms * kUsablePartOfGap) return false;
-  const double chance = (engine.pace.momentary - 1) / (slow.momentary - 1);
-  if (prompt.urgency == PromptUrgency::kNearDeadline) {
-    // Held back, the prompt itself is late.
-    return chance * (engine.requests + 1) > 1;
-  }
-  return engine.pace.momentary >= kSlowMoment || !engine.pace.is_stated_now;
+      pace.EventIntervalMs(engine.requests) + pace.PrefillMs(prompt.tokens);
+  const auto gap_ms = static_cast<double>(pace.max_event_gap.ms());
+  return delay_ms > gap_ms * kUsablePartOfGap;
 }
 
 DurationMs PromptWait(const PrefillLoad& engine, const PromptOffer& prompt) {
