--- a/include/yuccamoor/coordination/fleet/admission_request.h
+++ b/include/yuccamoor/coordination/fleet/admission_request.h
@@ -81,8 +81,6 @@
   AdmissionStep AskNextHome(TimeMs now);
   AdmissionStep AskCopies(TimeMs now);
   AdmissionStep TakeHomeAnswer(const AdmissionAnswer& answer, TimeMs now);
-  /// Moves a queued prompt to another engine if it starts there much sooner.
-  AdmissionStep TakeOtherQuote(const EngineQuote& quote, TimeMs now);
   AdmissionStep Refresh(TimeMs now);
   AdmissionStep Decide(TimeMs now);
   bool AllAnswered() const;
--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/endpoint_intake.h"
-#include "yuccamoor/coordination/fleet/engine_pace.h"
 #include "yuccamoor/coordination/request/circuit_breaker.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
@@ -46,14 +45,9 @@
   TimeMs prefill_until;
   CircuitBreaker breaker;
   EndpointIntake intake;
-  /// The pace of a usual engine of its service.
-  EnginePace usual_pace;
-  EndpointSpeed speed;
 
   std::uint32_t load() const { return in_flight + peers_in_flight; }
   bool HasModel(const ModelId& model) const;
-  /// Returns the pace of an engine as far as it is known.
-  EnginePace PaceAt(TimeMs now) const;
 };
 
 /// All known endpoints. Entries that are missing right after a store outage are
--- a/include/yuccamoor/coordination/fleet/engine_quote.h
+++ b/include/yuccamoor/coordination/fleet/engine_quote.h
@@ -27,10 +27,6 @@
   DurationMs prompt_wait{0};
   /// Requests in flight at the engine.
   std::uint32_t requests = 0;
-  /// Estimated time from sending the prompt to the first event.
-  DurationMs first_event{0};
-  /// How many times as long as usual the engine takes now.
-  double work_time = 1;
   /// Adapters being loaded by the engine.
   std::uint32_t loading = 0;
 };
--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -14,7 +14,6 @@
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/endpoint_table.h"
-#include "yuccamoor/coordination/fleet/engine_paces.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/revision_history.h"
 #include "yuccamoor/coordination/fleet/route_table.h"
@@ -102,8 +101,6 @@
 
   /// The current routes; null before the first configuration.
   const std::shared_ptr<const RouteTable>& routes() const { return m_routes; }
-  /// What streams have shown of the engines' speed.
-  EnginePaces& paces() { return m_paces; }
   EndpointTable& endpoints() { return m_endpoints; }
   const EndpointTable& endpoints() const { return m_endpoints; }
 
@@ -168,7 +165,6 @@
   std::optional<TimeMs> m_current_at;
   std::shared_ptr<const RouteTable> m_routes;
   EndpointTable m_endpoints;
-  EnginePaces m_paces{m_endpoints};
   RevisionTimes m_revision_times;
   std::map<AdapterRef, RevisionHistory> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
--- a/include/yuccamoor/coordination/fleet/prefill_pacing.h
+++ b/include/yuccamoor/coordination/fleet/prefill_pacing.h
@@ -13,7 +13,6 @@
 #include <cstdint>
 
 #include "yuccamoor/coordination/fleet/endpoint_table.h"
-#include "yuccamoor/coordination/fleet/engine_pace.h"
 #include "yuccamoor/state/clock.h"
 
 namespace yuccamoor::fleet {
@@ -55,7 +54,6 @@
   std::uint32_t slots = 0;
   /// As PrefillBacklog.
   DurationMs backlog{0};
-  EnginePace pace{};
 };
 
 /// Returns the engine's load as this node knows it.
@@ -63,12 +61,7 @@
 
 /// Returns the engine time that a prompt takes, including the steps of running
 /// streams in between.
-DurationMs ReservedPrefill(std::uint32_t tokens,
-                           const EnginePace& pace = EnginePace());
-
-/// Whether the engine states a slow moment in which the prompt would delay
-/// streams for longer than their limit. Other prompts may go before it.
-bool WaitsForMoment(const PrefillLoad& engine, const PromptOffer& prompt);
+DurationMs ReservedPrefill(std::uint32_t tokens);
 
 /// Returns the estimated time until AllowsPrompt holds if nothing else is sent;
 /// zero if it holds now.
@@ -77,7 +70,7 @@
 /// Returns whether a prompt may be sent now. An engine whose batch is full
 /// takes none: a prompt that is held back can still go to another engine that
 /// loads the adapter meanwhile. A prompt too large for any limit is sent once
-/// the engine has no backlog, and is not slow for the moment only.
+/// the engine has no backlog.
 bool AllowsPrompt(const PrefillLoad& engine, const PromptOffer& prompt);
 bool AllowsPrompt(const Endpoint& engine, const PromptOffer& prompt,
                   TimeMs now);
--- a/include/yuccamoor/coordination/fleet/prompt_queue.h
+++ b/include/yuccamoor/coordination/fleet/prompt_queue.h
@@ -70,8 +70,6 @@
   std::map<AdmissionId, Reservation> m_reserved;
   std::vector<QueuedPrompt> m_queue;
   FairOrder m_order;
-  // The engine's, as of the last load that was passed in.
-  EnginePace m_pace;
 };
 
 }  // namespace yuccamoor::fleet
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -14,7 +14,6 @@
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/crash_quarantine.h"
-#include "yuccamoor/coordination/fleet/engine_pace.h"
 #include "yuccamoor/coordination/fleet/engine_quote.h"
 #include "yuccamoor/coordination/fleet/engine_use.h"
 #include "yuccamoor/coordination/fleet/fleet_store.h"
@@ -142,13 +141,6 @@
   std::uint32_t prompt_tokens = 0;
 };
 
-/// Tells an engine's holder, or in a small fleet all nodes, what responses have
-/// shown of the engine's speed.
-struct TellPace {
-  EndpointId engine;
-  PaceSample sample;
-};
-
 /// Tells the holder of some engines how the node uses them.
 struct TellUse {
   NodeId node;
@@ -187,7 +179,7 @@
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
                  TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
                  TellAdmission, TellSent, TellUse, TellCrashes, AskPermit,
-                 TellPermit, TellLimit, TellPace, QuotaMessage>;
+                 TellPermit, TellLimit, QuotaMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -10,7 +10,6 @@
 #include <string>
 #include <vector>
 
-#include "yuccamoor/coordination/fleet/engine_paces.h"
 #include "yuccamoor/coordination/fleet/retry_budgets.h"
 #include "yuccamoor/coordination/fleet/route_table.h"
 #include "yuccamoor/coordination/quota/tenant_quotas.h"
@@ -151,10 +150,6 @@
   /// Ends a call that has not begun although its version's time is over, and
   /// sends the request again where it may be repeated. Returns whether it did.
   bool TakeBackSuperseded(TimeMs now);
-  /// Notes what a stream shows of its engine's speed, with its first event and
-  /// at its end.
-  void NoteFirstEvent();
-  void NoteStreamEnd();
   /// Logs the first output if the request's adapter has a newer version than
   /// the one that the request was sent for.
   void LogOlderVersionBegun();
@@ -268,11 +263,6 @@
   // How long the request had been held when that pause ended.
   DurationMs m_longest_pause_end{0};
   EventCutter m_cutter;
-  // The stream at the current engine, once it has brought an event there.
-  std::optional<ObservedStream> m_observed;
-  std::uint32_t m_load_when_sent = 0;
-  // The work time that the engine stated last; empty if it stated none.
-  std::optional<std::uint32_t> m_work_time_percent;
   bool m_stream_started = false;
   // Whether what the current call's head states was taken up.
   bool m_intake_noted = false;
--- a/include/yuccamoor/transport/fleet/node.h
+++ b/include/yuccamoor/transport/fleet/node.h
@@ -68,8 +68,6 @@
   void NoteUsed(const UsedAdapters& used);
   /// Tells the holders of engines in use, in a large fleet.
   void TellHolders(TimeMs now);
-  /// Tells what is new of the engines' speed to those who pace prompts.
-  void TellPaces(TimeMs now);
   bool IsReady() const;
 
   NodeContext& m_context;
--- a/lib/coordination/fleet/admission_request.cc
+++ b/lib/coordination/fleet/admission_request.cc
@@ -17,8 +17,6 @@
 constexpr std::size_t kMaxHomes = 3;
 constexpr DurationMs kStartAgain{150};
 constexpr DurationMs kRefreshInterval{250};
-// A queued prompt moves to another engine where it starts sooner by this much.
-constexpr DurationMs kChangeMargin{50};
 // Without an answer for this long, the holder is gone.
 constexpr DurationMs kHolderTimeout{600};
 
@@ -26,10 +24,8 @@
 // serve it.
 std::optional<std::int64_t> CostOf(const EngineQuote& quote) {
   if (!quote.adapter_wait) return std::nullopt;
-  const double requests_ms =
-      static_cast<double>(kWaitMsPerRequest) * quote.requests * quote.work_time;
   return quote.adapter_wait->ms() + quote.prompt_wait.ms() +
-         quote.first_event.ms() + static_cast<std::int64_t>(requests_ms);
+         kWaitMsPerRequest * quote.requests;
 }
 
 }  // namespace
@@ -120,12 +116,11 @@
       if (quote.engine != m_engine) return {};
       return TakeHomeAnswer(answer, now);
     case Stage::kQueued:
-      if (quote.engine != m_engine) return TakeOtherQuote(quote, now);
+      if (quote.engine != m_engine) return {};
       break;
   }
   m_heard_at = now;
   m_expected = now + quote.prompt_wait;
-  m_quotes[m_engine] = quote;
   if (!quote.adapter_wait || *quote.adapter_wait > DurationMs(0)) {
     // The adapter was unloaded meanwhile.
     m_stage = Stage::kStart;
@@ -187,20 +182,6 @@
   return step;
 }
 
-AdmissionStep AdmissionRequest::TakeOtherQuote(const EngineQuote& quote,
-                                               TimeMs now) {
-  const auto other = m_quotes.find(quote.engine);
-  const auto& own = m_quotes[m_engine];
-  if (other == m_quotes.end() || !own) return {};
-  other->second = quote;
-  if (quote.adapter_wait != DurationMs(0)) return {};
-  const auto cost = CostOf(quote);
-  const auto own_cost = CostOf(*own);
-  const bool is_better = own_cost && *cost + kChangeMargin.ms() < *own_cost;
-  if (!is_better) return {};
-  return Decide(now);
-}
-
 AdmissionStep AdmissionRequest::Refresh(TimeMs now) {
   if (now - m_heard_at >= kHolderTimeout) return AskNextHome(now);
   if (now - m_asked_at < kRefreshInterval && !m_ask_now) return {};
@@ -208,11 +189,6 @@
   m_asked_at = now;
   AdmissionStep step;
   step.asks.push_back({m_engine, false, m_stage == Stage::kQueued});
-  if (m_stage != Stage::kQueued) return step;
-  // The other engine may have become the faster one meanwhile.
-  for (const auto& [engine, quote] : m_quotes) {
-    if (engine != m_engine) step.asks.push_back({engine, false, false});
-  }
   return step;
 }
 
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -36,12 +36,6 @@
          entry.models.end();
 }
 
-EnginePace Endpoint::PaceAt(TimeMs now) const {
-  EnginePace pace = usual_pace.SlowedBy(speed.Lasting(now));
-  pace.momentary = speed.Momentary(now);
-  return pace;
-}
-
 bool EndpointTable::NamesProcess(const EndpointEntry& entry) const {
   if (entry.start_unix_ms > 0) return true;
   const Endpoint* known = Find(entry.id);
@@ -61,11 +55,9 @@
   if (known.entry.start_unix_ms != entry.start_unix_ms ||
       known.entry.address != entry.address) {
     const std::uint32_t in_flight = known.in_flight;
-    const EnginePace usual_pace = known.usual_pace;
     Remember(known, now);
     known = Recall(std::move(entry));
     known.in_flight = in_flight;
-    known.usual_pace = usual_pace;
     return true;
   }
   known.reregister_deadline.reset();
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -142,7 +142,6 @@
   if (m_routes && change.config.version <= m_routes->config().version) {
     return ViewUpdate::kConfigIgnored;
   }
-  m_paces.OnConfig(change.config);
   m_routes = std::make_shared<const RouteTable>(std::move(change.config));
   return ViewUpdate::kConfigApplied;
 }
--- a/lib/coordination/fleet/prompt_queue.cc
+++ b/lib/coordination/fleet/prompt_queue.cc
@@ -60,8 +60,7 @@
     ++load.requests;
     // The request itself is reported a moment after its prompt.
     if (reservation.sent) continue;
-    load.backlog =
-        load.backlog + ReservedPrefill(reservation.prompt.tokens, load.pace);
+    load.backlog = load.backlog + ReservedPrefill(reservation.prompt.tokens);
   }
   return load;
 }
@@ -89,7 +88,7 @@
     if (expected > wait) {
       slowest = std::max(slowest, TimeAhead(next.prompt, expected, now));
     }
-    ahead = ahead + ReservedPrefill(next.prompt.tokens, load.pace);
+    ahead = ahead + ReservedPrefill(next.prompt.tokens);
   }
   return ahead;
 }
@@ -117,7 +116,6 @@
 DurationMs PromptQueue::Quote(const PendingPrompt& prompt,
                               const PrefillLoad& load, TimeMs now) {
   Expire(now);
-  m_pace = load.pace;
   CancelReservation(prompt.id);
   const QueuedPrompt asked{prompt, now, now, {}};
   const DurationMs wait = WaitBehind(asked, load, now);
@@ -128,7 +126,6 @@
 DurationMs PromptQueue::Enqueue(const PendingPrompt& prompt,
                                 const PrefillLoad& load, TimeMs now) {
   Expire(now);
-  m_pace = load.pace;
   auto it = Find(prompt.id);
   if (it == m_queue.end()) {
     m_queue.push_back({prompt, now, now, {}});
@@ -146,7 +143,7 @@
   if (it == m_reserved.end() || it->second.sent) return;
   Reservation& reservation = it->second;
   reservation.sent = true;
-  const DurationMs work = ReservedPrefill(reservation.prompt.tokens, m_pace);
+  const DurationMs work = ReservedPrefill(reservation.prompt.tokens);
   for (QueuedPrompt& waiting : m_queue) {
     waiting.progress.OnSent(work, reservation.arrived_at > waiting.queued_at);
   }
@@ -155,16 +152,11 @@
 std::vector<AdmissionId> PromptQueue::Admit(const PrefillLoad& load,
                                             TimeMs now) {
   Expire(now);
-  m_pace = load.pace;
   std::vector<AdmissionId> admitted;
   for (const std::size_t position : m_order.Sort(Waiting(), now)) {
     const QueuedPrompt& next = m_queue[position];
-    const PrefillLoad reserved = WithReservations(load);
     const PromptOffer offer = OfferOf(next.prompt, now);
-    if (!AllowsPrompt(reserved, offer)) {
-      if (!WaitsForMoment(reserved, offer)) break;
-      continue;
-    }
+    if (!AllowsPrompt(WithReservations(load), offer)) break;
     Reserve(next, now);
     admitted.push_back(next.prompt.id);
   }
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -201,8 +201,6 @@
   json["prompt_wait_ms"] = quote.prompt_wait.ms();
   json["requests"] = quote.requests;
   json["loading"] = quote.loading;
-  json["first_event_ms"] = quote.first_event.ms();
-  json["work_time"] = quote.work_time;
   Json& choices = json["choices"] = Json::array();
   for (const EndpointId& engine : told.answer.choices) {
     choices.push_back(engine.str());
@@ -219,28 +217,6 @@
   return json;
 }
 
-Json Encode(const TellPace& told) {
-  Json json;
-  json["type"] = "pace";
-  json["engine"] = told.engine.str();
-  const PaceSample& sample = told.sample;
-  if (sample.interval_factor) json["interval"] = *sample.interval_factor;
-  if (sample.work_time_percent) json["percent"] = *sample.work_time_percent;
-  return json;
-}
-
-TellPace DecodePace(const Json& json) {
-  TellPace told;
-  told.engine = json.at("engine").get<EndpointId>();
-  if (json.contains("interval")) {
-    told.sample.interval_factor = json["interval"].get<double>();
-  }
-  if (json.contains("percent")) {
-    told.sample.work_time_percent = GetUnsigned32(json["percent"]);
-  }
-  return told;
-}
-
 Json Encode(const TellUse& told) {
   Json json;
   json["type"] = "use";
@@ -326,12 +302,6 @@
   quote.prompt_wait = DurationOf(json.at("prompt_wait_ms"));
   quote.requests = GetUnsigned32(json.at("requests"));
   quote.loading = GetUnsigned32(json.at("loading"));
-  if (json.contains("first_event_ms")) {
-    quote.first_event = DurationOf(json["first_event_ms"]);
-  }
-  if (json.contains("work_time")) {
-    quote.work_time = json["work_time"].get<double>();
-  }
   if (json.at("choices").size() > kMaxChoices) {
     throw Json::other_error::create(501, "too many choices", &json);
   }
@@ -419,7 +389,6 @@
   if (type == "ask_admission") return DecodeAskAdmission(json);
   if (type == "admission") return DecodeAdmission(json);
   if (type == "use") return DecodeUse(json);
-  if (type == "pace") return DecodePace(json);
   if (type == "crashes") return DecodeCrashes(json);
   if (type == "ask_permit") return DecodeAskPermit(json);
   if (type == "permit") return DecodeTellPermit(json);
--- a/lib/transport/fleet/admission_server.cc
+++ b/lib/transport/fleet/admission_server.cc
@@ -75,8 +75,6 @@
       .Ms("adapter_wait_ms", answer.quote.adapter_wait.value_or(DurationMs(-1)))
       .Ms("prompt_wait_ms", answer.quote.prompt_wait)
       .Number("load", answer.quote.requests)
-      .Ms("first_event_ms", answer.quote.first_event)
-      .Real("work_time", answer.quote.work_time)
       .Number("choices", answer.choices.size());
   if (!ask.tenant.empty()) {
     line.Text("tenant", ask.tenant.str()).Number("priority", ask.priority);
@@ -89,11 +87,6 @@
   EngineQuote& quote = answer.quote;
   quote.engine = ask.engine;
   quote.requests = engine.load();
-  const EnginePace pace = engine.PaceAt(now);
-  quote.first_event = DurationMs(
-      static_cast<std::int64_t>(pace.PrefillMs(ask.prompt_tokens) +
-                                pace.EventIntervalMs(quote.requests)));
-  quote.work_time = engine.speed.Lasting(now) * pace.momentary;
   quote.loading = m_holder.LoadsInFlight(ask.engine);
   const auto version = m_holder.ResidentVersion(ask.engine, ask.adapter);
   const bool holds = version && *version >= LeastVersionFor(ask, engine, now);
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -253,8 +253,6 @@
   m_has_output = false;
   m_sent = now;
   ++m_sends;
-  m_load_when_sent = target.load();
-  m_observed.reset();
   LogSent(target, now);
   m_context.dispatcher.OnBegin(m_endpoint, m_meta.adapter);
   if (m_meta.adapter && m_ticket) {
@@ -275,8 +273,6 @@
       .Text("route", m_route.name)
       .Text("endpoint", m_endpoint.str())
       .Number("load", target.load())
-      .Real("work_time", target.speed.Lasting(now))
-      .Real("work_time_now", target.speed.Momentary(now))
       .Number("prompt_tokens", m_meta.prompt_tokens)
       .Ms("held_ms", Held(now))
       .Ms("adapters_age_ms", now - target.adapters_reported_at)
--- a/lib/transport/fleet/exchange_answer.cc
+++ b/lib/transport/fleet/exchange_answer.cc
@@ -76,7 +76,6 @@
     return;
   }
   m_context.node.metrics.stream_events.Add(m_cutter.events() - before);
-  if (!m_has_output) NoteFirstEvent();
   NoteOutput(true);
   if (!m_stream_started) StartStream();
   if (m_ended) return;
@@ -111,7 +110,6 @@
     OnBroken();
     return;
   }
-  NoteStreamEnd();
   if (!m_stream_started) StartStream();
   if (m_ended) return;
   m_client->Send(kLastChunk);
@@ -204,7 +202,6 @@
       .Ms("first_ms", m_first_answer)
       .Ms("longest_pause_ms", m_longest_pause)
       .Ms("longest_pause_end_ms", m_longest_pause_end)
-      .Number("work_time_percent", m_work_time_percent.value_or(0))
       .Ms("held_ms", Held(now));
   const bool closes = Closes();
   // The exchange itself goes with the next tick.
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -249,7 +249,6 @@
   } else {
     TellPeers(now);
   }
-  TellPaces(now);
   FlushLog(now);
   CheckShutdown(now);
 }
@@ -320,22 +319,6 @@
   }
 }
 
-void Node::TellPaces(TimeMs now) {
-  const bool large = m_dispatcher.IsLarge();
-  for (const auto& [engine, sample] : m_context.view.paces().TakeReports(now)) {
-    if (!large) {
-      // Streams show each node of a small fleet the lasting speed.
-      if (sample.work_time_percent)
-        m_peers->Broadcast(TellPace{engine, sample});
-      continue;
-    }
-    const auto holder = m_context.view.holders().find(engine);
-    if (holder == m_context.view.holders().end()) continue;
-    if (holder->second.node == m_context.settings.node) continue;
-    m_peers->Send(holder->second.node, TellPace{engine, sample});
-  }
-}
-
 void Node::NoteUsed(const UsedAdapters& used) {
   for (const auto& [engine, adapters] : used) {
     for (const auto& [adapter, requests] : adapters) {
@@ -385,9 +368,6 @@
     m_permits.OnTellLimit(*limit);
   } else if (const auto* quota = std::get_if<QuotaMessage>(&message)) {
     m_quotas.OnMessage(*quota);
-  } else if (const auto* pace = std::get_if<TellPace>(&message)) {
-    m_context.view.paces().OnReport(pace->engine, pace->sample,
-                                    m_context.clock.Now());
   } else if (const auto* use = std::get_if<TellUse>(&message)) {
     m_dispatcher.OnPeerUse(*use);
     NoteUsed(use->use.used);
--- a/unittests/coordination/fleet/admission_request_test.cc
+++ b/unittests/coordination/fleet/admission_request_test.cc
@@ -73,40 +73,6 @@
   }
 }
 
-TEST_CASE("A queued prompt stays at an engine that has become slow",
-          "[fleet][admission][pace]") {
-  // Guards against one choice for as long as a prompt waits.
-  AdmissionRequest request(1, false);
-  request.Poll(Ranking, TimeMs(0));
-  AdmissionAnswer answer = Holding(kHome, DurationMs(100));
-  answer.choices = {kHome, kThird};
-  request.OnAnswer(answer, TimeMs(5));
-  request.OnAnswer(Holding(kThird, DurationMs(140)), TimeMs(6));
-  const AdmissionStep again = request.Poll(Ranking, TimeMs(260));
-  REQUIRE(again.asks.size() == 2);
-  CHECK(again.asks[0].engine == kHome);
-  CHECK(again.asks[0].enqueue);
-  CHECK(again.asks[1].engine == kThird);
-  CHECK_FALSE(again.asks[1].enqueue);
-  request.OnAnswer(Holding(kHome, DurationMs(400)), TimeMs(262));
-  SECTION("the other one takes it at once") {
-    CHECK(
-        request.OnAnswer(Holding(kThird, DurationMs(0)), TimeMs(263)).send_to ==
-        kThird);
-  }
-  SECTION("the other one takes it sooner") {
-    const AdmissionStep step =
-        request.OnAnswer(Holding(kThird, DurationMs(60)), TimeMs(263));
-    REQUIRE(step.asks.size() == 1);
-    CHECK(step.asks[0].engine == kThird);
-    CHECK(step.asks[0].enqueue);
-  }
-  SECTION("the other one is hardly better") {
-    CHECK(request.OnAnswer(Holding(kThird, DurationMs(380)), TimeMs(263))
-              .asks.empty());
-  }
-}
-
 TEST_CASE("A home that is not among the choices does not count",
           "[fleet][admission]") {
   AdmissionRequest request(1, false);
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -155,8 +155,6 @@
   told.answer.quote.prompt_wait = DurationMs(30);
   told.answer.quote.requests = 12;
   told.answer.quote.loading = 2;
-  told.answer.quote.first_event = DurationMs(90);
-  told.answer.quote.work_time = 2.5;
   SECTION("an engine that holds the adapter") {
     told.answer.quote.version = AdapterRevision(4);
     told.answer.quote.adapter_wait = DurationMs(0);
@@ -175,9 +173,6 @@
   CHECK(answer.answer.quote.requests == 12);
   CHECK(answer.answer.quote.loading == 2);
 
-  CHECK(answer.answer.quote.first_event == DurationMs(90));
-  CHECK(answer.answer.quote.work_time == 2.5);
-
   TellUse use;
   use.node = NodeId("n1");
   use.use.in_flight[EndpointId("e1")] = 3;
@@ -190,19 +185,6 @@
   CHECK(std::get<TellUse>(*used).requests_per_second == 2.5);
 }
 
-TEST_CASE("A pace that was not seen counts as seen", "[fleet][peer]") {
-  // Guards against absent fields that decode as figures.
-  for (const PaceSample& sample :
-       {PaceSample{}, PaceSample{1.5, std::nullopt},
-        PaceSample{std::nullopt, 250}, PaceSample{0.5, 100}}) {
-    const auto told = DecodePeerMessage(
-        EncodePeerMessage(TellPace{EndpointId("e1"), sample}));
-    REQUIRE(told);
-    CHECK(std::get<TellPace>(*told).engine == EndpointId("e1"));
-    CHECK(std::get<TellPace>(*told).sample == sample);
-  }
-}
-
 TEST_CASE("News of crashes come back as they were sent", "[fleet][peer]") {
   const CrashSuspect part{SuspectKind::kPromptPart, "5c"};
   const CrashSuspect request{SuspectKind::kRequest, "dead"};
