--- a/lib/coordination/quota/quota_issuer.cc
+++ b/lib/coordination/quota/quota_issuer.cc
@@ -126,7 +126,7 @@
   }
   const double saved = SavedUp(PoolOf(ask.tenant), ask.quota, now);
   Account account{ask.quota, ask.version, QuotaBucket(saved, now), now};
-  return m_accounts.emplace(ask.tenant, std::move(account)).first->second;
+  return m_accounts.emplace(ask.tenant, account).first->second;
 }
 
 TellQuota QuotaIssuer::OnAsk(const AskQuota& ask, TimeMs now) {
