Show that a request that crashes workers stops those that share its prompt

One request comes four times and crashes three workers; for the next minute all nodes refuse every sound request whose prompt begins with the same part.

--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.h
@@ -56,6 +56,8 @@
   std::int64_t load_ms = 250;
   std::int64_t first_event_ms = 40;
   int events = 4;
+  /// A request with this body crashes the worker, if it is set.
+  std::string deadly{};
 };
 
 /// Holds the model from the start, and the adapters that it is ordered to load.
@@ -103,10 +105,15 @@
     m_server.Stop();
   }
   bool ended() const { return m_ended; }
+  /// Whether the worker has begun to run what crashes it.
+  bool crashes() const { return m_crashes; }
 
   int runs() const { return m_runs; }
   int rejected() const { return m_rejected; }
 
+  /// Called with holder and fencing token of each order that comes.
+  std::function<void(const std::string& holder, std::uint64_t fence)> on_order;
+
   /// Called with the id of each request that comes.
   std::function<void(const std::string& attempt)> on_request;
 
@@ -159,6 +166,7 @@
   bool Order(const Message& request, Connection& peer) {
     const Json order = Json::parse(request.body);
     const Lock lock(m_mutex);
+    if (on_order) on_order(order.at("holder"), order.at("fence"));
     const std::string name = order.value("adapter", "");
     const bool is_load = order.at("op") == "load";
     int status = 202;
@@ -223,6 +231,10 @@
     }
     ++m_runs;
     m_record.Line(m_options.id + " runs " + attempt);
+    if (!m_options.deadly.empty() && request.body == m_options.deadly) {
+      m_crashes = true;
+      return false;
+    }
     SleepMs(m_options.first_event_ms);
     if (!peer.Send("HTTP/1.1 200 OK\r\n" + fields +
                    "Response-Stamp: " + m_options.id +
@@ -249,6 +261,7 @@
   std::uint64_t m_sequence = 0;
   std::atomic<bool> m_leaving{false};
   std::atomic<bool> m_ended{false};
+  std::atomic<bool> m_crashes{false};
   std::atomic<int> m_runs{0};
   std::atomic<int> m_rejected{0};
   Server m_server;
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -45,6 +45,7 @@
  public:
   explicit Store(const std::string& ip)
       : m_timer([this] { ExpireLeases(); }),
+        m_ip(ip),
         m_server(ip, 0, [this](const Message& request, Connection& peer) {
           return Serve(request, peer);
         }) {}
@@ -88,6 +89,53 @@
     m_changed.notify_all();
   }
 
+  /// Another address of the store, for one node.
+  class Door {
+   public:
+    explicit Door(Store& store)
+        : m_store(store),
+          m_server(store.m_ip, 0,
+                   [this](const Message& request, Connection& peer) {
+                     return Serve(request, peer);
+                   }) {}
+    Door(const Door&) = delete;
+    Door& operator=(const Door&) = delete;
+
+    const Address& address() const { return m_server.address(); }
+    /// When the node's lease was renewed last.
+    std::int64_t renewed_at() const { return m_renewed_at; }
+    /// From now on all calls get 503.
+    void Refuse(bool refuses) { m_refuses = refuses; }
+    /// Takes the keys of the node's lease away.
+    void TakeKeysAway() { m_store.EraseKeysOf(m_lease); }
+
+   private:
+    bool Serve(const Message& request, Connection& peer) {
+      constexpr std::string_view kKeep = "/kv-keep/";
+      if (m_refuses) return peer.Send(Answer(503, "Store-Era: 1\r\n", ""));
+      if (request.target.starts_with(kKeep)) {
+        m_lease = LastNumber(request.target);
+        m_renewed_at = ElapsedMs();
+      }
+      return m_store.Serve(request, peer);
+    }
+
+    Store& m_store;
+    std::atomic<bool> m_refuses{false};
+    std::atomic<std::uint64_t> m_lease{0};
+    std::atomic<std::int64_t> m_renewed_at{0};
+    Server m_server;
+  };
+
+  /// The value, still encoded, of the first key that ends so.
+  std::string ValueOf(const std::string& end) {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [key, item] : m_items) {
+      if (key.ends_with(end)) return item.value;
+    }
+    return "";
+  }
+
   /// The values, still encoded, of the keys that hold the text.
   std::vector<std::string> ValuesOf(const std::string& text) {
     const std::lock_guard lock(m_mutex);
@@ -157,6 +205,15 @@
     m_changed.notify_all();
   }
 
+  void EraseKeysOf(std::uint64_t lease) {
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> keys;
+    for (const auto& [key, item] : m_items) {
+      if (lease != 0 && item.lease == lease) keys.push_back(key);
+    }
+    for (const std::string& key : keys) Erase(key);
+  }
+
   void EndLease(std::uint64_t lease) {
     m_leases.erase(lease);
     std::vector<std::string> keys;
@@ -312,6 +369,7 @@
   bool m_is_silent = false;
   bool m_ends = false;
   std::thread m_timer;
+  std::string m_ip;
   Server m_server;
 };
 
