--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -63,8 +63,12 @@
         m_folder(std::move(folder)),
         m_options(std::move(options)),
         m_store(store) {
-    // No connection's own port is one of these.
-    m_base = static_cast<std::uint16_t>(20'000 + ::getpid() % 10'000);
+    // Below the ports that the kernel gives to connections, apart from those of
+    // plays at the same time.
+    constexpr int kPortsEach = 20;
+    constexpr int kPlays = 600;
+    m_base =
+        static_cast<std::uint16_t>(20'000 + ::getpid() % kPlays * kPortsEach);
     Start();
   }
   NodeProcess(const NodeProcess&) = delete;
