Blame a prompt's part only for crashes that no request explains

Callers of a rare kind of request got 503 with a Retry-After of up to a minute on all nodes, beside idle engines, after one request that shared the first part of its prompt with them had crashed three engines.

Cause: each crash counted for the request and for every shared part of its prompt alike, so the same three crashes quarantined both; and only output for the part could lift that, which the refusals prevented.

Change: CrashSeries keeps which requests each crash broke off, and a part is quarantined only if three different requests are needed to explain its crashes. News of crashes name the request of each run. So that a part that does crash engines is still found within five crashes, a request that was just broken off is not repeated while a different one with the same part was, too.

Of the new tests these fail before: "A request that crashes engines does not quarantine its prompt's part", "Two requests that crash engines do not quarantine a shared part", "Nodes that each saw one crash tell whose request it was". "A part that crashes engines is quarantined within five crashes" guards the other side.

--- a/include/yuccamoor/coordination/fleet/crash_quarantine.h
+++ b/include/yuccamoor/coordination/fleet/crash_quarantine.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "yuccamoor/coordination/fleet/crash_series.h"
 #include "yuccamoor/state/clock.h"
 #include "yuccamoor/state/fleet/crash_suspect.h"
 #include "yuccamoor/state/fleet/endpoint_entry.h"
@@ -28,6 +30,8 @@
   CrashSuspect suspect;
   /// How long the endpoint had had it.
   DurationMs ran{0};
+  /// The digest of the request that ran; empty if it is not known.
+  std::string request;
 
   friend auto operator<=>(const BrokenRun&, const BrokenRun&) = default;
 };
@@ -55,6 +59,10 @@
 /// before: a request that is repeated at once crashes all endpoints sooner than
 /// that.
 ///
+/// A request that crashes endpoints by itself has parts in common with sound
+/// ones. So crashes that the same request explains count once for the parts of
+/// its prompt.
+///
 /// Nodes tell each other what they see (TakeNews), so that all come to the same
 /// result without a question for each request.
 class CrashQuarantine {
@@ -76,6 +84,11 @@
   /// is.
   std::optional<QuarantinedSuspect> Find(
       const std::vector<CrashSuspect>& suspects, TimeMs now) const;
+  /// Whether endpoints broke off the request a short time ago and, without
+  /// output in between, a different one that shares a part of its prompt: a
+  /// repeat may crash a further endpoint, and would tell nothing new.
+  bool IsDoubtfulRepeat(const std::vector<CrashSuspect>& suspects,
+                        TimeMs now) const;
   /// The endpoint processes that broke off runs of the suspect since its last
   /// output, whether they count or not, if the last one did a short time ago.
   std::size_t RecentlyBrokenOff(const CrashSuspect& suspect, TimeMs now) const;
@@ -96,10 +109,8 @@
 
  private:
   struct Record {
-    // The endpoint processes that broke off runs of it since its last output,
-    // and how many of these crashes count.
-    std::vector<EndpointProcess> endpoints;
-    std::uint32_t crashes = 0;
+    // Since its last output.
+    CrashSeries series;
     TimeMs last_crash;
     TimeMs last_broken_off;
     std::optional<TimeMs> quarantined_until;
@@ -114,6 +125,12 @@
   // Whether a crash under the run is one event with the last one that counted.
   static bool IsSameEvent(const Record& record, const BrokenRun& run,
                           TimeMs now);
+  // Whether the suspect is a part of the prompt of a request that is known to
+  // crash endpoints by itself.
+  bool IsExplained(const BrokenRun& run) const;
+  // How many crashes speak against the suspect.
+  static std::size_t Evidence(const CrashSuspect& suspect,
+                              const Record& record);
   void Quarantine(const CrashSuspect& suspect, Record& record, TimeMs now);
   void Adopt(const QuarantinedSuspect& quarantined, TimeMs now);
   // Returns whether the suspect was suspected or quarantined.
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -135,6 +135,9 @@
   const std::vector<CrashSuspect>& Suspects();
   /// Ends a request that would crash an endpoint. Returns whether it did.
   bool EndIfQuarantined();
+  /// Ends a request that crashed an endpoint, by itself or by a part of its
+  /// prompt. Returns whether it did.
+  bool EndIfDoubtfulRepeat(TimeMs now);
   /// Reports that the endpoint ended before any output.
   void NoteBrokenOff();
   /// Reports the first output from the endpoint: for the prompt, or an error
--- a/lib/coordination/fleet/crash_quarantine.cc
+++ b/lib/coordination/fleet/crash_quarantine.cc
@@ -1,6 +1,7 @@
 #include "yuccamoor/coordination/fleet/crash_quarantine.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace yuccamoor::fleet {
@@ -8,7 +9,7 @@
 namespace {
 
 // Fewer may be chance: engines crash for other reasons, and connections break.
-constexpr std::uint32_t kCrashesToQuarantine = 3;
+constexpr std::size_t kCrashesToQuarantine = 3;
 // Crashes under a part of prompts within this time count as one.
 constexpr DurationMs kSameEvent{300};
 // An endpoint that crashes is back by then.
@@ -28,8 +29,14 @@
 constexpr std::size_t kMaxSuspects = 8'192;
 // As many as a datagram carries.
 constexpr std::size_t kMaxReminded = 256;
-// Enough to tell endpoint processes apart until a suspect is quarantined.
-constexpr std::size_t kMaxEndpoints = 16;
+
+// Returns the digest of the request among the suspects; empty if none is.
+std::string_view RequestOf(const std::vector<CrashSuspect>& suspects) {
+  for (const CrashSuspect& suspect : suspects) {
+    if (suspect.kind == SuspectKind::kRequest) return suspect.id;
+  }
+  return {};
+}
 
 }  // namespace
 
@@ -39,11 +46,12 @@
   m_broken_off[endpoint] = now;
   std::vector<BrokenRun>& told = m_news.broken_off[endpoint];
   for (const CrashSuspect& suspect : suspects) {
-    const BrokenRun run{suspect, ran};
+    const BrokenRun run{suspect, ran, std::string(RequestOf(suspects))};
     AddCrash(endpoint, run, now);
-    const bool known = std::any_of(
-        told.begin(), told.end(),
-        [&](const BrokenRun& item) { return item.suspect == suspect; });
+    const bool known =
+        std::any_of(told.begin(), told.end(), [&](const BrokenRun& item) {
+          return item.suspect == suspect && item.request == run.request;
+        });
     if (!known) told.push_back(run);
   }
 }
@@ -69,34 +77,43 @@
 
 bool CrashQuarantine::IsSameEvent(const Record& record, const BrokenRun& run,
                                   TimeMs now) {
-  if (record.endpoints.empty()) return false;
   if (run.suspect.kind == SuspectKind::kPromptPart) {
     return now - record.last_crash < kSameEvent;
   }
   return now - run.ran < record.last_crash;
 }
 
+bool CrashQuarantine::IsExplained(const BrokenRun& run) const {
+  if (run.suspect.kind != SuspectKind::kPromptPart) return false;
+  const auto request = m_records.find({SuspectKind::kRequest, run.request});
+  return request != m_records.end() && request->second.quarantines > 0;
+}
+
 void CrashQuarantine::AddCrash(const EndpointProcess& endpoint,
                                const BrokenRun& run, TimeMs now) {
   Record& record = Touch(run.suspect, now);
-  const bool known = std::find(record.endpoints.begin(), record.endpoints.end(),
-                               endpoint) != record.endpoints.end();
-  if (known) return;
-  const bool same_event = IsSameEvent(record, run, now);
-  if (record.endpoints.size() < kMaxEndpoints) {
-    record.endpoints.push_back(endpoint);
-  }
+  const bool is_known = record.series.Contains(endpoint);
+  const bool is_same_event =
+      !record.series.empty() && IsSameEvent(record, run, now);
+  record.series.Add(endpoint, run.request, is_same_event);
+  if (is_known) return;
   record.last_broken_off = now;
-  if (same_event) return;
-  ++record.crashes;
+  if (is_same_event) return;
   record.last_crash = now;
   // After an earlier quarantine, the first crash confirms it.
-  const bool confirmed = record.quarantines > 0;
-  if (confirmed || record.crashes >= kCrashesToQuarantine) {
+  const bool is_confirmed = record.quarantines > 0 && !IsExplained(run);
+  if (is_confirmed || Evidence(run.suspect, record) >= kCrashesToQuarantine) {
     Quarantine(run.suspect, record, now);
   }
 }
 
+std::size_t CrashQuarantine::Evidence(const CrashSuspect& suspect,
+                                      const Record& record) {
+  return suspect.kind == SuspectKind::kPromptPart
+             ? record.series.RequestsToExplain()
+             : record.series.crashes();
+}
+
 void CrashQuarantine::Quarantine(const CrashSuspect& suspect, Record& record,
                                  TimeMs now) {
   if (record.quarantined_until && now < *record.quarantined_until) return;
@@ -111,7 +128,7 @@
 
 void CrashQuarantine::Adopt(const QuarantinedSuspect& quarantined, TimeMs now) {
   Record& record = Touch(quarantined.suspect, now);
-  const bool cleared = record.crashes == 0 && record.cleared_at &&
+  const bool cleared = record.series.empty() && record.cleared_at &&
                        now - *record.cleared_at < kClearedMemory;
   if (cleared) {
     // The sender has missed that.
@@ -132,7 +149,7 @@
   const auto it = m_records.find(suspect);
   if (it == m_records.end()) return false;
   Record& record = it->second;
-  const bool suspected = record.crashes > 0 || record.quarantined_until;
+  const bool suspected = !record.series.empty() || record.quarantined_until;
   if (!suspected) return false;
   record = Record();
   record.touched = now;
@@ -146,7 +163,23 @@
   if (it == m_records.end()) return 0;
   const Record& record = it->second;
   const bool recent = now - record.last_broken_off < kRecentCrash;
-  return recent ? record.endpoints.size() : 0;
+  return recent ? record.series.endpoints() : 0;
+}
+
+bool CrashQuarantine::IsDoubtfulRepeat(
+    const std::vector<CrashSuspect>& suspects, TimeMs now) const {
+  const bool is_repeat = std::any_of(
+      suspects.begin(), suspects.end(), [&](const CrashSuspect& suspect) {
+        return suspect.kind == SuspectKind::kRequest &&
+               RecentlyBrokenOff(suspect, now) > 0;
+      });
+  if (!is_repeat) return false;
+  return std::any_of(
+      suspects.begin(), suspects.end(), [&](const CrashSuspect& suspect) {
+        return suspect.kind == SuspectKind::kPromptPart &&
+               RecentlyBrokenOff(suspect, now) > 0 &&
+               m_records.at(suspect).series.RequestsToExplain() > 1;
+      });
 }
 
 bool CrashQuarantine::MayHaveEnded(const EndpointProcess& endpoint,
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -246,6 +246,7 @@
     for (const BrokenRun& run : runs) {
       list.push_back(EncodeSuspect(run.suspect));
       list.back()["ran_ms"] = run.ran.ms();
+      list.back()["request"] = run.request;
     }
     broken_off.push_back(std::move(item));
   }
@@ -326,8 +327,10 @@
     const EndpointProcess endpoint{item.at("endpoint").get<EndpointId>(),
                                    GetUnsigned(item.at("start"))};
     for (const Json& run : item.at("runs")) {
+      // Earlier releases do not tell of which request the run was.
+      const std::string request = run.value("request", std::string());
       told.news.broken_off[endpoint].push_back(
-          {DecodeSuspect(run), DurationOf(run.at("ran_ms"))});
+          {DecodeSuspect(run), DurationOf(run.at("ran_ms")), request});
     }
   }
   for (const Json& suspect : json.at("cleared")) {
--- a/lib/transport/fleet/exchange_crash.cc
+++ b/lib/transport/fleet/exchange_crash.cc
@@ -3,6 +3,14 @@
 
 namespace yuccamoor::fleet {
 
+namespace {
+
+// Other requests with the same part will most likely have shown by then whether
+// it crashes endpoints.
+constexpr DurationMs kDoubtfulRepeatRetryAfter{1'000};
+
+}  // namespace
+
 EndpointProcess Exchange::Process() const {
   return {m_endpoint, m_endpoint_start_unix_ms};
 }
@@ -47,8 +55,9 @@
   const CrashQuarantine& quarantine = m_context.crashes.quarantine();
   // Output has shown that the request is sound.
   if (m_stream_started || quarantine.empty()) return false;
-  const auto found = quarantine.Find(Suspects(), m_context.node.clock.Now());
-  if (!found) return false;
+  const TimeMs now = m_context.node.clock.Now();
+  const auto found = quarantine.Find(Suspects(), now);
+  if (!found) return EndIfDoubtfulRepeat(now);
   m_context.node.metrics.quarantined_requests_refused.Add();
   m_context.node.log.Event("request_quarantined")
       .Text("request", m_meta.attempt.str())
@@ -59,6 +68,17 @@
   return true;
 }
 
+bool Exchange::EndIfDoubtfulRepeat(TimeMs now) {
+  if (!m_context.crashes.quarantine().IsDoubtfulRepeat(Suspects(), now)) {
+    return false;
+  }
+  m_context.node.log.Event("suspect_repeat_kept_back")
+      .Text("request", m_meta.attempt.str())
+      .Text("suspect", Suspects().front().id);
+  GiveUp("may crash a further endpoint", kDoubtfulRepeatRetryAfter);
+  return true;
+}
+
 bool Exchange::DispatchSuspect(TimeMs now) {
   const CrashQuarantine& quarantine = m_context.crashes.quarantine();
   // Engines are chosen by what they hold.
--- a/unittests/coordination/fleet/crash_quarantine_test.cc
+++ b/unittests/coordination/fleet/crash_quarantine_test.cc
@@ -275,4 +275,104 @@
   CHECK(IsQuarantined(quarantine, kCrashing, TimeMs(181'000)));
 }
 
+// One request that crashed three engines took all sound requests with the first
+// part of its prompt along, for a minute and longer each time that it came back.
+TEST_CASE("A request that crashes engines does not quarantine its prompt's part",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  const auto crash = [&](int engine, TimeMs now) {
+    const CrashSuspect beside{SuspectKind::kRequest, std::to_string(engine)};
+    quarantine.OnBrokenOff(Engine(engine), {kRequest, kShared}, kRan, now);
+    quarantine.OnBrokenOff(Engine(engine), {beside, kShared}, kRan, now);
+  };
+  for (int i = 0; i < 5; ++i) {
+    crash(i, TimeMs(0) + DurationMs(1'000) * i);
+    CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(1'000 * i)));
+  }
+  REQUIRE(IsQuarantined(quarantine, kRequest, TimeMs(4'000)));
+  const CrashSuspect sound{SuspectKind::kRequest, "sound"};
+  CHECK_FALSE(quarantine.Find({sound, kShared}, TimeMs(4'000)));
+  // It comes back after its quarantine.
+  crash(5, TimeMs(70'000));
+  CHECK(IsQuarantined(quarantine, kRequest, TimeMs(70'000)));
+  CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(70'000)));
+}
+
+// The same, where several requests crash engines.
+TEST_CASE("Two requests that crash engines do not quarantine a shared part",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  const CrashSuspect other{SuspectKind::kRequest, "other"};
+  for (int i = 0; i < 6; ++i) {
+    const CrashSuspect& request = i % 2 == 0 ? kRequest : other;
+    quarantine.OnBrokenOff(Engine(i), {request, kShared}, kRan,
+                           TimeMs(1'000 * i));
+  }
+  CHECK(IsQuarantined(quarantine, kRequest, TimeMs(6'000)));
+  CHECK(IsQuarantined(quarantine, other, TimeMs(6'000)));
+  CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(6'000)));
+}
+
+// Each request crashes engines as often as it is sent, and clients and nodes
+// repeat it.
+TEST_CASE("A part that crashes engines is quarantined within five crashes",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  int crashes = 0;
+  TimeMs now(0);
+  for (int request = 0; request < 5; ++request) {
+    const std::vector<CrashSuspect> suspects{
+        {SuspectKind::kRequest, std::to_string(request)}, kCrashing};
+    for (int repeat = 0; repeat < 4; ++repeat) {
+      const bool is_sent = !quarantine.Find(suspects, now) &&
+                           !quarantine.IsDoubtfulRepeat(suspects, now);
+      if (!is_sent) continue;
+      quarantine.OnBrokenOff(Engine(crashes), suspects, kRan, now);
+      ++crashes;
+      now = now + DurationMs(400);
+    }
+  }
+  CHECK(IsQuarantined(quarantine, kCrashing, now));
+  CHECK(crashes <= 5);
+}
+
+// Endpoints crash for reasons of their own: what they broke off is repeated.
+TEST_CASE("A request that one crash broke off may be repeated",
+          "[fleet][quarantine]") {
+  CrashQuarantine quarantine;
+  const std::vector<CrashSuspect> suspects{kRequest, kShared};
+  const std::vector<CrashSuspect> others{{SuspectKind::kRequest, "o"}, kShared};
+  quarantine.OnBrokenOff(Engine(1), suspects, kRan, TimeMs(0));
+  quarantine.OnBrokenOff(Engine(1), others, kRan, TimeMs(0));
+  quarantine.OnBrokenOff(Engine(2), others, kRan, TimeMs(100));
+  CHECK_FALSE(quarantine.IsDoubtfulRepeat(suspects, TimeMs(200)));
+  quarantine.OnBrokenOff(Engine(3), {{SuspectKind::kRequest, "p"}, kShared},
+                         kRan, TimeMs(1'000));
+  CHECK(quarantine.IsDoubtfulRepeat(suspects, TimeMs(1'100)));
+  // A new request shows whether the part is sound.
+  CHECK_FALSE(quarantine.IsDoubtfulRepeat(
+      {{SuspectKind::kRequest, "new"}, kShared}, TimeMs(1'100)));
+  quarantine.OnOutput(Engine(9), {{SuspectKind::kRequest, "new"}, kShared},
+                      TimeMs(1'200));
+  CHECK_FALSE(quarantine.IsDoubtfulRepeat(suspects, TimeMs(1'300)));
+}
+
+TEST_CASE("Nodes that each saw one crash tell whose request it was",
+          "[fleet][quarantine]") {
+  std::vector<CrashQuarantine> nodes(3);
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    const TimeMs now(1'000 * static_cast<std::int64_t>(i));
+    nodes[i].OnBrokenOff(Engine(static_cast<int>(i)), {kRequest, kShared}, kRan,
+                         now);
+    const CrashNews news = nodes[i].TakeNews();
+    for (std::size_t other = 0; other < nodes.size(); ++other) {
+      if (other != i) nodes[other].OnNews(news, now);
+    }
+  }
+  for (const CrashQuarantine& node : nodes) {
+    CHECK(IsQuarantined(node, kRequest, TimeMs(2'000)));
+    CHECK_FALSE(IsQuarantined(node, kShared, TimeMs(2'000)));
+  }
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -190,8 +190,9 @@
   const CrashSuspect request{SuspectKind::kRequest, "dead"};
   TellCrashes told;
   told.node = NodeId("n1");
-  told.news.broken_off[{EndpointId("e1"), 7}] = {{part, DurationMs(40)},
-                                                 {request, DurationMs(50)}};
+  told.news.broken_off[{EndpointId("e1"), 7}] = {
+      {part, DurationMs(40), request.id},
+      {request, DurationMs(50), request.id}};
   told.news.cleared = {part};
   told.news.quarantined = {{request, DurationMs(60'000)}};
   told.asks = true;
