Check each sending at one gate, and tell of endpoints that leave

Cause: what a holder admits was sent without asking again whether the endpoint may be used. Each way to a sending had checks of its own, and the holder, which gets an answer of a given engine only now and then, had not heard of the leaving.

Change: Exchange::Send is the gate that every sending passes, whoever chose the endpoint and when. AdmissionClient leaves engines out of other nodes' answers that this node knows not to be usable. Nodes tell each other of an endpoint that says that it leaves.

"A request is not sent to an engine that its node knows to leave" fails without the check in AdmissionClient.

--- a/include/yuccamoor/coordination/fleet/endpoint_table.h
+++ b/include/yuccamoor/coordination/fleet/endpoint_table.h
@@ -73,8 +73,8 @@
   void Expire(TimeMs now);
 
   /// Records that an endpoint's process announced that it is leaving, listed or
-  /// not.
-  void MarkLeaving(const EndpointProcess& process);
+  /// not, also before its entry is known. Returns whether that is news.
+  bool MarkLeaving(const EndpointProcess& process, TimeMs now);
   /// Starts or extends the backoff after a failed connection attempt.
   void OnConnectFailed(const EndpointId& id, TimeMs now);
   /// Clears the connection backoff.
@@ -108,7 +108,7 @@
   void Erase(Map::iterator endpoint, TimeMs now);
 
   Map m_endpoints;
-  // Processes that are not listed any more.
+  // Processes that are not listed, any more or yet.
   std::map<EndpointProcess, Remembered> m_removed;
   std::optional<TimeMs> m_reregister_deadline;
 };
--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -179,7 +179,7 @@
     std::variant<NodeStatus, AskLoad, TellQueued, TellLoaded, TellMissing,
                  TellPrompt, TellRetired, TellInUse, TellChanges, AskAdmission,
                  TellAdmission, TellSent, TellUse, TellCrashes, AskPermit,
-                 TellPermit, TellLimit, QuotaMessage>;
+                 TellPermit, TellLimit, TellLeaving, QuotaMessage>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 
--- a/include/yuccamoor/protocol/fleet/permit_messages.h
+++ b/include/yuccamoor/protocol/fleet/permit_messages.h
@@ -1,5 +1,6 @@
 /// \file
-/// \brief Datagrams by which nodes keep to endpoints' limits together.
+/// \brief Datagrams by which nodes keep to endpoints' limits together, and tell
+/// which endpoints leave.
 
 #ifndef YUCCAMOOR_PROTOCOL_FLEET_PERMIT_MESSAGES_H_
 #define YUCCAMOOR_PROTOCOL_FLEET_PERMIT_MESSAGES_H_
@@ -43,14 +44,21 @@
   std::optional<double> per_second;
 };
 
+/// Tells all nodes that an endpoint's process is leaving.
+struct TellLeaving {
+  EndpointProcess process;
+};
+
 Json EncodePermitMessage(const AskPermit& ask);
 Json EncodePermitMessage(const TellPermit& told);
 Json EncodePermitMessage(const TellLimit& told);
+Json EncodePermitMessage(const TellLeaving& told);
 
 /// These throw Json::exception for what is no such message.
 AskPermit DecodeAskPermit(const Json& json);
 TellPermit DecodeTellPermit(const Json& json);
 TellLimit DecodeTellLimit(const Json& json);
+TellLeaving DecodeTellLeaving(const Json& json);
 
 }  // namespace yuccamoor::fleet
 
--- a/include/yuccamoor/transport/fleet/admission_client.h
+++ b/include/yuccamoor/transport/fleet/admission_client.h
@@ -59,7 +59,10 @@
 
   AdmissionStep Poll(std::uint64_t number, AdmissionNeeds needs);
   void Close(std::uint64_t number) { m_searches.erase(number); }
-  void DropSuperseded(const AdapterRef& adapter, AdmissionStep& step) const;
+  // Whether the engine may receive requests by what this node knows of it.
+  bool IsUsable(const EndpointId& engine) const;
+  void DropUselessOffer(const AdapterRef& adapter, AdmissionStep& step) const;
+  AdmissionAnswer WithoutUnusable(AdmissionAnswer answer) const;
   std::vector<EndpointId> Rank(const EndpointQuery& query) const;
   void SendAsks(std::uint64_t number, const AdmissionNeeds& needs,
                 const std::vector<AdmissionAsk>& asks);
--- a/include/yuccamoor/transport/fleet/exchange.h
+++ b/include/yuccamoor/transport/fleet/exchange.h
@@ -123,6 +123,13 @@
   bool AwaitsPermit() const { return m_permit || m_permitted_from; }
   /// Sends if the time of a permit has come.
   void UsePermit(TimeMs now);
+  /// Whether the endpoint may be sent the request now, by all that this node
+  /// knows of it: it is not leaving, reachable, wants requests and holds a
+  /// version that may serve.
+  bool MayReceive(const Endpoint& target, TimeMs now) const;
+  /// Sends the request. Every way of choosing an endpoint ends here, whoever
+  /// chose it and when, so this is where it must still be allowed: otherwise,
+  /// another endpoint is chosen soon.
   void Send(const Endpoint& target, TimeMs now);
   /// Ends a request whose tenant's key has been removed since it came. Returns
   /// whether it did.
--- a/include/yuccamoor/transport/fleet/permit_client.h
+++ b/include/yuccamoor/transport/fleet/permit_client.h
@@ -48,6 +48,7 @@
 
   void OnTellPermit(const TellPermit& told);
   void OnTellLimit(const TellLimit& told);
+  void OnTellLeaving(const TellLeaving& told);
   /// Decides questions that nobody has answered.
   void OnTick(TimeMs now);
 
@@ -73,6 +74,8 @@
               const char* by);
   PermitDecision DecideByOwnShare(const Question& question, TimeMs now);
   void CountNodes(TimeMs now);
+  /// Records that the process is leaving. Returns whether that is news.
+  bool NoteLeaving(const EndpointProcess& process, const char* source);
   void LogLimit(const EndpointId& endpoint, LimitChange change,
                 const char* source) const;
 
--- a/lib/coordination/fleet/endpoint_table.cc
+++ b/lib/coordination/fleet/endpoint_table.cc
@@ -123,14 +123,14 @@
                 [now](const auto& item) { return now >= item.second.until; });
 }
 
-void EndpointTable::MarkLeaving(const EndpointProcess& process) {
+bool EndpointTable::MarkLeaving(const EndpointProcess& process, TimeMs now) {
   Endpoint* endpoint = Find(process.endpoint);
   if (endpoint && endpoint->entry.start_unix_ms == process.start_unix_ms) {
-    endpoint->leaving = true;
-    return;
+    return !std::exchange(endpoint->leaving, true);
   }
-  const auto removed = m_removed.find(process);
-  if (removed != m_removed.end()) removed->second.leaving = true;
+  Remembered& unlisted = m_removed[process];
+  unlisted.until = now + kRemovedMemory;
+  return !std::exchange(unlisted.leaving, true);
 }
 
 void EndpointTable::OnConnectFailed(const EndpointId& id, TimeMs now) {
--- a/lib/protocol/fleet/peer_messages.cc
+++ b/lib/protocol/fleet/peer_messages.cc
@@ -266,6 +266,7 @@
 Json Encode(const AskPermit& ask) { return EncodePermitMessage(ask); }
 Json Encode(const TellPermit& told) { return EncodePermitMessage(told); }
 Json Encode(const TellLimit& told) { return EncodePermitMessage(told); }
+Json Encode(const TellLeaving& told) { return EncodePermitMessage(told); }
 Json Encode(const QuotaMessage& message) { return EncodeQuotaMessage(message); }
 
 AskAdmission DecodeAskAdmission(const Json& json) {
@@ -396,6 +397,7 @@
   if (type == "ask_permit") return DecodeAskPermit(json);
   if (type == "permit") return DecodeTellPermit(json);
   if (type == "limit") return DecodeTellLimit(json);
+  if (type == "leaving") return DecodeTellLeaving(json);
   if (type == "sent") {
     return TellSent{DecodeId(json), EngineOf(json),
                     GetUnsigned32(json.at("tokens"))};
--- a/lib/protocol/fleet/permit_messages.cc
+++ b/lib/protocol/fleet/permit_messages.cc
@@ -57,6 +57,13 @@
   return json;
 }
 
+Json EncodePermitMessage(const TellLeaving& told) {
+  Json json;
+  json["type"] = "leaving";
+  EncodeProcess(told.process, json);
+  return json;
+}
+
 AskPermit DecodeAskPermit(const Json& json) {
   AskPermit ask;
   ask.node = json.at("node").get<NodeId>();
@@ -84,4 +91,8 @@
   return told;
 }
 
+TellLeaving DecodeTellLeaving(const Json& json) {
+  return {DecodeProcess(json)};
+}
+
 }  // namespace yuccamoor::fleet
--- a/lib/transport/fleet/admission_client.cc
+++ b/lib/transport/fleet/admission_client.cc
@@ -40,21 +40,35 @@
       search.request.Poll([this, &search] { return Rank(search.needs.query); },
                           m_context.clock.Now());
   SendAsks(number, search.needs, step.asks);
-  DropSuperseded(*search.needs.query.adapter, step);
+  DropUselessOffer(*search.needs.query.adapter, step);
   return step;
 }
 
-// An admission may come when the version that the engine holds serves no more.
-// The next call of Poll begins the search anew.
-void AdmissionClient::DropSuperseded(const AdapterRef& adapter,
-                                     AdmissionStep& step) const {
+bool AdmissionClient::IsUsable(const EndpointId& engine) const {
+  const Endpoint* known = m_context.view.endpoints().Find(engine);
+  return known && EndpointTable::Usable(*known, m_context.clock.Now());
+}
+
+// An admission may come when the engine is leaving, or when the version that it
+// holds serves no more. The next call of Poll begins the search anew.
+void AdmissionClient::DropUselessOffer(const AdapterRef& adapter,
+                                       AdmissionStep& step) const {
   if (!step.send_to) return;
   const Endpoint* engine = m_context.view.endpoints().Find(*step.send_to);
-  const bool serves = engine && m_context.view.ServesRequests(
-                                    *engine, adapter, m_context.clock.Now());
+  const bool serves =
+      engine && IsUsable(*step.send_to) &&
+      m_context.view.ServesRequests(*engine, adapter, m_context.clock.Now());
   if (!serves) step.send_to.reset();
 }
 
+// The answering node may not know yet that an engine is leaving.
+AdmissionAnswer AdmissionClient::WithoutUnusable(AdmissionAnswer answer) const {
+  std::erase_if(answer.choices,
+                [this](const EndpointId& engine) { return !IsUsable(engine); });
+  if (!IsUsable(answer.quote.engine)) answer.quote.adapter_wait.reset();
+  return answer;
+}
+
 // Engines without a holder cannot answer.
 std::vector<EndpointId> AdmissionClient::Rank(
     const EndpointQuery& query) const {
@@ -121,10 +135,10 @@
   if (it == m_searches.end()) return;
   Search& search = it->second;
   NoteQuote(told.answer.quote, search.needs.query.adapter);
-  AdmissionStep step =
-      search.request.OnAnswer(told.answer, m_context.clock.Now());
+  AdmissionStep step = search.request.OnAnswer(WithoutUnusable(told.answer),
+                                               m_context.clock.Now());
   SendAsks(told.number, search.needs, step.asks);
-  DropSuperseded(*search.needs.query.adapter, step);
+  DropUselessOffer(*search.needs.query.adapter, step);
   // The callback may close the search.
   const OnStep on_step = search.on_step;
   if (step.send_to || step.unanswered || search.request.expected()) {
--- a/lib/transport/fleet/exchange.cc
+++ b/lib/transport/fleet/exchange.cc
@@ -220,15 +220,22 @@
   return true;
 }
 
+bool Exchange::MayReceive(const Endpoint& target, TimeMs now) const {
+  return EndpointTable::Usable(target, now) &&
+         target.intake.paused_until() <= now &&
+         (!m_meta.adapter ||
+          m_context.node.view.ServesRequests(target, *m_meta.adapter, now));
+}
+
 void Exchange::Send(const Endpoint& target, TimeMs now) {
-  if (EndIfKeyRemoved()) return;
-  if (m_meta.adapter &&
-      !m_context.node.view.ServesRequests(target, *m_meta.adapter, now)) {
-    m_context.node.log.Event("superseded_before_sending")
+  if (EndIfKeyRemoved() || EndIfQuarantined()) return;
+  if (!MayReceive(target, now)) {
+    m_context.node.log.Event("endpoint_lost_before_sending")
         .Text("request", m_meta.attempt.str())
         .Text("endpoint", target.entry.id.str())
-        .Text("adapter", ToString(*m_meta.adapter))
-        .Number("held_version", HeldRevision(target, *m_meta.adapter).value());
+        .Number("leaving", target.leaving ? 1 : 0)
+        .Ms("paused_ms", target.intake.paused_until() - now)
+        .Text("adapter", m_meta.adapter ? ToString(*m_meta.adapter) : "none");
     m_next_choice = now + kChooseAgain;
     return;
   }
--- a/lib/transport/fleet/exchange_call.cc
+++ b/lib/transport/fleet/exchange_call.cc
@@ -105,7 +105,7 @@
       !meta.endpoint.empty() && meta.endpoint != m_endpoint;
   EndCall(true, false);
   if (other_instance) {
-    m_context.node.view.endpoints().MarkLeaving(Process());
+    m_context.node.view.endpoints().MarkLeaving(Process(), now);
     m_excluded.push_back(m_endpoint);
   } else if (m_meta.adapter && !m_meta.adapter->name.empty() &&
              (status == 421 || status == 503)) {
--- a/lib/transport/fleet/exchange_permit.cc
+++ b/lib/transport/fleet/exchange_permit.cc
@@ -13,7 +13,7 @@
 
 void Exchange::SendTo(const EndpointId& endpoint, TimeMs now) {
   const Endpoint* target = m_context.node.view.endpoints().Find(endpoint);
-  if (!target || EndIfQuarantined()) return;
+  if (!target) return;
   const EndpointIntake& intake = target->intake;
   const TimeMs opens_at = intake.opens_at();
   if (opens_at <= now && !intake.limit()) {
@@ -39,7 +39,7 @@
   if (!target || EndIfQuarantined()) return;
   if (target->intake.paused_until() > now) {
     SendUnadmitted(now);
-  } else if (target->intake.limit()) {
+  } else if (target->intake.limit() && MayReceive(*target, now)) {
     SeekPermit(engine, now, now);
   } else {
     Send(*target, now);
@@ -96,12 +96,10 @@
   m_permitted_from.reset();
   const Endpoint* target =
       m_context.node.view.endpoints().Find(m_permit_endpoint);
-  const bool usable = target && EndpointTable::Usable(*target, now) &&
-                      target->intake.paused_until() <= now;
-  if (!usable) {
-    Dispatch(now);
-  } else if (!EndIfQuarantined()) {
+  if (target && MayReceive(*target, now)) {
     Send(*target, now);
+  } else {
+    Dispatch(now);
   }
 }
 
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -366,6 +366,8 @@
     m_permits.OnTellPermit(*permit);
   } else if (const auto* limit = std::get_if<TellLimit>(&message)) {
     m_permits.OnTellLimit(*limit);
+  } else if (const auto* leaving = std::get_if<TellLeaving>(&message)) {
+    m_permits.OnTellLeaving(*leaving);
   } else if (const auto* quota = std::get_if<QuotaMessage>(&message)) {
     m_quotas.OnMessage(*quota);
   } else if (const auto* use = std::get_if<TellUse>(&message)) {
--- a/lib/transport/fleet/permit_client.cc
+++ b/lib/transport/fleet/permit_client.cc
@@ -33,7 +33,9 @@
 
 void PermitClient::OnStatement(const EndpointProcess& process,
                                const IntakeStatement& stated, TimeMs sent) {
-  if (stated.leaving) m_context.view.endpoints().MarkLeaving(process);
+  if (stated.leaving && NoteLeaving(process, "response")) {
+    m_broadcast(TellLeaving{process});
+  }
   const EndpointId& endpoint = process.endpoint;
   Endpoint* known = m_context.view.endpoints().Find(endpoint);
   if (!known || known->entry.start_unix_ms != process.start_unix_ms) return;
@@ -55,6 +57,21 @@
            "node");
 }
 
+void PermitClient::OnTellLeaving(const TellLeaving& told) {
+  NoteLeaving(told.process, "node");
+}
+
+bool PermitClient::NoteLeaving(const EndpointProcess& process,
+                               const char* source) {
+  const bool is_news =
+      m_context.view.endpoints().MarkLeaving(process, m_context.clock.Now());
+  if (!is_news) return false;
+  m_context.log.Event("endpoint_says_it_leaves")
+      .Text("endpoint", process.endpoint.str())
+      .Text("source", source);
+  return true;
+}
+
 void PermitClient::LogLimit(const EndpointId& endpoint, LimitChange change,
                             const char* source) const {
   if (change == LimitChange::kNone) return;
--- a/unittests/coordination/fleet/endpoint_choice_test.cc
+++ b/unittests/coordination/fleet/endpoint_choice_test.cc
@@ -102,7 +102,7 @@
           "[fleet][choice]") {
   EndpointTable table = Engines(3);
   for (const char* id : {"e1", "e2", "e3"}) SetHeld(table, id, "a1");
-  table.MarkLeaving({EndpointId("e1"), 1});
+  table.MarkLeaving({EndpointId("e1"), 1}, TimeMs(0));
   table.OnConnectFailed(EndpointId("e2"), TimeMs(0));
   EndpointQuery query = Query("a1");
   CHECK(ChooseEndpoint(table, query, TimeMs(1)).send_to == EndpointId("e3"));
--- a/unittests/coordination/fleet/endpoint_table_test.cc
+++ b/unittests/coordination/fleet/endpoint_table_test.cc
@@ -141,17 +141,30 @@
     EndpointEntry restarted = entry;
     ++restarted.start_unix_ms;
     table.Put(restarted, TimeMs(100));
-    table.MarkLeaving(process);
+    table.MarkLeaving(process, TimeMs(0));
     CHECK(EndpointTable::Usable(*table.Find(entry.id), TimeMs(200)));
     // An old copy of the store lists the earlier one.
     table.Put(entry, TimeMs(300));
   }
   SECTION("though its entry was missing then") {
     table.Remove(entry.id, TimeMs(100));
-    table.MarkLeaving(process);
+    table.MarkLeaving(process, TimeMs(0));
     table.Put(entry, TimeMs(300));
   }
   CHECK_FALSE(EndpointTable::Usable(*table.Find(entry.id), TimeMs(300)));
 }
 
+// Nodes tell each other, and may do so before a node has read the entry.
+TEST_CASE("A process that leaves is not used when its entry comes later",
+          "[fleet][table]") {
+  EndpointTable table;
+  const EndpointEntry entry = EngineEntry("e1");
+  const EndpointProcess process{entry.id, entry.start_unix_ms};
+  CHECK(table.MarkLeaving(process, TimeMs(0)));
+  CHECK_FALSE(table.MarkLeaving(process, TimeMs(100)));
+  table.Put(entry, TimeMs(200));
+  CHECK_FALSE(EndpointTable::Usable(*table.Find(entry.id), TimeMs(200)));
+  CHECK_FALSE(table.MarkLeaving(process, TimeMs(300)));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -75,7 +75,7 @@
   SECTION(
       "a node may know from an answer that the endpoint leaves, others "
       "do not") {
-    view.endpoints().MarkLeaving({entry.id, entry.start_unix_ms});
+    view.endpoints().MarkLeaving({entry.id, entry.start_unix_ms}, TimeMs(0));
     entry.draining = true;
     CHECK(view.IsNews(EndpointWritten{entry}));
   }
@@ -189,7 +189,7 @@
   FleetView view;
   EndpointEntry entry = EngineEntry("e1");
   view.Apply(EndpointWritten{entry}, TimeMs(0));
-  view.endpoints().MarkLeaving({entry.id, entry.start_unix_ms});
+  view.endpoints().MarkLeaving({entry.id, entry.start_unix_ms}, TimeMs(0));
   EndpointEntry without_start = entry;
   without_start.start_unix_ms = 0;
   for (const int time : {1'000, 1'500, 2'000}) {
--- a/unittests/platform/decoder_fuzz_test.cc
+++ b/unittests/platform/decoder_fuzz_test.cc
@@ -168,7 +168,8 @@
           fleet::TellAdmission{},
           fleet::AskPermit{},
           fleet::TellPermit{},
-          fleet::TellLimit{{engine, 1}, 5.0}};
+          fleet::TellLimit{{engine, 1}, 5.0},
+          fleet::TellLeaving{{engine, 1}}};
 }
 
 }  // namespace
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -208,6 +208,14 @@
   CHECK(got.news.quarantined[0].remaining == DurationMs(60'000));
 }
 
+TEST_CASE("News of leaving endpoints come back as they were sent",
+          "[fleet][peer]") {
+  const TellLeaving told{{EndpointId("e1"), 7}};
+  const auto decoded = DecodePeerMessage(EncodePeerMessage(told));
+  REQUIRE(decoded);
+  CHECK(std::get<TellLeaving>(*decoded).process == told.process);
+}
+
 TEST_CASE("Questions for permits come back as they were sent",
           "[fleet][peer][permits]") {
   AskPermit ask;
--- a/unittests/transport/fleet/admission_version_test.cc
+++ b/unittests/transport/fleet/admission_version_test.cc
@@ -1,6 +1,7 @@
 /// \file
-/// \brief Tests of the version of its adapter that a request is admitted to, by
-/// the messages between a request's node and the holder of an engine.
+/// \brief Tests of the engine, and the version of its adapter there, that a
+/// request is admitted to, by the messages between a request's node and the
+/// holder of an engine.
 
 #include <catch2/catch.hpp>
 #include <cstdint>
@@ -117,6 +118,9 @@
     m_parts->view.endpoints().Find(kEngine)->prefill_until =
         m_clock.Now() + time;
   }
+  /// This node learns that the engine leaves while the next answer of its
+  /// holder, which does not know of it, is under way.
+  void LeaveBehindNextAnswer() { m_leaves_behind_answer = true; }
   /// Seeks an engine for a request, as its exchange does. Returns when it was
   /// sent, counted from now; nothing if it was not.
   std::optional<DurationMs> SendRequest() {
@@ -186,6 +190,7 @@
     for (const PeerMessage& message : std::exchange(m_messages, {})) {
       if (const auto* ask = std::get_if<AskAdmission>(&message)) {
         m_server->OnAsk(*ask);
+        if (m_leaves_behind_answer) Leave();
       } else if (const auto* told = std::get_if<TellAdmission>(&message)) {
         m_client->OnTellAdmission(*told);
       }
@@ -195,7 +200,14 @@
     m_server->OnTick(m_clock.Now());
   }
 
+  void Leave() {
+    EndpointTable& table = m_parts->view.endpoints();
+    table.MarkLeaving({kEngine, table.Find(kEngine)->entry.start_unix_ms},
+                      m_clock.Now());
+  }
+
   ManualClock m_clock;
+  bool m_leaves_behind_answer = false;
   std::unique_ptr<ContextParts> m_parts;
   FakeFleetStore m_store;
   BusyEngineControl m_control;
@@ -240,6 +252,16 @@
   CHECK((!sent || kArrival + *sent < kGrace));
 }
 
+// In a large fleet, nodes sent requests to an engine that had told them that it
+// leaves, because its holder, which had not heard of it, admitted them.
+TEST_CASE("A request is not sent to an engine that its node knows to leave",
+          "[fleet][admission]") {
+  AdmissionWorld world;
+  REQUIRE(world.SendRequest());
+  world.LeaveBehindNextAnswer();
+  CHECK_FALSE(world.SendRequest());
+}
+
 // Version 3 opened version 1 again, which version 2 had ended.
 TEST_CASE("A third version does not admit requests to the first again",
           "[fleet][admission][versions]") {
