Tell from which revision on a reader's news are complete

Cause: a reader passes on what is news to its own view, but told that these were all changes since its watch had begun. Its view may have gone on meanwhile, by the other reader's message or by later pages of a full read. A follower that had lost the other reader's datagram took the second message as complete, and unchanged entries are never news again.

Change: the message begins at the newest revision of which the reader's view had any change before, so that a follower behind it reads by itself.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -86,6 +86,9 @@
   /// The revision to pass to the next Watch, and the era that it belongs to.
   Revision read_revision;
   StoreEra era;
+  /// The latest revision of which changes may be contained: pages are read one
+  /// after the other, and later ones may go beyond read_revision.
+  Revision newest_revision;
 };
 
 /// How a read of the store is made.
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -61,6 +61,8 @@
   bool OnWatched(const StoreReadResult& reading, const Call& call, TimeMs now);
   std::vector<StoreChange> Apply(const std::vector<StoreChange>& changes,
                                  TimeMs now, TimeMs written_from);
+  // Tells other nodes the changes since \p after, the latest revision of which
+  // this node knew any change before: they may have missed those.
   void PassOnChanges(const std::vector<StoreChange>& news, Revision after,
                      TimeMs now);
   // The time within which a node in contact learns of a change.
@@ -80,7 +82,10 @@
   std::function<void()> m_on_change;
   boost::asio::steady_timer m_timer;
   WatchPlan m_plan;
+  // The view has all changes up to the first revision, and may have some up to
+  // the second one.
   Revision m_as_of;
+  Revision m_newest;
   // The era of the view's revision.
   StoreEra m_era;
   bool m_has_view = false;
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -182,6 +182,7 @@
       .Number("era", reading.era.value())
       .Number("items", reading.changes.size());
   m_as_of = reading.read_revision;
+  m_newest = std::max(reading.read_revision, reading.newest_revision);
   m_era = reading.era;
   m_has_view = true;
   m_history_gone = false;
@@ -198,11 +199,14 @@
   const bool was_waiting = now - call.began > kImmediateAnswer;
   const DurationMs usual_silence =
       was_waiting ? m_context.settings.max_propagation_delay : LearningTime();
+  // What the view had before is no news here, but may be to other nodes.
+  const Revision news_after = m_newest;
   const std::vector<StoreChange> news =
       Apply(reading.changes, now, WrittenFrom(now, usual_silence));
   m_as_of = reading.read_revision;
+  m_newest = std::max(m_newest, m_as_of);
   m_context.view.SetCurrentAt(now);
-  if (passes_on) PassOnChanges(news, *call.after, now);
+  if (passes_on) PassOnChanges(news, news_after, now);
   if (!reading.changes.empty()) OnViewChanged();
   return !news.empty();
 }
@@ -215,7 +219,8 @@
   told.read = m_as_of;
   told.era = m_era;
   told.after_outage = m_recovered && now - *m_recovered < kOutageNoticeTime;
-  told.complete = std::all_of(news.begin(), news.end(), IsPassedOn) &&
+  told.complete = after <= m_as_of &&
+                  std::all_of(news.begin(), news.end(), IsPassedOn) &&
                   EncodedSize(news) <= kMaxPassedOnBytes;
   if (told.complete) told.changes = news;
   m_pass_on(told);
@@ -236,6 +241,7 @@
       Apply(told.changes, now,
             WrittenFrom(now, m_context.settings.max_propagation_delay));
       m_as_of = told.read;
+      m_newest = std::max(m_newest, m_as_of);
       m_context.view.SetCurrentAt(now);
       if (!told.changes.empty()) OnViewChanged();
     } else {
--- a/unittests/coordination/fleet/crash_quarantine_test.cc
+++ b/unittests/coordination/fleet/crash_quarantine_test.cc
@@ -276,9 +276,11 @@
 }
 
 // One request that crashed three engines took all sound requests with the first
-// part of its prompt along, for a minute and longer each time that it came back.
-TEST_CASE("A request that crashes engines does not quarantine its prompt's part",
-          "[fleet][quarantine]") {
+// part of its prompt along, for a minute and longer each time that it came
+// back.
+TEST_CASE(
+    "A request that crashes engines does not quarantine its prompt's part",
+    "[fleet][quarantine]") {
   CrashQuarantine quarantine;
   const auto crash = [&](int engine, TimeMs now) {
     const CrashSuspect beside{SuspectKind::kRequest, std::to_string(engine)};
