Take no response under a status that HTTP does not have

Cause: the parser's three digits were used as they came: below 200 they counted as an interim response, above 599 as an answer.

Change: IsResponseStatus, 100 to 599 but for 101, is asked where responses are parsed, so that the call is broken, which is repeated elsewhere if it may be, fails at once if not, and counts against the endpoint. Of the same class: HttpCaller and HttpClient took an interim response for the answer, and HttpCaller kept the connection on which the answer then was the next call's.

--- a/include/yuccamoor/protocol/fleet/http_head.h
+++ b/include/yuccamoor/protocol/fleet/http_head.h
@@ -35,6 +35,20 @@
 /// The status of a request beyond its sender's quota.
 inline constexpr int kTooManyRequests = 429;
 
+/// Whether a response to a request of this project may have the status: 100 to
+/// 599 but for 101, as none asks to switch protocols. What follows any other
+/// one is not HTTP or cannot be told.
+constexpr bool IsResponseStatus(int status) {
+  constexpr int kSwitchingProtocols = 101;
+  return status >= 100 && status <= 599 && status != kSwitchingProtocols;
+}
+
+/// Whether a response with the status comes before another one, which is the
+/// answer.
+constexpr bool IsInterimStatus(int status) {
+  return IsResponseStatus(status) && status <= 199;
+}
+
 /// Whether two header names are the same but for case.
 bool SameHeaderName(std::string_view a, std::string_view b);
 
--- a/lib/transport/fleet/endpoint_call.cc
+++ b/lib/transport/fleet/endpoint_call.cc
@@ -183,7 +183,7 @@
     m_state = CallState::kBroken;
     return true;
   }
-  const bool informational = m_parser->head().status < 200;
+  const bool informational = IsInterimStatus(m_parser->head().status);
   const bool foreign = !m_meta.attempt.empty() && m_meta.attempt != m_attempt;
   if (!informational && !foreign) {
     m_state = CallState::kAnswering;
--- a/lib/transport/fleet/http_caller.cc
+++ b/lib/transport/fleet/http_caller.cc
@@ -16,6 +16,8 @@
 constexpr DurationMs kKeepTime{8'000};
 // One call's part of a turn of the event loop.
 constexpr std::size_t kReadLimit = 65'536;
+// More than any service sends before an answer.
+constexpr std::size_t kMaxInterimResponses = 16;
 
 std::string Encode(const HttpCall& call) {
   std::string out = call.method + " " + call.target + " HTTP/1.1\r\n";
@@ -113,7 +115,7 @@
 
   void ReadMore() {
     const IoResult result = m_socket->Read(m_in, kReadLimit);
-    if (m_parser->Feed(m_in) != HttpFault::kNone) {
+    if (!FeedAll()) {
       End(false);
       return;
     }
@@ -141,6 +143,19 @@
     AwaitResponse();
   }
 
+  // Feeds the parser what has come, past the responses before the answer.
+  // Returns whether all of it was well-formed.
+  bool FeedAll() {
+    while (m_parser->Feed(m_in) == HttpFault::kNone) {
+      const bool is_interim =
+          m_parser->complete() && IsInterimStatus(m_parser->head().status);
+      if (!is_interim) return true;
+      if (++m_interim_responses > kMaxInterimResponses) return false;
+      m_parser->Restart(false);
+    }
+    return false;
+  }
+
   // Whether to read on after these bytes.
   bool IsWanted(std::size_t bytes) const {
     if (bytes == 0 || !m_call.on_progress || !*m_alive) return true;
@@ -185,6 +200,7 @@
   std::unique_ptr<HttpParser> m_parser;
   KeptBytes::Account m_kept;
   std::uint64_t m_received = 0;
+  std::size_t m_interim_responses = 0;
   bool m_reused = false;
   bool m_sent = false;
   bool m_ended = false;
--- a/lib/transport/fleet/http_parser.cc
+++ b/lib/transport/fleet/http_parser.cc
@@ -37,7 +37,8 @@
   }
   void on_response_impl(int status, string_view /*reason*/, int /*version*/,
                         ErrorCode& error) override {
-    error = {};
+    error = IsResponseStatus(status) ? ErrorCode()
+                                     : ErrorCode(http::error::bad_status);
     m_head.status = status;
   }
   void on_field_impl(http::field /*field*/, string_view name, string_view value,
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -10,9 +10,11 @@
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <limits>
+#include <optional>
 #include <unordered_map>
 
 #include "http_connection.h"
+#include "yuccamoor/protocol/fleet/http_head.h"
 #include "yuccamoor/transport/worker_pool.h"
 
 namespace yuccamoor {
@@ -57,7 +59,7 @@
       : m_cache(cache),
         m_address(std::move(address)),
         m_connection(std::move(connection)) {
-    m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser.emplace();
   }
 
   HttpProgress progress() const override { return m_progress; }
@@ -83,30 +85,26 @@
     co_await http::async_write(
         m_connection->stream, message,
         asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-      co_await http::async_read_header(
-          m_connection->stream, m_connection->buffer, m_parser,
-          asio::redirect_error(asio::use_awaitable, error));
-    }
+    if (!error) co_await ReadHead(error);
     if (error) {
       Fail(HttpProgress::kNoAnswer, error.message());
       co_return;
     }
     m_progress = HttpProgress::kAnswered;
-    m_head = ToPlainHead(m_parser.get());
-    if (m_parser.is_done()) Finish();
+    m_head = ToPlainHead(m_parser->get());
+    if (m_parser->is_done()) Finish();
   }
 
   Awaitable<std::optional<std::string>> Read(DurationMs timeout) override {
     if (!m_connection) co_return std::nullopt;
     std::array<char, kPieceBytes> piece;
-    auto& body = m_parser.get().body();
+    auto& body = m_parser->get().body();
     body.data = piece.data();
     body.size = piece.size();
     m_connection->stream.expires_after(ToChrono(timeout));
     ErrorCode error;
     co_await http::async_read_some(
-        m_connection->stream, m_connection->buffer, m_parser,
+        m_connection->stream, m_connection->buffer, *m_parser,
         asio::redirect_error(asio::use_awaitable, error));
     const std::size_t got = piece.size() - body.size;
     if (error && error != http::error::need_buffer) {
@@ -116,7 +114,7 @@
     }
     std::string text(piece.data(), got);
     TakeBuffered(piece, text);
-    if (m_parser.is_done()) {
+    if (m_parser->is_done()) {
       Finish();
       if (text.empty()) co_return std::nullopt;
     }
@@ -125,18 +123,37 @@
 
  private:
   static constexpr std::size_t kPieceBytes = 16'384;
+  // More than any service sends before an answer.
+  static constexpr int kMaxInterimResponses = 16;
+
+  /// Reads the answer's header, past the responses that come before it.
+  Awaitable<void> ReadHead(ErrorCode& error) {
+    for (int i = 0; i <= kMaxInterimResponses; ++i) {
+      m_parser.emplace();
+      m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+      co_await http::async_read_header(
+          m_connection->stream, m_connection->buffer, *m_parser,
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return;
+      const int status = static_cast<int>(m_parser->get().result_int());
+      if (fleet::IsInterimStatus(status)) continue;
+      if (!fleet::IsResponseStatus(status)) error = http::error::bad_status;
+      co_return;
+    }
+    error = http::error::bad_status;
+  }
 
   /// Appends what has been read ahead, so that chunks which came together are
   /// one piece. An error shows again at the next read.
   void TakeBuffered(std::array<char, kPieceBytes>& piece, std::string& text) {
     auto& buffer = m_connection->buffer;
-    auto& body = m_parser.get().body();
-    while (buffer.size() > 0 && !m_parser.is_done() &&
+    auto& body = m_parser->get().body();
+    while (buffer.size() > 0 && !m_parser->is_done() &&
            text.size() < kPieceBytes) {
       body.data = piece.data();
       body.size = piece.size();
       ErrorCode error;
-      const std::size_t used = m_parser.put(buffer.data(), error);
+      const std::size_t used = m_parser->put(buffer.data(), error);
       buffer.consume(used);
       text.append(piece.data(), piece.size() - body.size);
       if (used == 0 || (error && error != http::error::need_buffer)) return;
@@ -145,14 +162,15 @@
 
   void Finish() {
     m_whole = true;
-    if (m_parser.keep_alive()) m_cache.Put(m_address, std::move(m_connection));
+    if (m_parser->keep_alive()) m_cache.Put(m_address, std::move(m_connection));
     m_connection.reset();
   }
 
   HttpConnectionCache& m_cache;
   std::string m_address;
   HttpConnectionPtr m_connection;
-  http::response_parser<http::buffer_body> m_parser;
+  // For the header that is being read, or was read last.
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
   HttpProgress m_progress = HttpProgress::kNotSent;
   std::string m_error;
   HttpResponse m_head;
--- a/unittests/transport/http_pieces_test.cc
+++ b/unittests/transport/http_pieces_test.cc
@@ -48,6 +48,7 @@
 };
 
 struct Body {
+  int status = 0;
   std::vector<std::string> pieces;
   bool whole = false;
 };
@@ -64,6 +65,9 @@
     const auto stream =
         co_await client->Open(server.address(), request, options);
     Body body;
+    if (stream->progress() == HttpProgress::kAnswered) {
+      body.status = stream->head().status;
+    }
     while (auto piece = co_await stream->Read(DurationMs(10'000))) {
       body.pieces.push_back(std::move(*piece));
     }
@@ -93,4 +97,22 @@
   CHECK_FALSE(broken.whole);
 }
 
+// An interim response counted as the answer, and any three digits as a status.
+TEST_CASE("Only a status that HTTP has is an answer's", "[http]") {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  const Body after = ReadBody("HTTP/1.1 100 Continue\r\n\r\n" + answer);
+  CHECK(after.status == 200);
+  CHECK(after.pieces == std::vector<std::string>{"ab"});
+  CHECK(after.whole);
+
+  for (const std::string status : {"000", "099", "101", "600", "999"}) {
+    const Body odd =
+        ReadBody("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nab");
+    CAPTURE(status);
+    CHECK(odd.status == 0);
+    CHECK(odd.pieces.empty());
+    CHECK_FALSE(odd.whole);
+  }
+}
+
 }  // namespace yuccamoor
