Tell which endpoints leave also where changes are read by each node

A message with a configuration, or after a lost one, made its receivers read the store themselves before they knew of an endpoint that leaves; a large configuration takes seconds over the link of a small VM.

Change: such a message contains the entries of leaving endpoints, which hold whatever else the receiver has missed.

Evidence: "A node that reads for itself is told at once which endpoints leave" fails without the change.

--- a/include/yuccamoor/protocol/fleet/peer_messages.h
+++ b/include/yuccamoor/protocol/fleet/peer_messages.h
@@ -159,7 +159,7 @@
   /// The era that both belong to.
   StoreEra era;
   /// Whether all of them are contained. If not, the receiver has to read them
-  /// itself.
+  /// itself, and those contained tell which endpoints leave.
   bool complete = true;
   /// Whether the store has just been back after an outage: entries that are
   /// missing may still be registered again.
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -65,6 +65,9 @@
   // this node knew any change before: they may have missed those.
   void PassOnChanges(const std::vector<StoreChange>& news, Revision after,
                      TimeMs now);
+  // Takes up which endpoints leave, by changes that cannot be applied as a
+  // whole.
+  void NoteLeaving(const std::vector<StoreChange>& changes, TimeMs now);
   // The time within which a node in contact learns of a change.
   DurationMs LearningTime() const;
   // The earliest time at which a change that arrives now may have been written.
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -25,6 +25,16 @@
 // Larger messages hold up the links of small VMs for too long.
 constexpr std::size_t kMaxPassedOnBytes = 24'576;
 
+// The entries among the changes whose endpoints are leaving.
+std::vector<StoreChange> LeavingOf(const std::vector<StoreChange>& changes) {
+  std::vector<StoreChange> leaving;
+  for (const StoreChange& change : changes) {
+    const auto* written = std::get_if<EndpointWritten>(&change);
+    if (written && written->entry.draining) leaving.push_back(change);
+  }
+  return leaving;
+}
+
 // The endpoint that a change has removed: its entry may also have been
 // overwritten.
 EndpointId EndpointOf(const StoreChange& change) {
@@ -222,10 +232,28 @@
   told.complete = after <= m_as_of &&
                   std::all_of(news.begin(), news.end(), IsPassedOn) &&
                   EncodedSize(news) <= kMaxPassedOnBytes;
-  if (told.complete) told.changes = news;
+  told.changes = told.complete ? news : LeavingOf(news);
+  if (EncodedSize(told.changes) > kMaxPassedOnBytes) told.changes.clear();
   m_pass_on(told);
 }
 
+// True whatever else this node has missed, and needed sooner than it can read
+// large configurations.
+void StoreSession::NoteLeaving(const std::vector<StoreChange>& changes,
+                               TimeMs now) {
+  bool is_changed = false;
+  for (const StoreChange& change : LeavingOf(changes)) {
+    const EndpointEntry& entry = std::get<EndpointWritten>(change).entry;
+    const EndpointProcess process{entry.id, entry.start_unix_ms};
+    if (!m_context.view.endpoints().MarkLeaving(process, now)) continue;
+    is_changed = true;
+    m_context.log.Event("endpoint_says_it_leaves")
+        .Text("endpoint", entry.id.str())
+        .Text("source", "reader");
+  }
+  if (is_changed) m_on_change();
+}
+
 void StoreSession::OnTellChanges(const TellChanges& told) {
   OnStoreRestored(told.era);
   if (!m_has_view || m_history_gone) return;
@@ -245,6 +273,7 @@
       m_context.view.SetCurrentAt(now);
       if (!told.changes.empty()) OnViewChanged();
     } else {
+      NoteLeaving(told.changes, now);
       m_missed = std::max(m_missed, told.read);
       m_plan.RequestRead(now);
     }
--- a/unittests/transport/fleet/store_relay_test.cc
+++ b/unittests/transport/fleet/store_relay_test.cc
@@ -236,8 +236,66 @@
   int m_false_claims = 0;
 };
 
+/// A session that has read everything at a revision, and what it passes on.
+struct ReadSession {
+  ReadSession(int number, const History& history, std::uint64_t revision)
+      : parts(clock, SettingsOf(number)),
+        session(parts.context, store,
+                [this](const TellChanges& changes) { told = changes; }) {
+    session.Start([] {});
+    StoreReadResult reading;
+    reading.status = StoreStatus::kOk;
+    reading.read_revision = Revision(revision);
+    reading.changes = history.Pages(revision, revision);
+    store.reads.at(0)(reading);
+  }
+
+  BootClock clock;
+  ContextParts parts;
+  FakeFleetStore store;
+  TellChanges told;
+  StoreSession session;
+};
+
 }  // namespace
 
+// Configurations are not passed on, so that all nodes of a failure domain read
+// them, over links that take seconds for large ones.
+TEST_CASE("A node that reads for itself is told at once which endpoints leave",
+          "[fleet][store][large]") {
+  const History history(1);
+  const std::uint64_t begin = history.newest();
+  const bool has_missed_more = GENERATE(false, true);
+  ReadSession reader(0, history, begin);
+  ReadSession follower(1, history, begin - (has_missed_more ? 1 : 0));
+  while (reader.store.watches.empty()) reader.parts.io.run_one();
+
+  StoreReadResult reading;
+  reading.status = StoreStatus::kOk;
+  reading.read_revision = Revision(begin + 2);
+  ConfigWritten config;
+  config.config.version = Revision(1);
+  EndpointWritten leaving;
+  leaving.entry.id = EndpointId("e0");
+  leaving.entry.start_unix_ms = 1;
+  leaving.entry.draining = true;
+  reading.changes = {config, leaving};
+  reader.store.watches[0](reading);
+  REQUIRE_FALSE(reader.told.complete);
+
+  follower.session.OnTellChanges(reader.told);
+  const EndpointTable& endpoints = follower.parts.view.endpoints();
+  CHECK(endpoints.Find(EndpointId("e0"))->leaving);
+  CHECK_FALSE(endpoints.Find(EndpointId("e1"))->leaving);
+  // It still reads the rest, if not all.
+  const FakeFleetStore& store = follower.store;
+  while (store.reads.size() + store.watches.size() < 2) {
+    follower.parts.io.run_one();
+  }
+  CHECK((store.watches.empty() ||
+         store.watched_after.back() < Revision(begin + 1)));
+}
+
 // A node that had lost a datagram never learned that an endpoint was leaving,
 // and sent it requests until it was gone: the next reader that passed changes
 // on left out what it had heard from the first one, or had found in a later
