--- a/unittests/coordination/fleet/crash_quarantine_test.cc
+++ b/unittests/coordination/fleet/crash_quarantine_test.cc
@@ -288,8 +288,9 @@
     quarantine.OnBrokenOff(Engine(engine), {beside, kShared}, kRan, now);
   };
   for (int i = 0; i < 5; ++i) {
-    crash(i, TimeMs(0) + DurationMs(1'000) * i);
-    CHECK_FALSE(IsQuarantined(quarantine, kShared, TimeMs(1'000 * i)));
+    const TimeMs now = TimeMs(0) + DurationMs(1'000) * i;
+    crash(i, now);
+    CHECK_FALSE(IsQuarantined(quarantine, kShared, now));
   }
   REQUIRE(IsQuarantined(quarantine, kRequest, TimeMs(4'000)));
   const CrashSuspect sound{SuspectKind::kRequest, "sound"};
@@ -308,7 +309,7 @@
   for (int i = 0; i < 6; ++i) {
     const CrashSuspect& request = i % 2 == 0 ? kRequest : other;
     quarantine.OnBrokenOff(Engine(i), {request, kShared}, kRan,
-                           TimeMs(1'000 * i));
+                           TimeMs(0) + DurationMs(1'000) * i);
   }
   CHECK(IsQuarantined(quarantine, kRequest, TimeMs(6'000)));
   CHECK(IsQuarantined(quarantine, other, TimeMs(6'000)));
