--- a/include/yuccamoor/protocol/json.h
+++ b/include/yuccamoor/protocol/json.h
@@ -55,6 +55,10 @@
 /// copied and written by recursion.
 Json ParseUntrusted(std::string_view text);
 
+/// Returns the parser's reason without the text that it read, which may be
+/// secret.
+std::string ReasonOf(const Json::exception& error);
+
 /// Parses JSON text. A syntax error is one finding with line and column, in
 /// \p source.
 Result<Json> ParseJson(std::string_view text, const std::string& source);
--- a/lib/protocol/json.cc
+++ b/lib/protocol/json.cc
@@ -45,13 +45,6 @@
   return false;
 }
 
-/// Returns the parser's reason without the text that it read, which may be
-/// secret.
-std::string ReasonOf(const Json::exception& error) {
-  const std::string reason = error.what();
-  return reason.substr(0, reason.find("; last read:"));
-}
-
 }  // namespace
 
 Json ParseUntrusted(std::string_view text) {
@@ -96,6 +89,11 @@
   target.version = VersionId(text.substr(at + 1));
 }
 
+std::string ReasonOf(const Json::exception& error) {
+  const std::string reason = error.what();
+  return reason.substr(0, reason.find("; last read:"));
+}
+
 Result<Json> ParseJson(std::string_view text, const std::string& source) {
   try {
     return ParseUntrusted(text);
--- a/unittests/clients/odd_entry_test.cc
+++ b/unittests/clients/odd_entry_test.cc
@@ -32,6 +32,14 @@
   };
 }
 
+// Items of a list that cannot be read, as the store may send them.
+std::string UnreadableItem() {
+  return GENERATE(R"({"key":"servers/a\udcff","value":"","rev":1})",
+                  "{\"key\":\"servers/a\xff\",\"value\":\"\",\"rev\":1}",
+                  R"({"key":5,"value":"","rev":1})",
+                  R"({"key":null,"value":"","rev":1})");
+}
+
 }  // namespace
 
 // Nodes that were started while such an entry stood served nothing: the next
@@ -55,4 +63,27 @@
   CHECK(CountServed(node, kOrdinaryPath) == kRequests);
 }
 
+// The list was given up as a whole.
+TEST_CASE("A node starts and serves beside an item that cannot be read",
+          "[store][odd]") {
+  const std::string item = UnreadableItem();
+  CAPTURE(item);
+  NodeUnderTest node([&item](PlatformStore& store) {
+    store.SetHeartbeat({});
+    store.PutItem("servers/a", item);
+  });
+  CHECK(CountServed(node, kOrdinaryPath) == kRequests);
+}
+
+// No later change was taken up.
+TEST_CASE("A node follows the store past an item that cannot be read",
+          "[store][odd]") {
+  const std::string item = UnreadableItem();
+  CAPTURE(item);
+  NodeUnderTest node;
+  node.store().PutItem("servers/a", item);
+  node.WriteConfig(2, "/");
+  CHECK(IsServed(node.front_port(), RequestText(kUnroutedPath)));
+}
+
 }  // namespace yuccamoor
