--- a/unittests/platform/codec_test.cc
+++ b/unittests/platform/codec_test.cc
@@ -172,6 +172,20 @@
   CHECK_FALSE(DecodeConfig(R"({"version":-1,"routes":[],"services":[]})"));
 }
 
+// The log had the beginning of the text, up to where the parser stopped.
+TEST_CASE("What cannot be read is not repeated in the findings",
+          "[platform][codec]") {
+  constexpr char kSecret[] = "key-of-a-tenant";
+  const std::string cut = std::string(R"({"version":7,"tenants":[")") + kSecret;
+  const auto config = DecodeConfig(cut);
+  REQUIRE_FALSE(config);
+  CHECK(config.error().ToString().find(kSecret) == std::string::npos);
+  const auto entry = DecodeEndpoint(
+      EndpointId("i-1"), EntryWith("state", '"' + std::string(kSecret) + '"'));
+  REQUIRE_FALSE(entry);
+  CHECK(entry.error().ToString().find(kSecret) == std::string::npos);
+}
+
 TEST_CASE("A kind that is not known is taken as one that runs once",
           "[platform][codec]") {
   Json json = Json::parse(kConfig);
