Log which read of the store failed and why

Cause: store_lost stood there once, with the reason "refused", but neither the status nor the target; store_value_unreadable for the same entry stood there four times a second. Someone on call saw an unreadable entry, which is harmless, and not that the node's own next call was malformed.

Change: store_lost names the call and what came back.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -89,6 +89,8 @@
   /// The latest revision of which changes may be contained: pages are read one
   /// after the other, and later ones may go beyond read_revision.
   Revision newest_revision;
+  /// For logs: what was asked for and what came, if the status is not kOk.
+  std::string failure;
 };
 
 /// How a read of the store is made.
--- a/include/yuccamoor/transport/fleet/store_session.h
+++ b/include/yuccamoor/transport/fleet/store_session.h
@@ -8,12 +8,14 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "yuccamoor/coordination/fleet/fleet_store.h"
 #include "yuccamoor/coordination/fleet/watch_plan.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/node_context.h"
+#include "yuccamoor/transport/observability/repeat_filter.h"
 
 namespace yuccamoor::fleet {
 
@@ -76,7 +78,9 @@
   void OnOutageNotice(TimeMs now);
   void OnViewChanged();
   void NoteAnswer(const StoreReadResult& reading, const Call& call);
-  void NoteNoAnswer(const char* reason, const Call& call);
+  // Logs that the store is lost, and what further failures show of the cause.
+  void NoteNoAnswer(const char* reason, const std::string& failure,
+                    const Call& call);
   void LogNews(const StoreChange& change, ViewUpdate news);
 
   NodeContext& m_context;
@@ -101,6 +105,7 @@
   // The first read under way.
   Call m_first_call;
   bool m_reachable = true;
+  RepeatFilter m_failure_reports;
   // The last answer of the store, also to a node that reads for this one.
   TimeMs m_last_answer;
   // The latest revision that another node told of without all changes up to it.
--- a/lib/transport/fleet/store_session.cc
+++ b/lib/transport/fleet/store_session.cc
@@ -22,6 +22,8 @@
 // The age of what was written before this node first read it: longer than any
 // time that counts from a change.
 constexpr DurationMs kUnknownAge{86'400'000};
+// While the store is lost, each failure is logged once in this time.
+constexpr DurationMs kFailureLogPeriod{60'000};
 // Larger messages hold up the links of small VMs for too long.
 constexpr std::size_t kMaxPassedOnBytes = 24'576;
 
@@ -52,6 +54,7 @@
       m_timer(context.io),
       m_plan(context.settings.node, context.settings.domain,
              context.settings.max_propagation_delay, context.clock.Now()),
+      m_failure_reports(kFailureLogPeriod),
       m_last_answer(context.clock.Now()) {}
 
 void StoreSession::Start(std::function<void()> on_change) {
@@ -94,7 +97,7 @@
   if (is_first) {
     m_first_call = call;
   } else {
-    NoteNoAnswer("overdue", m_first_call);
+    NoteNoAnswer("overdue", "", m_first_call);
   }
   Send(call);
   m_plan.OnReadBegun(call.began);
@@ -365,13 +368,16 @@
   }
 }
 
-void StoreSession::NoteNoAnswer(const char* reason, const Call& call) {
-  if (!m_reachable) return;
-  m_reachable = false;
+void StoreSession::NoteNoAnswer(const char* reason, const std::string& failure,
+                                const Call& call) {
   const TimeMs now = m_context.clock.Now();
-  m_context.log.Event("store_lost")
+  const bool is_new = !failure.empty() && m_failure_reports.IsDue(failure, now);
+  if (!m_reachable && !is_new) return;
+  const bool was_reachable = std::exchange(m_reachable, false);
+  m_context.log.Event(was_reachable ? "store_lost" : "store_still_lost")
       .Text("reason", reason)
       .Text("call", call.after ? "watch" : "read")
+      .Text("failure", failure)
       .Ms("waited_ms", now - call.began)
       .Ms("silence_ms", now - m_last_answer);
 }
@@ -382,7 +388,7 @@
                         reading.status != StoreStatus::kRefused;
   if (!answered) {
     m_context.metrics.store_failures.Add();
-    NoteNoAnswer(ToText(reading.status), call);
+    NoteNoAnswer(ToText(reading.status), reading.failure, call);
     return;
   }
   const TimeMs now = m_context.clock.Now();
--- a/tools/yuccamoor-node/main.cc
+++ b/tools/yuccamoor-node/main.cc
@@ -16,11 +16,14 @@
 #include "yuccamoor/coordination/fleet/resource_shares.h"
 #include "yuccamoor/state/fleet/boot_clock.h"
 #include "yuccamoor/transport/fleet/node.h"
+#include "yuccamoor/transport/observability/repeat_filter.h"
 
 namespace {
 
+using yuccamoor::DurationMs;
 using yuccamoor::LineLog;
 using yuccamoor::MetricsRegistry;
+using yuccamoor::RepeatFilter;
 using yuccamoor::fleet::BootClock;
 using yuccamoor::fleet::FleetView;
 using yuccamoor::fleet::HttpCaller;
@@ -32,6 +35,8 @@
 using yuccamoor::fleet::ResourceShares;
 using yuccamoor::fleet::RevisionTimes;
 
+// An entry that cannot be read is logged once in this time.
+constexpr DurationMs kUnreadableLogPeriod{60'000};
 // Exit status for settings or addresses that cannot be used.
 constexpr int kBadSettings = 2;
 
@@ -62,7 +67,9 @@
   HttpCaller caller(io, clock, kept);
   yuccamoor::platform::StoreClient store(
       caller, settings.store_address,
-      [&log](std::string_view key, const yuccamoor::Findings& findings) {
+      [&log, &clock, repeats = RepeatFilter(kUnreadableLogPeriod)](
+          std::string_view key, const yuccamoor::Findings& findings) mutable {
+        if (!repeats.IsDue(key, clock.Now())) return;
         log.Event("store_value_unreadable")
             .Text("key", key)
             .Text("findings", findings.ToString());
--- a/unittests/support/platform_store.cc
+++ b/unittests/support/platform_store.cc
@@ -115,6 +115,11 @@
   m_repeats_pages = true;
 }
 
+void PlatformStore::RefuseReads(int status) {
+  const std::lock_guard lock(m_mutex);
+  m_read_status = status;
+}
+
 void PlatformStore::SetHeartbeat(std::optional<std::string> key) {
   const std::lock_guard lock(m_mutex);
   m_heartbeat_key = std::move(key);
@@ -181,7 +186,7 @@
     return JsonResponse(200, EventsAfter(Number(QueryField(target, "after"))));
   }
   if (target.starts_with("/kv-range")) {
-    return JsonResponse(200, Page(QueryField(target, "after")));
+    return JsonResponse(m_read_status, Page(QueryField(target, "after")));
   }
   if (target == "/kv-txn") {
     return JsonResponse(200, Json{{"rev", Transact(request.body)}}.dump());
--- a/unittests/support/platform_store.h
+++ b/unittests/support/platform_store.h
@@ -38,6 +38,8 @@
   void SetPageSize(std::size_t items);
   /// Lists the same page again and again from now on.
   void RepeatPages();
+  /// Answers reads of the list with this status from now on.
+  void RefuseReads(int status);
   /// Writes the entry, if one is named, again for each watch.
   void SetHeartbeat(std::optional<std::string> key);
 
@@ -65,6 +67,7 @@
   std::uint64_t m_revision = 1;
   std::size_t m_page_size = SIZE_MAX;
   bool m_repeats_pages = false;
+  int m_read_status = 200;
   std::size_t m_pages_read = 0;
   std::optional<std::string> m_heartbeat_key;
   std::unique_ptr<HttpServer> m_server;
--- a/unittests/transport/fleet/store_pages_test.cc
+++ b/unittests/transport/fleet/store_pages_test.cc
@@ -92,6 +92,17 @@
   CHECK(reader.store().pages_read() == 4);
 }
 
+// The log named the reason only, and an unreadable entry as if it were that.
+TEST_CASE("A read that the store refuses says what was asked for",
+          "[fleet][store][odd]") {
+  StoreReader reader;
+  reader.store().RefuseReads(400);
+  const auto result = reader.ReadAll();
+  REQUIRE(result);
+  CHECK(result->status == StoreStatus::kRefused);
+  CHECK(result->failure == "GET /kv-range?prefix=: status 400");
+}
+
 // The same page was read without a pause and without end, and kept each time.
 TEST_CASE("A list that does not go on is given up", "[fleet][store][odd]") {
   StoreReader reader;
@@ -103,7 +114,7 @@
   REQUIRE(result);
   CHECK(result->status == StoreStatus::kUnknown);
   CHECK(reader.store().pages_read() == 2);
-  CHECK(reader.problems().find("servers/a") != std::string::npos);
+  CHECK(result->failure.find("servers/a") != std::string::npos);
 }
 
 // The entries of the pages after it were taken to be gone.
