Write each field of a head as one line

What callers could see: an endpoint's stream may have an event whose id has a carriage return in it. When the stream was resumed elsewhere, the rest of the id went into the request's head as it was, where a receiver may take it for a field of its own.

Cause: values of fields were appended as they came, and an event's id ended at a line feed only.

Change: in the one place that writes fields, CR, LF and NUL of a value become blanks (RFC 9110, 5.5), whatever the value came from. An event's id ends at a carriage return too, as in any event stream.

Evidence: "An event's id ends at a carriage return" and "A field is one line, whatever its value" fail on the code before, and pass now. That an endpoint sends such an id was not seen.

--- a/include/yuccamoor/protocol/fleet/http_head.h
+++ b/include/yuccamoor/protocol/fleet/http_head.h
@@ -56,7 +56,8 @@
 /// the standard ones, and those that the Connection field of \p head names.
 bool IsHopByHop(const HttpHead& head, std::string_view name);
 
-/// Appends "name: value" and a line end.
+/// Appends "name: value" and a line end. The value is of one line whatever it
+/// holds: CR, LF and NUL become blanks (RFC 9110, 5.5).
 void AppendField(std::string& out, std::string_view name,
                  std::string_view value);
 
--- a/lib/protocol/fleet/event_cutter.cc
+++ b/lib/protocol/fleet/event_cutter.cc
@@ -40,8 +40,7 @@
     if (!line.starts_with(kIdField)) continue;
     line.remove_prefix(kIdField.size());
     if (line.starts_with(' ')) line.remove_prefix(1);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    m_last_id = std::string(line);
+    m_last_id = std::string(line.substr(0, line.find('\r')));
   }
 }
 
--- a/lib/protocol/fleet/http_head.cc
+++ b/lib/protocol/fleet/http_head.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 
 namespace yuccamoor::fleet {
 
@@ -25,6 +26,9 @@
   return text;
 }
 
+// Whether a receiver may take the character for the end of a field's line.
+bool EndsLine(char c) { return c == '\r' || c == '\n' || c == '\0'; }
+
 bool ListContains(std::string_view list, std::string_view name) {
   while (!list.empty()) {
     const std::size_t comma = std::min(list.find(','), list.size());
@@ -63,7 +67,11 @@
 
 void AppendField(std::string& out, std::string_view name,
                  std::string_view value) {
-  out.append(name).append(": ").append(value).append("\r\n");
+  out.append(name).append(": ");
+  const auto begin = static_cast<std::ptrdiff_t>(out.size());
+  out.append(value);
+  std::replace_if(out.begin() + begin, out.end(), EndsLine, ' ');
+  out.append("\r\n");
 }
 
 std::string_view ReasonPhrase(int status) {
--- a/unittests/protocol/fleet/fleet_protocol_test.cc
+++ b/unittests/protocol/fleet/fleet_protocol_test.cc
@@ -35,6 +35,25 @@
   CHECK(cutter.TakeWhole() == "id: 2\ndata: b\n\n");
 }
 
+// The rest of the line became a part of the next request's head.
+TEST_CASE("An event's id ends at a carriage return", "[fleet][events]") {
+  EventCutter cutter;
+  cutter.Feed("id: 1\r\ndata: a\n\n");
+  cutter.TakeWhole();
+  CHECK(cutter.last_id() == "1");
+  cutter.Feed("id: 2\rHold: h1\ndata: a\n\n");
+  cutter.TakeWhole();
+  CHECK(cutter.last_id() == "2");
+  CHECK(cutter.events() == 2);
+}
+
+TEST_CASE("A field is one line, whatever its value", "[fleet][http]") {
+  std::string out;
+  AppendField(out, "A", std::string("1\r\nB: 2\n\0", 9));
+  AppendField(out, "C", "");
+  CHECK(out == "A: 1  B: 2  \r\nC: \r\n");
+}
+
 TEST_CASE("Headers of one connection are not forwarded", "[fleet][http]") {
   HttpHead head;
   head.fields = {{"Connection", "close, X-Mine"}, {"X-Mine", "1"}};
