Give up an unreadable entry of the key-value service alone

Cause: the same as in the store's pages, in the reply of the key-value service that gateways and schedulers read: one entry with a key or value that is no text, or with a byte that is no UTF-8, made the whole list unreadable, so that no daemon learned of any member while it stood.

Change: the entries are parsed one by one. If none can be read, the reply counts as unreadable, as before: an entry that was asked for by its key must not seem to be missing.

Evidence: "An entry that cannot be read keeps no other from being read" fails on the code before for each of its five entries, and passes now.

--- a/lib/protocol/platform/key_value_codec.cc
+++ b/lib/protocol/platform/key_value_codec.cc
@@ -4,6 +4,7 @@
 #include "yuccamoor/protocol/platform/key_value_codec.h"
 
 #include "yuccamoor/protocol/json.h"
+#include "yuccamoor/protocol/json_list.h"
 #include "yuccamoor/protocol/platform/enum_names.h"
 
 namespace yuccamoor {
@@ -19,6 +20,8 @@
     {KvStatus::kUnknown, "unknown"},
 }};
 
+constexpr char kEntries[] = "entries";
+
 // The order is that of KvRequest's alternatives.
 constexpr std::array<std::string_view, 7> kOperationNames = {
     "get", "list", "cas", "delete", "watch", "lease_grant", "lease_renew"};
@@ -87,15 +90,33 @@
       EnumOf<KvStatus>(kStatusNames, json.at("status").get<std::string>());
   reply.version = KvVersion(GetUnsigned(json.value("version", Json(0U))));
   reply.lease = KvLease(GetUnsigned(json.value("lease", Json(0U))));
-  if (!json.contains("entries")) return reply;
-  for (const Json& entry : json.at("entries")) {
-    reply.entries.push_back(KvEntry{entry.at("key").get<std::string>(),
-                                    entry.at("value").get<std::string>(),
-                                    entry.at("version").get<KvVersion>()});
-  }
   return reply;
 }
 
+KvEntry ReadEntry(const Json& json) {
+  return KvEntry{json.at("key").get<std::string>(),
+                 json.at("value").get<std::string>(),
+                 json.at("version").get<KvVersion>()};
+}
+
+// Returns the entries that can be read. Throws if none of several can: an
+// answer without entries would say that there are none.
+std::vector<KvEntry> ReadEntries(const std::vector<std::string_view>& items) {
+  std::vector<KvEntry> entries;
+  for (const std::string_view item : items) {
+    try {
+      entries.push_back(ReadEntry(ParseUntrusted(item)));
+    } catch (const Json::exception&) {
+      // Another writer's entry is given up alone.
+      continue;
+    }
+  }
+  if (entries.empty() && !items.empty()) {
+    throw std::invalid_argument("no entry can be read");
+  }
+  return entries;
+}
+
 }  // namespace
 
 std::string EncodeKvRequest(const KvRequest& request) {
@@ -124,13 +145,18 @@
                        {"value", entry.value},
                        {"version", entry.version}});
   }
-  json["entries"] = std::move(entries);
+  json[kEntries] = std::move(entries);
   return json.dump();
 }
 
 std::optional<KvReply> DecodeKvReply(std::string_view text) {
   try {
-    return ReadReply(Json::parse(text));
+    const auto split = SplitJsonList(text, kEntries);
+    const Json json = ParseUntrusted(split ? split->rest : text);
+    if (!split && json.contains(kEntries)) return std::nullopt;
+    KvReply reply = ReadReply(json);
+    if (split) reply.entries = ReadEntries(split->items);
+    return reply;
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/unittests/protocol/platform/platform_codec_test.cc
+++ b/unittests/protocol/platform/platform_codec_test.cc
@@ -43,6 +43,25 @@
   CHECK(EncodeKvReply(*decoded) == EncodeKvReply(reply));
 }
 
+// Daemons learned of no member while such an entry stood in the list.
+TEST_CASE("An entry that cannot be read keeps no other from being read",
+          "[codec][odd]") {
+  const std::string odd =
+      GENERATE(R"({"key":5,"value":"x","version":1})", R"({"key":"m/\udcff"})",
+               "null", "{\"key\":\"m/\xff\",\"value\":\"x\",\"version\":1}",
+               R"({"key":"m/3","value":"x","version":1e999})");
+  CAPTURE(odd);
+  const std::string head = R"({"status":"ok","version":7,"entries":[)";
+  const std::string sound = R"({"key":"m/1","value":"x","version":3})";
+  const auto reply = DecodeKvReply(head + sound + "," + odd + "]}");
+  REQUIRE(reply);
+  REQUIRE(reply->entries.size() == 1);
+  CHECK(reply->entries.front().key == "m/1");
+  CHECK(reply->version == KvVersion(7));
+  // One that was asked for by its key is not missing.
+  CHECK_FALSE(DecodeKvReply(head + odd + "]}"));
+}
+
 TEST_CASE("Engine messages survive their codec", "[codec]") {
   EngineOrder order;
   order.cell = CellId("c");
