--- a/unittests/platform/decoder_fuzz_test.cc
+++ b/unittests/platform/decoder_fuzz_test.cc
@@ -12,6 +12,7 @@
 
 #include "platform/config_codec.h"
 #include "platform/settings.h"
+#include "platform/store_page.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/protocol/json.h"
 
@@ -37,6 +38,11 @@
         "services":[{"name":"s","engine":{"slots":64,"adapter-slots":29,
           "models":[{"name":"m","load-s":1.3,"adapters":3000}]}}],
         "limits":{"max-header-bytes":8000,"idle-timeout-ms":900}})";
+constexpr char kPage[] =
+    R"({"items":[{"key":"servers/a","value":"e30=","rev":3,"lease":0},
+        {"key":"yuccamoor/node/n1","value":"eA==","rev":4,"lease":1},
+        {"key":"op/version/m.a1","rev":5,"removed":true}],
+        "more-pages":true,"as-of":9})";
 constexpr char kSettings[] =
     "node-name=front-1\nzone=fes-a\nlisten.front=10.1.0.38:8149\n"
     "listen.ready=10.1.0.38:8141\nport-range=7380,7395\nbootstrap=true\n"
@@ -186,6 +192,14 @@
        [](const std::string& text) { return DecodeReport(text).has_value(); });
 }
 
+TEST_CASE("No page of the store ends the process", "[platform][fuzz]") {
+  Fuzz(kPage, [](const std::string& text) {
+    return DecodeStorePage(text, StoreList::kItems, fleet::StoreEra(1),
+                           [](std::string_view, const Findings&) {})
+        .has_value();
+  });
+}
+
 TEST_CASE("No peer's datagram ends the process", "[platform][fuzz]") {
   for (const fleet::PeerMessage& message : PeerMessages()) {
     const std::string valid = fleet::EncodePeerMessage(message);
--- a/unittests/transport/fleet/store_pages_test.cc
+++ b/unittests/transport/fleet/store_pages_test.cc
@@ -92,6 +92,24 @@
   CHECK(reader.store().pages_read() == 4);
 }
 
+// Where a page has no other key, there is no way around such a one.
+TEST_CASE("A list goes on after an entry whose key is no text",
+          "[fleet][store][odd]") {
+  const std::string key = GENERATE("servers/a\xff", "servers/a\\udcff");
+  CAPTURE(key);
+  StoreReader reader;
+  reader.store().SetPageSize(1);
+  reader.store().PutItem("servers/a\xff",
+                         "{\"key\":\"" + key + "\",\"value\":\"\"}");
+  reader.store().Put("servers/b", "{}");
+  reader.store().Put(kRecord, "x");
+  const auto result = reader.ReadAll();
+  REQUIRE(result);
+  CHECK(result->status == StoreStatus::kOk);
+  CHECK(result->changes.size() == 3);
+  CHECK(reader.store().pages_read() == 3);
+}
+
 // The log named the reason only, and an unreadable entry as if it were that.
 TEST_CASE("A read that the store refuses says what was asked for",
           "[fleet][store][odd]") {
