--- a/include/yuccamoor/protocol/fleet/request_target.h
+++ b/include/yuccamoor/protocol/fleet/request_target.h
@@ -18,8 +18,7 @@
   template <std::size_t kSize>
   explicit RequestTarget(const char (&path)[kSize]) : m_text(path) {}
 
-  /// Appends a segment to the path, after a slash. The query, if there is one,
-  /// comes later.
+  /// Appends a segment to the path, after a slash. There must be no query yet.
   RequestTarget& AddSegment(std::string_view segment);
   /// Appends a field to the query. The value may hold any bytes.
   RequestTarget& AddField(std::string_view name, std::string_view value);
--- a/include/yuccamoor/protocol/json_list.h
+++ b/include/yuccamoor/protocol/json_list.h
@@ -9,8 +9,6 @@
 #include <string_view>
 #include <vector>
 
-#include "yuccamoor/protocol/json.h"
-
 namespace yuccamoor {
 
 /// The text of a JSON object, taken apart.
@@ -28,14 +26,6 @@
 std::optional<JsonList> SplitJsonList(std::string_view text,
                                       std::string_view name);
 
-/// Parses JSON text that another program wrote and whose strings hold bytes of
-/// any kind. Bytes that are no UTF-8, control characters and halves of
-/// surrogate pairs are kept: a half that stands for a byte (U+DC80 to U+DCFF)
-/// as this byte, another one as the three bytes that would encode it. Throws
-/// Json::exception as ParseUntrusted does. The strings cannot be written as
-/// JSON again.
-Json ParseAnyBytes(std::string_view text);
-
 }  // namespace yuccamoor
 
 #endif  // YUCCAMOOR_PROTOCOL_JSON_LIST_H_
--- a/lib/protocol/fleet/request_target.cc
+++ b/lib/protocol/fleet/request_target.cc
@@ -1,5 +1,7 @@
 #include "yuccamoor/protocol/fleet/request_target.h"
 
+#include <cassert>
+
 namespace yuccamoor::fleet {
 
 namespace {
@@ -32,6 +34,7 @@
 }  // namespace
 
 RequestTarget& RequestTarget::AddSegment(std::string_view segment) {
+  assert(!m_has_query && "the path comes before the query");
   m_text += '/';
   AppendEscaped(m_text, segment, "");
   return *this;
--- a/lib/protocol/platform/key_value_codec.cc
+++ b/lib/protocol/platform/key_value_codec.cc
@@ -99,15 +99,15 @@
                  json.at("version").get<KvVersion>()};
 }
 
-// Returns the entries that can be read. Throws if none of several can: an
-// answer without entries would say that there are none.
+// Returns the entries that can be read; another writer's may not be. Throws if
+// there are entries and none can be read: that does not mean that there are
+// none.
 std::vector<KvEntry> ReadEntries(const std::vector<std::string_view>& items) {
   std::vector<KvEntry> entries;
   for (const std::string_view item : items) {
     try {
       entries.push_back(ReadEntry(ParseUntrusted(item)));
     } catch (const Json::exception&) {
-      // Another writer's entry is given up alone.
       continue;
     }
   }
