--- /dev/null
+++ b/review/standins-3/deployment.h
@@ -0,0 +1,62 @@
+/// \file
+/// \brief A small deployment: the store, servers of plain services, and nodes.
+
+#ifndef REVIEW_STANDINS_3_DEPLOYMENT_H_
+#define REVIEW_STANDINS_3_DEPLOYMENT_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app_server.h"
+#include "engine_server.h"
+#include "node.h"
+#include "record.h"
+#include "store.h"
+#include "trial.h"
+
+namespace review {
+
+/// Everything that a trial starts. Ends it all when it goes.
+class Deployment {
+ public:
+  explicit Deployment(const std::string& record_path);
+
+  Record& record() { return m_record; }
+  Store& store() { return m_store; }
+  AppServer& server(std::size_t index) const { return *m_servers.at(index); }
+  std::size_t servers() const { return m_servers.size(); }
+  Node& node(std::size_t index = 0) { return *m_nodes.at(index); }
+
+  /// Starts a server and writes its entry.
+  AppServer& AddServer(const std::string& service,
+                       const AppServer::Odd& odd = nullptr);
+  /// Ends the server's process and starts a new one at its address, which is
+  /// sound. Its entry is left to the caller.
+  AppServer& RestartServer(std::size_t index, std::int64_t down_ms);
+  /// Starts a model server and writes its entry.
+  void AddEngine(const std::string& service, const std::string& model);
+  /// The entry of that server, as it was written first.
+  ServerEntry EntryOf(std::size_t index) const { return m_entries.at(index); }
+  void WriteEntry(const ServerEntry& entry);
+
+  /// Starts a node and waits until it says that it is ready.
+  bool AddNode();
+
+  /// Sends the request to a node and records it with its answer.
+  ClientAnswer AskRecorded(const ClientRequest& request, std::size_t node = 0);
+
+ private:
+  ScratchFolder m_folder;
+  Record m_record;
+  Store m_store;
+  std::vector<std::unique_ptr<AppServer>> m_servers;
+  std::vector<ServerEntry> m_entries;
+  std::vector<std::unique_ptr<EngineServer>> m_engines;
+  std::vector<std::unique_ptr<Node>> m_nodes;
+};
+
+}  // namespace review
+
+#endif  // REVIEW_STANDINS_3_DEPLOYMENT_H_
--- /dev/null
+++ b/review/standins-3/store.h
@@ -0,0 +1,103 @@
+/// \file
+/// \brief A small stand-in for the platform's store.
+
+#ifndef REVIEW_STANDINS_3_STORE_H_
+#define REVIEW_STANDINS_3_STORE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "http.h"
+
+namespace review {
+
+/// Keeps items with one revision counter, watches, transactions and leases.
+/// Thread-safe.
+class Store {
+ public:
+  explicit Store(const std::string& ip);
+  ~Store();
+  Store(const Store&) = delete;
+  Store& operator=(const Store&) = delete;
+
+  std::string address() const { return m_server.address(); }
+
+  /// Writes as the operator or as a server. Returns the revision.
+  std::uint64_t Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  /// Closes the connections of the watches that wait now.
+  void CutWatches();
+  /// How long the oldest waiting watch has waited; zero without one.
+  std::int64_t WatchWaitedMs() const;
+  /// The number of nodes that are registered now.
+  std::size_t CountKeys(const std::string& part) const;
+
+ private:
+  using Json = nlohmann::json;
+
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t created = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Event {
+    std::string key;
+    std::uint64_t revision = 0;
+    bool removed = false;
+    Item item;
+  };
+  struct Lease {
+    std::int64_t ttl_ms = 0;
+    std::int64_t ends_at = 0;
+  };
+  struct Reply {
+    int status = 200;
+    Json body = Json::object();
+    bool is_cut = false;
+  };
+
+  void Serve(Connection& connection);
+  Reply Answer(const Message& request);
+  Reply AnswerRange(const std::map<std::string, std::string>& query);
+  Reply AnswerWatch(const std::map<std::string, std::string>& query);
+  Reply AnswerKey(const std::map<std::string, std::string>& query);
+  Reply AnswerTransaction(const Json& body);
+  Reply AnswerLease(const Json& body);
+  void ExpireLeases();
+
+  // The caller holds the mutex.
+  std::uint64_t PutLocked(const std::string& key, const std::string& value,
+                          std::uint64_t lease);
+  void RemoveLocked(const std::string& key);
+  bool EndLeaseLocked(std::uint64_t lease);
+  static Json ToJson(const std::string& key, const Item& item);
+
+  mutable std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::map<std::string, Item> m_items;
+  std::vector<Event> m_events;
+  std::map<std::uint64_t, Lease> m_leases;
+  std::uint64_t m_revision = 1;
+  std::uint64_t m_last_lease = 100;
+  std::uint64_t m_cuts = 0;
+  // When the watches that wait have begun to.
+  std::multiset<std::int64_t> m_waiting_since;
+  bool m_stopping = false;
+  Server m_server;
+  std::thread m_expiry;
+};
+
+std::string EncodeBase64(const std::string& bytes);
+std::string DecodeBase64(const std::string& text);
+
+}  // namespace review
+
+#endif  // REVIEW_STANDINS_3_STORE_H_
