--- a/review/standins-3/app_server.cc
+++ b/review/standins-3/app_server.cc
@@ -31,7 +31,7 @@
   const std::string attempt = request.Find("Attempt-Id");
   {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    m_arrivals.push_back(NowMs());
+    m_arrivals.push_back({NowMs(), attempt});
   }
   m_record.Line("server " + m_id + ": " + attempt + " arrives");
 }
@@ -51,7 +51,7 @@
   return it == m_runs.end() ? 0 : it->second;
 }
 
-std::vector<std::int64_t> AppServer::Arrivals() const {
+std::vector<Arrival> AppServer::Arrivals() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_arrivals;
 }
--- a/review/standins-3/app_server.h
+++ b/review/standins-3/app_server.h
@@ -17,6 +17,12 @@
 
 namespace review {
 
+struct Arrival {
+  /// By the steady clock.
+  std::int64_t at_ms = 0;
+  std::string attempt;
+};
+
 /// Runs each request for some milliseconds and signs its answer.
 class AppServer {
  public:
@@ -37,8 +43,7 @@
   void NoteRun(const Message& request);
   /// How often the attempt was run here.
   std::size_t Runs(const std::string& attempt) const;
-  /// When requests have arrived, by the steady clock.
-  std::vector<std::int64_t> Arrivals() const;
+  std::vector<Arrival> Arrivals() const;
   void SetWorkMs(std::int64_t ms) { m_work_ms = ms; }
   /// Adds a field to all answers.
   void SetMoreFields(const std::string& fields);
@@ -56,7 +61,7 @@
   mutable std::mutex m_mutex;
   std::string m_more_fields;
   std::map<std::string, std::size_t> m_runs;
-  std::vector<std::int64_t> m_arrivals;
+  std::vector<Arrival> m_arrivals;
   Server m_server;
 };
 
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -127,12 +127,48 @@
   RemoveLocked(key);
 }
 
+void Store::Copy() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_copied_items = m_items;
+  m_copied_leases = m_leases;
+  m_copied_revision = m_revision;
+}
+
+void Store::Restore(std::int64_t away_ms) {
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_away = true;
+    ++m_cuts;
+  }
+  m_changed.notify_all();
+  SleepMs(away_ms);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_items = m_copied_items;
+  m_leases = m_copied_leases;
+  for (auto& [id, lease] : m_leases) lease.ends_at = NowMs() + lease.ttl_ms;
+  m_revision = m_copied_revision;
+  m_events.clear();
+  m_first_event = m_revision;
+  ++m_era;
+  m_away = false;
+}
+
 void Store::CutWatches() {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_cuts;
   m_changed.notify_all();
 }
 
+bool Store::IsAway() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_away;
+}
+
+std::uint64_t Store::era() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_era;
+}
+
 std::int64_t Store::WatchWaitedMs() const {
   const std::lock_guard<std::mutex> lock(m_mutex);
   return m_waiting_since.empty() ? 0 : NowMs() - *m_waiting_since.begin();
@@ -200,11 +236,12 @@
   Message request;
   while (connection.ReadRequest(request, kForeverMs) == ReadEnd::kWhole) {
     const Reply reply = Answer(request);
-    if (reply.is_cut) return;
+    if (reply.is_cut || IsAway()) return;
     const std::string body = reply.body.dump();
     const std::string head = "HTTP/1.1 " + std::to_string(reply.status) +
                              " Status\r\nContent-Type: application/json\r\n"
-                             "Store-Era: 1\r\nContent-Length: " +
+                             "Store-Era: " +
+                             std::to_string(era()) + "\r\nContent-Length: " +
                              std::to_string(body.size()) + "\r\n\r\n";
     if (!connection.Write(head + body)) return;
   }
@@ -260,7 +297,9 @@
     return event.revision > after && event.key.rfind(prefix, 0) == 0;
   };
   std::unique_lock<std::mutex> lock(m_mutex);
-  if (after > m_revision) return {410, Json::object()};
+  if (after > m_revision || after < m_first_event) {
+    return {410, Json::object()};
+  }
   const auto waiting = m_waiting_since.insert(NowMs());
   const std::uint64_t cuts = m_cuts;
   m_changed.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -32,6 +32,11 @@
   /// Writes as the operator or as a server. Returns the revision.
   std::uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  /// Keeps a copy of all items.
+  void Copy();
+  /// Is away for that long, and comes back from the copy: what was written
+  /// since is gone, and the era is the next one.
+  void Restore(std::int64_t away_ms);
   /// Closes the connections of the watches that wait now.
   void CutWatches();
   /// How long the oldest waiting watch has waited; zero without one.
@@ -64,6 +69,8 @@
     bool is_cut = false;
   };
 
+  bool IsAway() const;
+  std::uint64_t era() const;
   void Serve(Connection& connection);
   Reply Answer(const Message& request);
   Reply AnswerRange(const std::map<std::string, std::string>& query);
@@ -87,6 +94,13 @@
   std::map<std::uint64_t, Lease> m_leases;
   std::uint64_t m_revision = 1;
   std::uint64_t m_last_lease = 100;
+  // Watches from an earlier revision are answered 410.
+  std::uint64_t m_first_event = 0;
+  std::uint64_t m_era = 1;
+  bool m_away = false;
+  std::map<std::string, Item> m_copied_items;
+  std::map<std::uint64_t, Lease> m_copied_leases;
+  std::uint64_t m_copied_revision = 1;
   std::uint64_t m_cuts = 0;
   // When the watches that wait have begun to.
   std::multiset<std::int64_t> m_waiting_since;
