--- a/review/standins-3/deployment.cc
+++ b/review/standins-3/deployment.cc
@@ -41,8 +41,8 @@
   return *server;
 }
 
-void Deployment::AddEngine(const std::string& service,
-                           const std::string& model) {
+EngineServer& Deployment::AddEngine(const std::string& service,
+                                    const std::string& model) {
   const std::size_t number = m_engines.size() + 1;
   EngineOptions options;
   options.id = "i-" + service + "-" + std::to_string(number);
@@ -58,6 +58,7 @@
   entry.born = options.born;
   entry.model = model;
   WriteEntry(entry);
+  return *m_engines.back();
 }
 
 void Deployment::WriteEntry(const ServerEntry& entry) {
@@ -70,9 +71,10 @@
 
 bool Deployment::AddNode() {
   NodeOptions options;
-  options.name = "front-a-" + std::to_string(m_nodes.size() + 1);
+  options.name = NodeName(m_nodes.size());
   options.ip = "127.0.0." + std::to_string(m_nodes.size() + 11);
-  options.store_address = m_store.address();
+  options.store_address = m_store.AddDoor();
+  m_doors.push_back(options.store_address);
   options.folder = m_folder.path();
   m_nodes.push_back(std::make_unique<Node>(options));
   m_nodes.back()->Start();
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -28,6 +28,11 @@
   AppServer& server(std::size_t index) const { return *m_servers.at(index); }
   std::size_t servers() const { return m_servers.size(); }
   Node& node(std::size_t index = 0) { return *m_nodes.at(index); }
+  /// Where that node reaches the store.
+  const std::string& door(std::size_t node) const { return m_doors.at(node); }
+  static std::string NodeName(std::size_t index) {
+    return "front-a-" + std::to_string(index + 1);
+  }
 
   /// Starts a server and writes its entry.
   AppServer& AddServer(const std::string& service,
@@ -36,7 +41,8 @@
   /// sound. Its entry is left to the caller.
   AppServer& RestartServer(std::size_t index, std::int64_t down_ms);
   /// Starts a model server and writes its entry.
-  void AddEngine(const std::string& service, const std::string& model);
+  EngineServer& AddEngine(const std::string& service, const std::string& model);
+  EngineServer& engine(std::size_t index) const { return *m_engines.at(index); }
   /// The entry of that server, as it was written first.
   ServerEntry EntryOf(std::size_t index) const { return m_entries.at(index); }
   void WriteEntry(const ServerEntry& entry);
@@ -55,6 +61,8 @@
   std::vector<ServerEntry> m_entries;
   std::vector<std::unique_ptr<EngineServer>> m_engines;
   std::vector<std::unique_ptr<Node>> m_nodes;
+  // The store's address of each node.
+  std::vector<std::string> m_doors;
 };
 
 }  // namespace review
--- a/review/standins-3/engine_server.cc
+++ b/review/standins-3/engine_server.cc
@@ -13,7 +13,16 @@
 constexpr std::int64_t kIdleMs = 60'000;
 constexpr int kMisdirected = 421;
 constexpr int kFull = 503;
-constexpr int kNoSuchOrder = 400;
+constexpr int kBadOrder = 400;
+constexpr int kConflict = 409;
+constexpr std::size_t kAdapterPlaces = 29;
+
+// The adapter of "MODEL/ADAPTER"; empty for the model itself.
+std::string AdapterOf(const Message& request) {
+  const std::string model = request.Find("Model");
+  const std::size_t slash = model.find('/');
+  return slash == std::string::npos ? "" : model.substr(slash + 1);
+}
 
 // The prompt's tokens and the most tokens of the output.
 std::uint64_t TokensOf(const Message& request) {
@@ -56,9 +65,8 @@
     return Reject(connection, request, kMisdirected);
   }
   if (request.target() == "/report") return AnswerReport(connection, request);
-  if (request.target() == "/order") {
-    return Reject(connection, request, kNoSuchOrder);
-  }
+  if (request.target() == "/order") return AnswerOrder(connection, request);
+  if (!Holds(request)) return Reject(connection, request, kMisdirected);
   const std::string attempt = request.Find("Attempt-Id");
   m_record.Line("server " + m_options.id + ": " + attempt +
                 " arrives, Token-Count " + request.Find("Token-Count"));
@@ -72,13 +80,27 @@
 
 bool EngineServer::AnswerReport(Connection& connection,
                                 const Message& request) {
+  nlohmann::json adapters = nlohmann::json::array();
+  nlohmann::json coming = nlohmann::json::array();
+  std::uint64_t accepted = 0;
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    accepted = m_accepted;
+    for (const auto& [adapter, ready_at] : m_adapters) {
+      if (NowMs() >= ready_at) {
+        adapters.push_back(adapter + "@1");
+      } else {
+        coming.push_back(m_options.model + "/" + adapter + "@1");
+      }
+    }
+  }
   nlohmann::json report;
   report["stage"] = "mixed";
-  report["models"] = {{{"name", m_options.model},
-                       {"version", 1},
-                       {"adapters", nlohmann::json::array()}}};
+  report["models"] = {
+      {{"name", m_options.model}, {"version", 1}, {"adapters", adapters}}};
+  report["coming"] = coming;
   report["in-use"] = false;
-  report["seq"] = 0;
+  report["seq"] = accepted;
   report["queued"] = 0;
   report["active"] = 0;
   report["kv-used"] = 0;
@@ -92,6 +114,52 @@
                           body);
 }
 
+std::vector<OrderArrival> EngineServer::Orders() const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  return m_orders;
+}
+
+bool EngineServer::Holds(const Message& request) const {
+  const std::string adapter = AdapterOf(request);
+  if (adapter.empty()) return true;
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const auto it = m_adapters.find(adapter);
+  return it != m_adapters.end() && NowMs() >= it->second;
+}
+
+int EngineServer::CarryOut(const nlohmann::json& order) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_orders.push_back({NowMs(), order.at("holder").get<std::string>(),
+                      order.at("fence").get<std::uint64_t>()});
+  if (order.contains("expected") &&
+      order["expected"].get<std::uint64_t>() != m_accepted) {
+    return kConflict;
+  }
+  const std::string adapter = order.value("adapter", "");
+  if (adapter.empty()) return 200;
+  const auto it = m_adapters.find(adapter);
+  if (order.at("op") == "unload") {
+    ++m_accepted;
+    m_adapters.erase(adapter);
+    return 200;
+  }
+  if (it != m_adapters.end()) return NowMs() >= it->second ? 200 : 202;
+  if (m_adapters.size() >= kAdapterPlaces) return kBadOrder;
+  ++m_accepted;
+  m_adapters[adapter] = NowMs() + m_options.adapter_load_ms;
+  return 202;
+}
+
+bool EngineServer::AnswerOrder(Connection& connection, const Message& request) {
+  const auto order = nlohmann::json::parse(request.body, nullptr, false);
+  const bool is_whole = order.is_object() && order.contains("holder") &&
+                        order.contains("fence") && order.contains("op");
+  const int status = is_whole ? CarryOut(order) : kBadOrder;
+  m_record.Line("server " + m_options.id + ": order " + request.body +
+                " is answered " + std::to_string(status));
+  return connection.Write(AnswerHead(status, request, "", 0));
+}
+
 bool EngineServer::Reject(Connection& connection, const Message& request,
                           int status) {
   return connection.Write(
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -103,9 +103,17 @@
   return out;
 }
 
-Store::Store(const std::string& ip)
-    : m_server(ip, 0, [this](Connection& connection) { Serve(connection); }),
-      m_expiry([this] { ExpireLeases(); }) {}
+Store::Store(std::string ip)
+    : m_ip(std::move(ip)), m_expiry([this] { ExpireLeases(); }) {}
+
+std::string Store::AddDoor() {
+  const std::uint16_t port = FreePort(m_ip);
+  const std::string address = m_ip + ":" + std::to_string(port);
+  m_doors.push_back(std::make_unique<Server>(
+      m_ip, port,
+      [this, address](Connection& connection) { Serve(connection, address); }));
+  return address;
+}
 
 Store::~Store() {
   {
@@ -113,7 +121,7 @@
     m_stopping = true;
   }
   m_changed.notify_all();
-  m_server.Stop();
+  for (const auto& door : m_doors) door->Stop();
   m_expiry.join();
 }
 
@@ -159,9 +167,29 @@
   m_changed.notify_all();
 }
 
-bool Store::IsAway() const {
+bool Store::IsAwayAt(const std::string& address) const {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  return m_away;
+  return m_away || address == m_rejected;
+}
+
+void Store::Reject(const std::string& address) {
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_rejected = address;
+    ++m_cuts;
+  }
+  m_changed.notify_all();
+}
+
+std::string Store::FindValue(const std::string& key_end) const {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const auto& [key, item] : m_items) {
+    const bool ends_so =
+        key.size() >= key_end.size() &&
+        key.compare(key.size() - key_end.size(), key_end.size(), key_end) == 0;
+    if (ends_so) return item.value;
+  }
+  return {};
 }
 
 std::uint64_t Store::era() const {
@@ -232,11 +260,12 @@
           {"lease", item.lease}};
 }
 
-void Store::Serve(Connection& connection) {
+void Store::Serve(Connection& connection, const std::string& address) {
   Message request;
   while (connection.ReadRequest(request, kForeverMs) == ReadEnd::kWhole) {
+    if (IsAwayAt(address)) return;
     const Reply reply = Answer(request);
-    if (reply.is_cut || IsAway()) return;
+    if (reply.is_cut || IsAwayAt(address)) return;
     const std::string body = reply.body.dump();
     const std::string head = "HTTP/1.1 " + std::to_string(reply.status) +
                              " Status\r\nContent-Type: application/json\r\n"
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -22,16 +23,22 @@
 /// Thread-safe.
 class Store {
  public:
-  explicit Store(const std::string& ip);
+  explicit Store(std::string ip);
   ~Store();
   Store(const Store&) = delete;
   Store& operator=(const Store&) = delete;
 
-  std::string address() const { return m_server.address(); }
+  /// Returns a further address of the store, for one machine.
+  std::string AddDoor();
 
   /// Writes as the operator or as a server. Returns the revision.
   std::uint64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  /// Closes the connections at that address without an answer from now on; at
+  /// none, if it is empty.
+  void Reject(const std::string& address);
+  /// The value of the item whose key ends so; empty without one.
+  std::string FindValue(const std::string& key_end) const;
   /// Keeps a copy of all items.
   void Copy();
   /// Is away for that long, and comes back from the copy: what was written
@@ -69,9 +76,9 @@
     bool is_cut = false;
   };
 
-  bool IsAway() const;
+  bool IsAwayAt(const std::string& address) const;
   std::uint64_t era() const;
-  void Serve(Connection& connection);
+  void Serve(Connection& connection, const std::string& address);
   Reply Answer(const Message& request);
   Reply AnswerRange(const std::map<std::string, std::string>& query);
   Reply AnswerWatch(const std::map<std::string, std::string>& query);
@@ -98,6 +105,7 @@
   std::uint64_t m_first_event = 0;
   std::uint64_t m_era = 1;
   bool m_away = false;
+  std::string m_rejected;
   std::map<std::string, Item> m_copied_items;
   std::map<std::uint64_t, Lease> m_copied_leases;
   std::uint64_t m_copied_revision = 1;
@@ -105,7 +113,8 @@
   // When the watches that wait have begun to.
   std::multiset<std::int64_t> m_waiting_since;
   bool m_stopping = false;
-  Server m_server;
+  std::string m_ip;
+  std::vector<std::unique_ptr<Server>> m_doors;
   std::thread m_expiry;
 };
 
