--- a/review/11/two_holders.cc
+++ b/review/11/two_holders.cc
@@ -22,19 +22,20 @@
 
 constexpr std::size_t kNodes = 3;
 constexpr int kEngines = 3;
-constexpr int kClients = 6;
-constexpr std::int64_t kPauseMs = 100;
+constexpr int kClients = 12;
+constexpr std::int64_t kPauseMs = 60;
 constexpr std::int64_t kLeaseTtlMs = 3'000;
 constexpr std::int64_t kSettleMs = 14'000;
 // Times from when the store turns the node away.
 constexpr std::int64_t kCopyAt = 2'000;
 constexpr std::int64_t kTakenBackAt = 9'000;
 constexpr std::int64_t kLongestWaitMs = 14'000;
-// From the first order of the next holder.
 constexpr std::int64_t kOrdersOnMs = 500;
-constexpr std::int64_t kAwayMs = 1'000;
-constexpr std::int64_t kKillAfterMs = 500;
-constexpr std::int64_t kDownMs = 500;
+// The drill begins that soon after a renewal of the next holder's lease.
+constexpr std::int64_t kJustRenewedMs = 30;
+constexpr std::int64_t kAwayMs = 300;
+// The process that was killed starts again just after the store is back.
+constexpr std::int64_t kDownMs = 320;
 constexpr std::int64_t kEndMs = 6'000;
 
 class Trial {
@@ -46,6 +47,9 @@
  private:
   void RunClient(int number);
   bool Play();
+  // Kills the holder before, with a drill just after the next one's renewal.
+  void PlayDrill(const std::string& before, const std::string& door);
+  static std::size_t IndexOf(const std::string& node);
   // Counts the orders that the rule forbids.
   int CountForbidden();
   std::string HolderOf(std::size_t engine) const;
@@ -62,6 +66,12 @@
   return orders.empty() ? "" : orders.back().holder;
 }
 
+std::size_t Trial::IndexOf(const std::string& node) {
+  std::size_t index = 0;
+  while (index + 1 < kNodes && Deployment::NodeName(index) != node) ++index;
+  return index;
+}
+
 // Asks for one adapter after the other, so that servers are ordered all along.
 void Trial::RunClient(int number) {
   for (int i = 0; !m_ends; ++i) {
@@ -82,10 +92,8 @@
 bool Trial::Play() {
   review::SleepMs(kSettleMs);
   const std::string before = HolderOf(0);
-  for (std::size_t i = 0; i < kNodes; ++i) {
-    if (Deployment::NodeName(i) == before) m_first = i;
-  }
   if (before.empty()) return false;
+  m_first = IndexOf(before);
   m_world.record().Line("store: turns " + before + " away");
   const std::int64_t start = review::NowMs();
   m_world.store().Reject(m_world.door(m_first));
@@ -103,10 +111,19 @@
     }
     review::SleepMs(1);
   }
-  m_world.record().Line(HolderOf(0) + " orders " + m_world.engine(0).id());
+  const std::string after = HolderOf(0);
+  m_world.record().Line(after + " orders " + m_world.engine(0).id());
   review::SleepMs(kOrdersOnMs);
+  PlayDrill(before, m_world.door(IndexOf(after)));
+  review::SleepMs(kEndMs);
+  return true;
+}
+
+void Trial::PlayDrill(const std::string& before, const std::string& door) {
+  while (m_world.store().RenewedAgoMs(door) > kJustRenewedMs) {
+    review::SleepMs(1);
+  }
   std::thread node([&] {
-    review::SleepMs(kKillAfterMs);
     m_world.record().Line("node " + before + " is killed");
     m_world.node(m_first).Kill();
     review::SleepMs(kDownMs);
@@ -119,8 +136,6 @@
     m_world.record().Line("store: is back");
   }
   node.join();
-  review::SleepMs(kEndMs);
-  return true;
 }
 
 int Trial::CountForbidden() {
@@ -130,15 +145,17 @@
     for (std::size_t k = 1; k < orders.size(); ++k) {
       const OrderArrival& last = orders[k - 1];
       const OrderArrival& next = orders[k];
-      const bool turns =
+      const bool is_lower = next.fence < last.fence;
+      const bool follows_other =
           next.holder != last.holder && next.at_ms - last.at_ms < kLeaseTtlMs;
-      if (!turns && next.fence >= last.fence) continue;
-      ++forbidden;
+      if (!is_lower && !follows_other) continue;
+      if (is_lower) ++forbidden;
       m_world.record().Line(
           m_world.engine(i).id() + ": an order of " + next.holder + ", fence " +
           std::to_string(next.fence) + ", " +
           std::to_string(next.at_ms - last.at_ms) + " ms after one of " +
-          last.holder + ", fence " + std::to_string(last.fence));
+          last.holder + ", fence " + std::to_string(last.fence) +
+          (is_lower ? ": LOWER" : ": within lease-ttl-ms"));
     }
   }
   return forbidden;
@@ -166,9 +183,10 @@
   m_ends = true;
   for (std::thread& client : clients) client.join();
   const int forbidden = CountForbidden();
-  const std::string result = "served " + std::to_string(m_served) +
-                             ", orders that the rule forbids " +
-                             std::to_string(forbidden);
+  const std::string result =
+      "served " + std::to_string(m_served) +
+      ", orders with a lower fencing token after a higher one " +
+      std::to_string(forbidden);
   m_world.record().Line(result);
   std::cout << result << (played ? "" : ", not played") << "\n";
   if (!played || m_served == 0) return Verdict::kNotRun;
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -42,8 +42,11 @@
   /// Keeps a copy of all items.
   void Copy();
   /// Is away for that long, and comes back from the copy: what was written
-  /// since is gone, and the era is the next one.
+  /// since is gone, and the era is the next one. Calls that come meanwhile, and
+  /// watches that wait, get no answer, nor does their connection later on.
   void Restore(std::int64_t away_ms);
+  /// How long ago a lease was renewed at that address.
+  std::int64_t RenewedAgoMs(const std::string& address) const;
   /// Closes the connections of the watches that wait now.
   void CutWatches();
   /// How long the oldest waiting watch has waited; zero without one.
@@ -76,10 +79,13 @@
     bool is_cut = false;
   };
 
-  bool IsAwayAt(const std::string& address) const;
+  bool IsAway() const;
+  bool IsRejected(const std::string& address) const;
+  /// Keeps the connection open without an answer until the store ends.
+  void StaySilent() const;
   std::uint64_t era() const;
   void Serve(Connection& connection, const std::string& address);
-  Reply Answer(const Message& request);
+  Reply Answer(const Message& request, const std::string& address);
   Reply AnswerRange(const std::map<std::string, std::string>& query);
   Reply AnswerWatch(const std::map<std::string, std::string>& query);
   Reply AnswerKey(const std::map<std::string, std::string>& query);
@@ -106,6 +112,8 @@
   std::uint64_t m_era = 1;
   bool m_away = false;
   std::string m_rejected;
+  // By the address at which the leases were renewed.
+  std::map<std::string, std::int64_t> m_renewed;
   std::map<std::string, Item> m_copied_items;
   std::map<std::uint64_t, Lease> m_copied_leases;
   std::uint64_t m_copied_revision = 1;
