--- a/review/11/two_holders.cc
+++ b/review/11/two_holders.cc
@@ -26,6 +26,7 @@
 constexpr std::int64_t kPauseMs = 60;
 constexpr std::int64_t kLeaseTtlMs = 3'000;
 constexpr std::int64_t kSettleMs = 14'000;
+constexpr int kRounds = 3;
 // Times from when the store turns the node away.
 constexpr std::int64_t kCopyAt = 2'000;
 constexpr std::int64_t kTakenBackAt = 9'000;
@@ -36,7 +37,7 @@
 constexpr std::int64_t kAwayMs = 300;
 // The process that was killed starts again just after the store is back.
 constexpr std::int64_t kDownMs = 320;
-constexpr std::int64_t kEndMs = 6'000;
+constexpr std::int64_t kEndMs = 8'000;
 
 class Trial {
  public:
@@ -90,7 +91,6 @@
 }
 
 bool Trial::Play() {
-  review::SleepMs(kSettleMs);
   const std::string before = HolderOf(0);
   if (before.empty()) return false;
   m_first = IndexOf(before);
@@ -179,7 +179,9 @@
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([this, i] { RunClient(i); });
   }
-  const bool played = Play();
+  review::SleepMs(kSettleMs);
+  bool played = true;
+  for (int i = 0; i < kRounds && played; ++i) played = Play();
   m_ends = true;
   for (std::thread& client : clients) client.join();
   const int forbidden = CountForbidden();
