--- a/review/standins-3/deployment.cc
+++ b/review/standins-3/deployment.cc
@@ -57,6 +57,7 @@
   entry.slots = 64;
   entry.born = options.born;
   entry.model = model;
+  m_engine_entries.push_back(entry);
   WriteEntry(entry);
   return *m_engines.back();
 }
@@ -69,21 +70,26 @@
                 std::to_string(revision));
 }
 
-bool Deployment::AddNode() {
+void Deployment::StartNode(bool first_start) {
   NodeOptions options;
   options.name = NodeName(m_nodes.size());
   options.ip = "127.0.0." + std::to_string(m_nodes.size() + 11);
   options.store_address = m_store.AddDoor();
-  m_doors.push_back(options.store_address);
   options.folder = m_folder.path();
+  options.first_start = first_start;
+  m_doors.push_back(options.store_address);
   m_nodes.push_back(std::make_unique<Node>(options));
   m_nodes.back()->Start();
-  const bool is_ready = m_nodes.back()->WaitUntilReady(kReadyMs);
-  m_record.Line("node " + options.name + (is_ready ? " is" : " is not") +
-                " ready");
-  return is_ready;
+  m_record.Line("node " + options.name + " starts");
 }
 
+bool Deployment::AddNode() {
+  StartNode(true);
+  return m_nodes.back()->WaitUntilReady(kReadyMs);
+}
+
+void Deployment::AddLateNode() { StartNode(false); }
+
 ClientAnswer Deployment::AskRecorded(const ClientRequest& request,
                                      std::size_t node) {
   m_record.Line("client: " + request.attempt + " sends " + request.method +
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -46,19 +46,27 @@
   /// The entry of that server, as it was written first.
   ServerEntry EntryOf(std::size_t index) const { return m_entries.at(index); }
   void WriteEntry(const ServerEntry& entry);
+  ServerEntry EngineEntryOf(std::size_t index) const {
+    return m_engine_entries.at(index);
+  }
 
   /// Starts a node and waits until it says that it is ready.
   bool AddNode();
+  /// Starts a node that is added to a running deployment.
+  void AddLateNode();
 
   /// Sends the request to a node and records it with its answer.
   ClientAnswer AskRecorded(const ClientRequest& request, std::size_t node = 0);
 
  private:
+  void StartNode(bool first_start);
+
   ScratchFolder m_folder;
   Record m_record;
   Store m_store;
   std::vector<std::unique_ptr<AppServer>> m_servers;
   std::vector<ServerEntry> m_entries;
+  std::vector<ServerEntry> m_engine_entries;
   std::vector<std::unique_ptr<EngineServer>> m_engines;
   std::vector<std::unique_ptr<Node>> m_nodes;
   // The store's address of each node.
--- a/review/standins-3/record.h
+++ b/review/standins-3/record.h
@@ -13,10 +13,10 @@
 
 namespace review {
 
-/// Writes lines to a file. Thread-safe.
+/// Appends lines to a file. Thread-safe.
 class Record {
  public:
-  explicit Record(const std::string& path) : m_file(path) {}
+  explicit Record(const std::string& path) : m_file(path, std::ios::app) {}
 
   void Line(const std::string& text) {
     const std::lock_guard<std::mutex> lock(m_mutex);
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -161,6 +161,18 @@
   m_away = false;
 }
 
+void Store::BeAway(std::int64_t away_ms) {
+  {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_away = true;
+    ++m_cuts;
+  }
+  m_changed.notify_all();
+  SleepMs(away_ms);
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  m_away = false;
+}
+
 void Store::CutWatches() {
   const std::lock_guard<std::mutex> lock(m_mutex);
   ++m_cuts;
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -45,6 +45,9 @@
   /// since is gone, and the era is the next one. Calls that come meanwhile, and
   /// watches that wait, get no answer, nor does their connection later on.
   void Restore(std::int64_t away_ms);
+  /// Is away for that long, while leases run out. Calls get no answer, as
+  /// above.
+  void BeAway(std::int64_t away_ms);
   /// How long ago a lease was renewed at that address.
   std::int64_t RenewedAgoMs(const std::string& address) const;
   /// Closes the connections of the watches that wait now.
