Log why a holder begins to order when it does

Cause: engine_held said how long a new holder waits, not on what evidence it does not.

Change: the decision moves from EngineHolder into OrderStarts, which has no I/O and no clock; engine_held names its reason. What it decides is as before.

--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -9,13 +9,13 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "yuccamoor/coordination/fleet/engine_control.h"
 #include "yuccamoor/coordination/fleet/engine_host.h"
 #include "yuccamoor/coordination/fleet/holder_claims.h"
 #include "yuccamoor/coordination/fleet/order_right.h"
+#include "yuccamoor/coordination/fleet/order_starts.h"
 #include "yuccamoor/protocol/fleet/peer_messages.h"
 #include "yuccamoor/transport/fleet/lease_keeper.h"
 
@@ -72,18 +72,10 @@
     Epoch fence;
     TimeMs orders_from;
   };
-  // A record of this node, and when its wait ends.
-  struct TakenUp {
-    Epoch fence;
-    TimeMs orders_from;
-  };
 
   bool MayOrder(TimeMs now) const;
-  std::set<EndpointId> LatelyHeld(TimeMs now) const;
   void ClaimNext(TimeMs now);
   void ForgetEndedRecords();
-  DurationMs WaitBeforeOrders(const EndpointId& engine, Epoch fence,
-                              TimeMs now) const;
   void TakeUp(const EndpointId& engine, Epoch fence);
   void Poll(const EndpointId& engine, TimeMs now);
   void Order(const EndpointId& engine, const Held& held,
@@ -98,12 +90,9 @@
   Announce m_announce;
   HolderClaims m_claims;
   std::map<EndpointId, Held> m_held;
-  // Also of engines whose entries are missing.
-  std::map<EndpointId, TakenUp> m_taken_up;
+  OrderStarts m_starts;
   TimeMs m_started;
   OrderRight m_right;
-  // When this node last had the right to order engines that it held.
-  std::map<EndpointId, TimeMs> m_last_valid;
   bool m_claiming = false;
   TimeMs m_last_claim_check;
   FleetConditions m_pace;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr DurationMs kHolderMargin{150};
 // Nodes of a starting fleet register before the first claims.
 constexpr DurationMs kClaimDelay{900};
 // A node that is cut off from the store hears of a new one by then.
@@ -43,6 +42,7 @@
       m_notify(std::move(notify)),
       m_announce(std::move(announce)),
       m_claims(context.settings.node),
+      m_starts(context.settings.holder_separation),
       m_started(context.clock.Now()),
       m_right(context.settings.node) {}
 
@@ -63,25 +63,12 @@
   m_right.OnPeerReport(status.node, std::move(sight), now);
 }
 
-// Engines that no other node can have ordered since this one did: another one
-// waits longer than this after its claim.
-std::set<EndpointId> EngineHolder::LatelyHeld(TimeMs now) const {
-  std::set<EndpointId> engines;
-  for (const auto& [engine, valid] : m_last_valid) {
-    if (now - valid < m_context.settings.holder_separation) {
-      engines.insert(engine);
-    }
-  }
-  return engines;
-}
-
 void EngineHolder::ForgetEndedRecords() {
-  const auto& holders = m_context.view.holders();
-  std::erase_if(m_taken_up, [&](const auto& item) {
-    const auto record = holders.find(item.first);
-    return !m_lease.lease() || record == holders.end() ||
-           record->second.fence != item.second.fence;
-  });
+  if (m_lease.lease()) {
+    m_starts.RetainOnly(m_context.view.holders());
+  } else {
+    m_starts.Clear();
+  }
 }
 
 void EngineHolder::OnViewChanged() {
@@ -115,22 +102,6 @@
   }
 }
 
-// The holder before may have ordered until its own validity ended. Nobody else
-// has held the engine since this node's record was written.
-DurationMs EngineHolder::WaitBeforeOrders(const EndpointId& engine, Epoch fence,
-                                          TimeMs now) const {
-  const auto taken_up = m_taken_up.find(engine);
-  if (taken_up != m_taken_up.end() && taken_up->second.fence == fence) {
-    return std::max(taken_up->second.orders_from - now, DurationMs(0));
-  }
-  const bool no_other = m_context.view.WasNeverHeld(engine) ||
-                        LatelyHeld(now).contains(engine) ||
-                        m_lease.taken_over().contains(fence);
-  if (no_other) return DurationMs(0);
-  return OrderRight::kLeaseValidity + m_context.settings.holder_separation +
-         kHolderMargin;
-}
-
 void EngineHolder::TakeUp(const EndpointId& engine, Epoch fence) {
   const Endpoint* endpoint = m_context.view.endpoints().Find(engine);
   if (!endpoint) return;
@@ -142,23 +113,25 @@
   options.model_load_time = spec->models.front().load_time;
   options.full_speed_loads = FullSpeedLoads(spec->models_per_second);
   const TimeMs now = m_context.clock.Now();
-  const DurationMs wait = WaitBeforeOrders(engine, fence, now);
-  const TimeMs orders_from = now + wait;
-  m_taken_up[engine] = {fence, orders_from};
+  HolderEvidence evidence;
+  evidence.never_held = m_context.view.WasNeverHeld(engine);
+  evidence.earlier_process = m_lease.taken_over().contains(fence);
+  const OrderStart start = m_starts.TakeUp(engine, fence, evidence, now);
   m_held.emplace(engine,
-                 Held{endpoint->entry, EngineHost(options, fence, orders_from),
-                      fence, orders_from});
+                 Held{endpoint->entry, EngineHost(options, fence, start.from),
+                      fence, start.from});
   m_context.log.Event("engine_held")
       .Text("engine", engine.str())
       .Number("fence", fence.value())
-      .Ms("order_wait_ms", wait);
+      .Ms("order_wait_ms", std::max(start.from - now, DurationMs(0)))
+      .Text("reason", ToText(start.reason));
 }
 
 void EngineHolder::OnTick(TimeMs now) {
   m_right.OnTick(now);
   if (!MayOrder(now)) return;
   for (const auto& [engine, held] : m_held) {
-    if (now >= held.orders_from) m_last_valid[engine] = now;
+    if (now >= held.orders_from) m_starts.OnOrdering(engine, now);
   }
   ClaimNext(now);
   for (auto it = m_held.begin(); it != m_held.end();) {
@@ -175,7 +148,7 @@
   m_last_claim_check = now;
   const auto engine =
       m_claims.NextClaim(m_context.view.Engines(), m_context.view.HolderIds(),
-                         m_context.view.NodeIds(), LatelyHeld(now),
+                         m_context.view.NodeIds(), m_starts.OrderedLately(now),
                          m_context.view.NeverHeldEngines(), now);
   if (!engine) return;
   m_claiming = true;
