Take no absence of holders for evidence that there were none

Cause: FleetView took a first full read without holders for a fleet that has just begun. Holders' records run out with their leases, while the holders go on as the others confirm them. The delay before the first claim, meant for others to learn of the node, counted from the start of its process, so an outage used it up.

Change: such a read is evidence only if the settings state the fleet's first start and it comes within 3 s of the process's start, before records can run out. Else the rule of all other reads holds: an engine counts as never held if it registers 5 s later or more. The delay counts from the first view.

Test changed: "Engines that register while a fleet starts have had no holder" asked for the inference that is the fault. It now states the first start; a new test asks that without this, or late, nothing is inferred.

Three tests fail with the decisions as before and pass now.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -74,7 +74,10 @@
 /// decreases: older configurations are ignored.
 class FleetView {
  public:
-  explicit FleetView(RevisionTimes revision_times = {});
+  /// \p first_started is when this process started, if the settings say that
+  /// the whole fleet starts for the first time.
+  explicit FleetView(RevisionTimes revision_times = {},
+                     std::optional<TimeMs> first_started = std::nullopt);
 
   /// Applies one change and returns its effect. \p written_from is the earliest
   /// time at which it may have been written; without it, the change is new.
@@ -153,6 +156,8 @@
  private:
   AdapterRevision LeastRevisionAt(const AdapterRef& adapter, TimeMs now,
                                   DurationMs ago) const;
+  // Whether a full read at \p now shows all holders there have been.
+  bool ShowsAllHolders(TimeMs now) const;
 
   ViewUpdate ApplyChange(ConfigWritten change, TimeMs now);
   ViewUpdate ApplyChange(const AdapterRevisionPublished& change,
@@ -171,6 +176,7 @@
   std::map<EndpointId, HolderRecord> m_holders;
   std::map<std::string, SharedRecord> m_shared;
   std::set<EndpointId> m_never_held_engines;
+  std::optional<TimeMs> m_first_started;
   bool m_was_read = false;
   // Engines that register before may have had a holder that was missed.
   TimeMs m_never_held_from;
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -91,7 +91,9 @@
   HolderClaims m_claims;
   std::map<EndpointId, Held> m_held;
   OrderStarts m_starts;
-  TimeMs m_started;
+  // When this process first had a view of the store. It registers then, so that
+  // others cannot know of it before.
+  std::optional<TimeMs> m_first_view;
   OrderRight m_right;
   bool m_claiming = false;
   TimeMs m_last_claim_check;
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -17,6 +17,8 @@
 // Holders that this view may have missed have given their last orders by then:
 // those of an earlier era of the store, or between two full reads.
 constexpr DurationMs kEarlierHolderTime{5'000};
+// No holder's record of a fleet that has just started runs out sooner.
+constexpr DurationMs kLeastRecordTime{3'000};
 
 // Whether the entries differ in more than what engines' holders report.
 bool Differ(const EndpointEntry& a, const EndpointEntry& b) {
@@ -79,8 +81,9 @@
   return it == m_shared.end() ? SharedRecord() : it->second;
 }
 
-FleetView::FleetView(RevisionTimes revision_times)
-    : m_revision_times(revision_times) {}
+FleetView::FleetView(RevisionTimes revision_times,
+                     std::optional<TimeMs> first_started)
+    : m_revision_times(revision_times), m_first_started(first_started) {}
 
 ViewUpdate FleetView::Apply(StoreChange change, TimeMs now) {
   return Apply(std::move(change), now, now);
@@ -118,7 +121,6 @@
 
 void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now,
                       TimeMs written_from) {
-  const bool may_have_missed = std::exchange(m_was_read, true);
   m_nodes.clear();
   m_holders.clear();
   m_shared.clear();
@@ -129,15 +131,23 @@
     }
     Apply(change, now, written_from);
   }
-  // Holders may have been added and removed between the reads, or before the
-  // first one if the fleet runs already.
   m_never_held_engines.clear();
-  if (may_have_missed || !m_holders.empty()) {
+  if (!ShowsAllHolders(now)) {
     m_never_held_from = std::max(m_never_held_from, now + kEarlierHolderTime);
   }
+  m_was_read = true;
   m_endpoints.RetainOnly(listed, now);
 }
 
+// Holders may have been added and removed between two reads, or before the
+// first one: their records run out with their leases, and they may still give
+// orders then. Only of a fleet that has just started is it known that there
+// were none.
+bool FleetView::ShowsAllHolders(TimeMs now) const {
+  return !m_was_read && m_holders.empty() && m_first_started &&
+         now - *m_first_started < kLeastRecordTime;
+}
+
 ViewUpdate FleetView::ApplyChange(ConfigWritten change, TimeMs /*now*/) {
   if (m_routes && change.config.version <= m_routes->config().version) {
     return ViewUpdate::kConfigIgnored;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -43,7 +43,6 @@
       m_announce(std::move(announce)),
       m_claims(context.settings.node),
       m_starts(context.settings.holder_separation),
-      m_started(context.clock.Now()),
       m_right(context.settings.node) {}
 
 bool EngineHolder::MayOrder(TimeMs now) const {
@@ -73,6 +72,7 @@
 
 void EngineHolder::OnViewChanged() {
   const FleetView& view = m_context.view;
+  if (!m_first_view) m_first_view = m_context.clock.Now();
   ForgetEndedRecords();
   std::erase_if(m_held, [&](const auto& item) {
     const auto record = view.holders().find(item.first);
@@ -143,7 +143,7 @@
 void EngineHolder::ClaimNext(TimeMs now) {
   const DurationMs delay =
       m_context.settings.first_start ? kClaimDelay : kLateClaimDelay;
-  if (m_claiming || now - m_started < delay) return;
+  if (m_claiming || !m_first_view || now - *m_first_view < delay) return;
   if (now - m_last_claim_check < kClaimInterval) return;
   m_last_claim_check = now;
   const auto engine =
--- a/tools/yuccamoor-node/main.cc
+++ b/tools/yuccamoor-node/main.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
 
 #include "platform/engine_client.h"
@@ -59,8 +60,10 @@
   LineLog log(clock, STDOUT_FILENO);
   MetricsRegistry registry(clock);
   NodeMetrics metrics(registry);
-  FleetView view(RevisionTimes::For(settings.max_version_age,
-                                    settings.max_propagation_delay));
+  FleetView view(
+      RevisionTimes::For(settings.max_version_age,
+                         settings.max_propagation_delay),
+      settings.first_start ? std::make_optional(clock.Now()) : std::nullopt);
   const auto dialect = yuccamoor::platform::CreateRequestDialect();
   KeptBytes kept(io, clock, ResourceShares::For(settings).messages);
   NodeContext context{io, clock, settings, *dialect, view, log, metrics, kept};
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -4,6 +4,7 @@
 #include "yuccamoor/coordination/fleet/fleet_view.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 
 #include "coordination/fleet/fleet_fakes.h"
 
@@ -254,10 +255,28 @@
 
 TEST_CASE("Engines that register while a fleet starts have had no holder",
           "[fleet][view]") {
-  FleetView view;
-  view.Reset({}, TimeMs(0), TimeMs(0));
+  FleetView view({}, TimeMs(0));
+  view.Reset({}, TimeMs(100), TimeMs(100));
   view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(500));
   CHECK(view.WasNeverHeld(EndpointId("e1")));
 }
 
+// A node that was added while holders' records had run out took the engines,
+// which registered again just then, for engines that nobody had ordered.
+TEST_CASE("A first read without holders does not show that there were none",
+          "[fleet][view]") {
+  const auto first_started = GENERATE(
+      // Not the fleet's first start.
+      std::optional<TimeMs>(),
+      // The node did not reach the store until records could run out.
+      std::make_optional(TimeMs(56'900)));
+  FleetView view({}, first_started);
+  view.Reset({}, TimeMs(60'000), TimeMs(60'000));
+  view.Apply(EndpointWritten{EngineEntry("e1")}, TimeMs(60'030));
+  CHECK_FALSE(view.WasNeverHeld(EndpointId("e1")));
+  CHECK(view.NeverHeldEngines().empty());
+  view.Apply(EndpointWritten{EngineEntry("e2")}, TimeMs(66'000));
+  CHECK(view.WasNeverHeld(EndpointId("e2")));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/engine_holder_test.cc
+++ b/unittests/transport/fleet/engine_holder_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -53,23 +54,30 @@
   std::vector<EndpointId> m_ordered;
 };
 
+enum class FirstView : std::uint8_t { kAtStart, kLater };
+
 /// A node that is alone in its fleet.
 class HolderWorld {
  public:
-  HolderWorld()
+  explicit HolderWorld(FirstView first_view = FirstView::kAtStart)
       : m_parts(m_clock, Settings()),
         m_lease(m_parts.context, m_store, [this] { OnViewChanged(); }),
         m_holder(
             m_parts.context, m_lease, m_control,
             [](const NodeId&, const TellLoaded&) {},
             [](const TellRetired&) {}) {
+    if (first_view == FirstView::kLater) return;
     Apply(ConfigWritten{EngineConfig(1)});
     Apply(EndpointWritten{EngineEntry("e1")});
     Apply(EndpointWritten{EngineEntry("e2")});
-    Apply(RecordWritten{FleetView::NodeKey(m_parts.settings.node),
-                        EncodeNodeRecord({m_parts.settings.peer_address, kLease,
-                                          m_parts.settings.domain}),
-                        Revision(2)});
+    Apply(OwnRecord());
+  }
+
+  /// The first full read: the store lists neither engines nor holders.
+  void ReadWithoutEngines() {
+    const TimeMs now = m_clock.Now();
+    m_parts.view.Reset({ConfigWritten{EngineConfig(1)}, OwnRecord()}, now, now);
+    OnViewChanged();
   }
 
   void Apply(const StoreChange& change) {
@@ -96,8 +104,15 @@
     while (m_clock.Now() < end) {
       m_clock.Advance(kTick);
       m_holder.OnTick(m_clock.Now());
+      AnswerWrites();
     }
   }
+  /// Whether the node has written the holder's record of the engine.
+  bool HasClaimed(const std::string& engine) const {
+    const std::string record = "holder/" + engine + "=n1";
+    return std::find(m_store.created.begin(), m_store.created.end(), record) !=
+           m_store.created.end();
+  }
 
   void ForgetOrders() { m_control.ForgetOrders(); }
   bool HasOrdered(const std::string& engine) const {
@@ -107,12 +122,27 @@
  private:
   void OnViewChanged() { m_holder.OnViewChanged(); }
 
+  RecordWritten OwnRecord() const {
+    return {FleetView::NodeKey(m_parts.settings.node),
+            EncodeNodeRecord({m_parts.settings.peer_address, kLease,
+                              m_parts.settings.domain}),
+            Revision(2)};
+  }
+
+  void AnswerWrites() {
+    while (m_answered < m_store.writes.size()) {
+      const auto done = m_store.writes[m_answered++];
+      done({StoreStatus::kOk, Revision(100 + m_answered), StoreEra()});
+    }
+  }
+
   ManualClock m_clock;
   ContextParts m_parts;
   FakeFleetStore m_store;
   FakeControl m_control;
   LeaseKeeper m_lease;
   EngineHolder m_holder;
+  std::size_t m_answered = 0;
 };
 
 }  // namespace
@@ -192,4 +222,34 @@
   CHECK(world.HasOrdered("e1"));
 }
 
+// A node that was added while the store was away ordered all engines at the
+// store's return, beside the holders whose records had run out meanwhile.
+TEST_CASE("A node added during an outage waits before it orders engines",
+          "[fleet][holder]") {
+  HolderWorld world(FirstView::kLater);
+  world.Run(DurationMs(4'200));
+  world.ReadWithoutEngines();
+  world.Adopt();
+  world.Apply(EndpointWritten{EngineEntry("e1")});
+  world.Run(kWait);
+  CHECK_FALSE(world.HasOrdered("e1"));
+  world.Run(kWait);
+  CHECK(world.HasOrdered("e1"));
+}
+
+// A node whose start lay some seconds back claimed engines as soon as it first
+// reached the store, when no other node could know of it.
+TEST_CASE("A node claims no engine before others know of it",
+          "[fleet][holder]") {
+  HolderWorld world(FirstView::kLater);
+  world.Run(DurationMs(10'000));
+  world.ReadWithoutEngines();
+  world.Adopt();
+  world.Apply(EndpointWritten{EngineEntry("e1")});
+  world.Run(DurationMs(2'000));
+  CHECK_FALSE(world.HasClaimed("e1"));
+  world.Run(DurationMs(2'000));
+  CHECK(world.HasClaimed("e1"));
+}
+
 }  // namespace yuccamoor::fleet
