Go on after a restart only with what the earlier process had begun to order

Cause: LeaseKeeper took each holder's record of its VM for one whose holder had ordered until just now, unless this very process had seen the store's era rise. A process that starts after the restore has seen nothing. A node that was killed while it still waited before its first order was misjudged alike.

Change: a node writes, under its lease, with which fencing numbers it has begun to order. A process that takes the lease over goes on at once with these alone. A restored store raises the fencing numbers of the records it brings back and not those in the statement, so that copies no longer match. A lost statement costs a wait. Other nodes are not told of it.

Tests: two tests and one world that start with an earlier process's lease now also write its statement; what they check is unchanged.

"A restarted node waits if its records are those of a copy" and "A node that is killed while it waits to order waits again" fail with the decision as before and pass now.

--- a/include/yuccamoor/coordination/fleet/fleet_store.h
+++ b/include/yuccamoor/coordination/fleet/fleet_store.h
@@ -146,6 +146,9 @@
   virtual void CreateRecord(std::string key, std::string value,
                             StoreLease lease,
                             std::function<void(WriteReply)> done) = 0;
+  /// Writes a record bound to the lease, whether it exists or not.
+  virtual void WriteRecord(std::string key, std::string value, StoreLease lease,
+                           std::function<void(WriteReply)> done) = 0;
   /// Writes a lasting record, which no lease ends. Fails with kConflict if it
   /// has not the expected revision; zero expects none to be there.
   virtual void PutRecord(std::string key, std::string value, Revision expected,
--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -36,6 +36,11 @@
 std::string EncodeNodeRecord(const NodeRecord& record);
 NodeRecord DecodeNodeRecord(std::string_view text);
 
+/// Encodes fencing numbers as decimal numbers with spaces between them, and
+/// decodes them. The text ends at the first thing that is none.
+std::string EncodeFences(const std::set<Epoch>& fences);
+std::set<Epoch> DecodeFences(std::string_view text);
+
 /// Returns the fencing number of the holder whose record was written so. The
 /// numbers of a later era are higher, although its revisions may be lower.
 Epoch FencingNumber(StoreEra era, Revision revision);
@@ -85,7 +90,8 @@
   ViewUpdate Apply(StoreChange change, TimeMs now, TimeMs written_from);
   /// Whether another node with the same view has to learn of the change, which
   /// is about to be applied. Endpoints write their entries again all the time;
-  /// what they hold is reported by their holders.
+  /// what they hold is reported by their holders. With which fencing numbers a
+  /// node orders matters to its own next process only.
   bool IsNews(const StoreChange& change) const;
   /// Notes that the store came back with an older copy. A full read follows;
   /// endpoints that it lacks may still register again.
@@ -127,6 +133,12 @@
   const std::map<EndpointId, HolderRecord>& holders() const {
     return m_holders;
   }
+  /// Fencing numbers with which the node has said that it has begun to order.
+  /// A copy from which the store was restored raises those of the holders'
+  /// records, and not these: what is said here counts for the records that
+  /// stood then, not for their copies. Statements of other nodes than one's own
+  /// may be missing.
+  std::set<Epoch> OrderingFences(const NodeId& node) const;
   std::set<NodeId> NodeIds() const;
   std::map<EndpointId, NodeId> HolderIds() const;
   /// Engines to which no node can have given orders: this view saw each
@@ -148,6 +160,7 @@
   /// Keys of the records, relative to the fleet's prefix in the store.
   static std::string NodeKey(const NodeId& node);
   static std::string HolderKey(const EndpointId& engine);
+  static std::string OrderingKey(const NodeId& node);
   static std::string SharedKey(const std::string& name);
   /// Returns the lasting record of that name; one with revision zero and an
   /// empty value if there is none.
@@ -174,6 +187,7 @@
   std::map<AdapterRef, RevisionHistory> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
   std::map<EndpointId, HolderRecord> m_holders;
+  std::map<NodeId, std::set<Epoch>> m_ordering;
   std::map<std::string, SharedRecord> m_shared;
   std::set<EndpointId> m_never_held_engines;
   std::optional<TimeMs> m_first_started;
--- a/include/yuccamoor/transport/fleet/engine_holder.h
+++ b/include/yuccamoor/transport/fleet/engine_holder.h
@@ -77,6 +77,7 @@
   void ClaimNext(TimeMs now);
   void ForgetEndedRecords();
   void TakeUp(const EndpointId& engine, Epoch fence);
+  void StateOrdering(TimeMs now);
   void Poll(const EndpointId& engine, TimeMs now);
   void Order(const EndpointId& engine, const Held& held,
              const EngineOrder& order);
@@ -97,6 +98,8 @@
   OrderRight m_right;
   bool m_claiming = false;
   TimeMs m_last_claim_check;
+  bool m_stating = false;
+  TimeMs m_next_statement;
   FleetConditions m_pace;
 };
 
--- a/include/yuccamoor/transport/fleet/lease_keeper.h
+++ b/include/yuccamoor/transport/fleet/lease_keeper.h
@@ -38,7 +38,8 @@
   /// When the last renewal that succeeded was sent.
   TimeMs renewed() const { return m_renewed; }
   /// Fencing numbers of the holder records that stood under the lease of this
-  /// VM's earlier process when it was taken over, while it lasts.
+  /// VM's earlier process when it was taken over, and with which that process
+  /// has said that it orders; while the lease lasts.
   const std::set<Epoch>& taken_over() const { return m_taken_over; }
 
   /// Claims the right to give orders to an engine, under the lease.
@@ -46,8 +47,18 @@
   void Claim(const EndpointId& engine,
              std::function<void(std::optional<RecordWritten>)> done);
 
+  /// Writes, under the lease, with which fencing numbers the node has begun to
+  /// order: a process that starts again on this VM goes on with just these.
+  /// \p done gets the record, or nothing if it may not have been written.
+  void StateOrdering(const std::set<Epoch>& fences,
+                     std::function<void(std::optional<RecordWritten>)> done);
+
  private:
-  std::set<Epoch> OwnFences() const;
+  using RecordDone = std::function<void(std::optional<RecordWritten>)>;
+
+  std::set<Epoch> OrderedFences() const;
+  std::function<void(const WriteReply&)> TakeReply(RecordWritten record,
+                                                   RecordDone done) const;
   void Adopt(StoreLease lease);
   void Keep();
   void Grant();
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstdint>
 #include <string_view>
+#include <system_error>
 #include <utility>
 #include <variant>
 
@@ -13,6 +14,7 @@
 
 constexpr std::string_view kNodePrefix = "node/";
 constexpr std::string_view kHolderPrefix = "holder/";
+constexpr std::string_view kOrderingPrefix = "ordering/";
 constexpr std::string_view kSharedPrefix = "shared/";
 // Holders that this view may have missed have given their last orders by then:
 // those of an earlier era of the store, or between two full reads.
@@ -64,6 +66,29 @@
   return record;
 }
 
+std::string EncodeFences(const std::set<Epoch>& fences) {
+  std::string text;
+  for (const Epoch& fence : fences) {
+    if (!text.empty()) text += ' ';
+    text += std::to_string(fence.value());
+  }
+  return text;
+}
+
+std::set<Epoch> DecodeFences(std::string_view text) {
+  std::set<Epoch> fences;
+  const char* at = text.data();
+  const char* const end = at + text.size();
+  for (;;) {
+    std::uint64_t fence = 0;
+    const auto parsed = std::from_chars(at, end, fence);
+    if (parsed.ec != std::errc()) return fences;
+    fences.insert(Epoch(fence));
+    if (parsed.ptr == end || *parsed.ptr != ' ') return fences;
+    at = parsed.ptr + 1;
+  }
+}
+
 std::string FleetView::NodeKey(const NodeId& node) {
   return std::string(kNodePrefix) + node.str();
 }
@@ -72,6 +97,10 @@
   return std::string(kHolderPrefix) + engine.str();
 }
 
+std::string FleetView::OrderingKey(const NodeId& node) {
+  return std::string(kOrderingPrefix) + node.str();
+}
+
 std::string FleetView::SharedKey(const std::string& name) {
   return std::string(kSharedPrefix) + name;
 }
@@ -105,6 +134,9 @@
   if (const auto* removed = std::get_if<EndpointRemoved>(&change)) {
     return m_endpoints.Find(removed->id) != nullptr;
   }
+  if (const auto* record = std::get_if<RecordWritten>(&change)) {
+    return !record->key.starts_with(kOrderingPrefix);
+  }
   const auto* written = std::get_if<EndpointWritten>(&change);
   if (!written) return true;
   const Endpoint* known = m_endpoints.Find(written->entry.id);
@@ -123,6 +155,7 @@
                       TimeMs written_from) {
   m_nodes.clear();
   m_holders.clear();
+  m_ordering.clear();
   m_shared.clear();
   std::vector<EndpointId> listed;
   for (const StoreChange& change : changes) {
@@ -205,6 +238,11 @@
     m_once_held_engines.insert(engine);
     return ViewUpdate::kHolderChanged;
   }
+  if (key.starts_with(kOrderingPrefix)) {
+    const NodeId node(std::string(key.substr(kOrderingPrefix.size())));
+    m_ordering[node] = DecodeFences(change.value);
+    return ViewUpdate::kUnchanged;
+  }
   if (key.starts_with(kSharedPrefix)) {
     m_shared[change.key] = {change.value, change.revision};
   }
@@ -221,6 +259,10 @@
     m_holders.erase(EndpointId(std::string(key.substr(kHolderPrefix.size()))));
     return ViewUpdate::kHolderChanged;
   }
+  if (key.starts_with(kOrderingPrefix)) {
+    m_ordering.erase(NodeId(std::string(key.substr(kOrderingPrefix.size()))));
+    return ViewUpdate::kUnchanged;
+  }
   m_shared.erase(change.key);
   return ViewUpdate::kUnchanged;
 }
@@ -259,6 +301,11 @@
   return HeldRevision(engine, adapter) >= LeastRevision(adapter, now);
 }
 
+std::set<Epoch> FleetView::OrderingFences(const NodeId& node) const {
+  const auto it = m_ordering.find(node);
+  return it == m_ordering.end() ? std::set<Epoch>() : it->second;
+}
+
 std::set<NodeId> FleetView::NodeIds() const {
   std::set<NodeId> ids;
   for (const auto& [node, record] : m_nodes) ids.insert(node);
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -1,6 +1,7 @@
 #include "yuccamoor/transport/fleet/engine_holder.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,8 @@
 constexpr DurationMs kLateClaimDelay{2'200};
 // Looking for an engine to claim walks over all engines and nodes.
 constexpr DurationMs kClaimInterval{100};
+// What a node orders is written to the store at most so often.
+constexpr DurationMs kStatementInterval{500};
 
 const char* ToText(OrderOutcome end) {
   switch (end) {
@@ -133,6 +136,7 @@
   for (const auto& [engine, held] : m_held) {
     if (now >= held.orders_from) m_starts.OnOrdering(engine, now);
   }
+  StateOrdering(now);
   ClaimNext(now);
   for (auto it = m_held.begin(); it != m_held.end();) {
     const EndpointId engine = (it++)->first;
@@ -166,6 +170,29 @@
       });
 }
 
+// Fences that the record names beyond those held do no harm: no record will
+// bear them again.
+void EngineHolder::StateOrdering(TimeMs now) {
+  if (m_stating || now < m_next_statement) return;
+  std::set<Epoch> fences;
+  for (const auto& [engine, held] : m_held) {
+    if (now >= held.orders_from) fences.insert(held.fence);
+  }
+  const std::set<Epoch> stated =
+      m_context.view.OrderingFences(m_context.settings.node);
+  if (std::includes(stated.begin(), stated.end(), fences.begin(),
+                    fences.end())) {
+    return;
+  }
+  m_stating = true;
+  m_next_statement = now + kStatementInterval;
+  m_lease.StateOrdering(fences, [this](std::optional<RecordWritten> record) {
+    m_stating = false;
+    if (!record) return;
+    m_context.view.Apply(*std::move(record), m_context.clock.Now());
+  });
+}
+
 EngineHolder::Held* EngineHolder::FindHeld(const EndpointId& engine,
                                            Epoch fence) {
   const auto it = m_held.find(engine);
--- a/lib/transport/fleet/lease_keeper.cc
+++ b/lib/transport/fleet/lease_keeper.cc
@@ -58,10 +58,16 @@
   Drop("store restored");
 }
 
-std::set<Epoch> LeaseKeeper::OwnFences() const {
+// A record alone does not show that its node has ordered: that one may still
+// have waited, or another node may have held the engine since the store was
+// copied.
+std::set<Epoch> LeaseKeeper::OrderedFences() const {
+  const std::set<Epoch> stated =
+      m_context.view.OrderingFences(m_context.settings.node);
   std::set<Epoch> fences;
   for (const auto& [engine, holder] : m_context.view.holders()) {
-    if (holder.node == m_context.settings.node) fences.insert(holder.fence);
+    if (holder.node != m_context.settings.node) continue;
+    if (stated.contains(holder.fence)) fences.insert(holder.fence);
   }
   return fences;
 }
@@ -69,7 +75,7 @@
 void LeaseKeeper::Adopt(StoreLease lease) {
   m_context.metrics.store_calls.Add();
   const TimeMs sent = m_context.clock.Now();
-  const std::set<Epoch> fences = OwnFences();
+  const std::set<Epoch> fences = OrderedFences();
   m_store.RenewLease(
       lease, kRenewTimeout,
       [this, lease, sent, fences, era = m_era_count](StoreStatus status) {
@@ -84,9 +90,7 @@
         m_lease = lease;
         m_renewed = sent;
         m_registered = true;
-        // Since the copy was made that names this node, another one may have
-        // held the engines.
-        if (m_era_count == 0) m_taken_over = fences;
+        m_taken_over = fences;
         m_on_change();
         KeepAfter(kRenewInterval);
       });
@@ -193,22 +197,47 @@
   record.value = m_context.settings.node.str();
   m_store.CreateRecord(
       record.key, record.value, *m_lease,
-      [this, engine, record, era = m_era_count,
-       done = std::move(done)](const WriteReply& reply) {
+      [this, engine,
+       done = TakeReply(record, std::move(done))](const WriteReply& reply) {
         m_context.log.Event("engine_claim")
             .Text("engine", engine.str())
             .Text("outcome", ToText(reply.status))
             .Number("revision", reply.revision.value());
-        // A record of an earlier era is gone.
-        if (reply.status != StoreStatus::kOk || era != m_era_count) {
-          done(std::nullopt);
-          return;
-        }
-        RecordWritten written = record;
-        written.revision = reply.revision;
-        written.era = reply.era;
-        done(std::move(written));
+        done(reply);
       });
 }
 
+void LeaseKeeper::StateOrdering(
+    const std::set<Epoch>& fences,
+    std::function<void(std::optional<RecordWritten>)> done) {
+  if (!m_lease) {
+    done(std::nullopt);
+    return;
+  }
+  m_context.metrics.store_calls.Add();
+  RecordWritten record;
+  record.key = FleetView::OrderingKey(m_context.settings.node);
+  record.value = EncodeFences(fences);
+  m_store.WriteRecord(record.key, record.value, *m_lease,
+                      TakeReply(record, std::move(done)));
+}
+
+// Returns what takes the reply to a write begun now, and passes on the record
+// as it was written.
+std::function<void(const WriteReply&)> LeaseKeeper::TakeReply(
+    RecordWritten record, RecordDone done) const {
+  return [this, record = std::move(record), era = m_era_count,
+          done = std::move(done)](const WriteReply& reply) {
+    // A record of an earlier era is gone.
+    if (reply.status != StoreStatus::kOk || era != m_era_count) {
+      done(std::nullopt);
+      return;
+    }
+    RecordWritten written = record;
+    written.revision = reply.revision;
+    written.era = reply.era;
+    done(std::move(written));
+  };
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "coordination/fleet/fleet_fakes.h"
 
@@ -279,4 +281,28 @@
   CHECK(view.WasNeverHeld(EndpointId("e2")));
 }
 
+TEST_CASE("Fencing numbers are written as text and read again",
+          "[fleet][view]") {
+  const std::set<Epoch> fences{Epoch(9),
+                               FencingNumber(StoreEra(3), Revision(7))};
+  CHECK(DecodeFences(EncodeFences(fences)) == fences);
+  CHECK(DecodeFences("").empty());
+  CHECK(DecodeFences("9 x 10") == std::set<Epoch>{Epoch(9)});
+  CHECK(DecodeFences("9 99999999999999999999") == std::set<Epoch>{Epoch(9)});
+}
+
+TEST_CASE("What a node says of its orders stands as long as its record",
+          "[fleet][view]") {
+  FleetView view;
+  const NodeId node("n1");
+  const std::string key = FleetView::OrderingKey(node);
+  const RecordWritten record{key, "9 20", Revision(30), StoreEra()};
+  CHECK_FALSE(view.IsNews(record));
+  view.Apply(record, TimeMs(0));
+  CHECK(view.OrderingFences(node) == std::set<Epoch>{Epoch(9), Epoch(20)});
+  SECTION("its lease ends") { view.Apply(RecordRemoved{key}, TimeMs(1)); }
+  SECTION("a full read lacks it") { view.Reset({}, TimeMs(1), TimeMs(1)); }
+  CHECK(view.OrderingFences(node).empty());
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/admission_version_test.cc
+++ b/unittests/transport/fleet/admission_version_test.cc
@@ -158,6 +158,9 @@
     view.Apply(
         RecordWritten{FleetView::HolderKey(kEngine), kNode.str(), Revision(2)},
         now);
+    view.Apply(RecordWritten{FleetView::OrderingKey(kNode),
+                             EncodeFences({Epoch(2)}), Revision(3)},
+               now);
     m_lease->Begin();
     m_store.renewals.at(0)(StoreStatus::kOk);
     m_holder->OnViewChanged();
--- a/unittests/transport/fleet/engine_holder_test.cc
+++ b/unittests/transport/fleet/engine_holder_test.cc
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +93,24 @@
   void RemoveHolder(const std::string& engine) {
     Apply(RecordRemoved{FleetView::HolderKey(EndpointId(engine))});
   }
+  /// A holder's record of the node as a store of the second era shows it. It
+  /// was copied with that store if its revision is one of the first era.
+  void SetHolderInSecondEra(const std::string& engine, std::uint64_t revision) {
+    Apply(RecordWritten{FleetView::HolderKey(EndpointId(engine)), "n1",
+                        Revision(revision), StoreEra(2)});
+  }
+  /// The node's earlier process said that it had begun to order with these.
+  void SetOrdering(const std::set<Epoch>& fences) {
+    Apply(RecordWritten{FleetView::OrderingKey(m_parts.settings.node),
+                        EncodeFences(fences), Revision(3)});
+  }
+  /// The last statement with which fencing numbers the node orders.
+  std::set<Epoch> Stated() const {
+    if (m_store.written.empty()) return {};
+    const std::string& record = m_store.written.back();
+    REQUIRE(record.starts_with("ordering/n1="));
+    return DecodeFences(record.substr(record.find('=') + 1));
+  }
   /// Takes over the lease of the node's earlier process.
   void Adopt() {
     m_lease.Begin();
@@ -151,11 +170,66 @@
           "[fleet][holder]") {
   HolderWorld world;
   world.SetHolder("e1", "n1", 9);
+  world.SetOrdering({Epoch(9)});
+  world.Adopt();
+  world.Run(DurationMs(100));
+  CHECK(world.HasOrdered("e1"));
+}
+
+// A process that started after the store had been restored from a copy ordered
+// engines at once that another node had taken over since that copy was made.
+TEST_CASE("A restarted node waits if its records are those of a copy",
+          "[fleet][holder][restore]") {
+  HolderWorld world;
+  world.SetOrdering({FencingNumber(StoreEra(1), Revision(9))});
+  world.SetHolderInSecondEra("e1", 9);
   world.Adopt();
+  world.Run(kWait - DurationMs(50));
+  CHECK_FALSE(world.HasOrdered("e1"));
   world.Run(DurationMs(100));
   CHECK(world.HasOrdered("e1"));
 }
 
+// A node that was killed while it waited before its first order took the record
+// that it had just written for that of a holder, and did not wait any more.
+TEST_CASE("A node that is killed while it waits to order waits again",
+          "[fleet][holder]") {
+  HolderWorld world;
+  world.SetHolder("e1", "n1", 9);
+  world.SetHolder("e2", "n1", 20);
+  world.SetOrdering({Epoch(9)});
+  world.Adopt();
+  world.Run(kWait - DurationMs(50));
+  CHECK(world.HasOrdered("e1"));
+  CHECK_FALSE(world.HasOrdered("e2"));
+  world.Run(DurationMs(100));
+  CHECK(world.HasOrdered("e2"));
+}
+
+TEST_CASE("A holder says in the store with what it has begun to order",
+          "[fleet][holder]") {
+  HolderWorld world;
+  world.SetHolder("e1", "n1", 9);
+  world.SetHolder("e2", "n2", 10);
+  world.Adopt();
+  world.Run(kWait - DurationMs(50));
+  CHECK(world.Stated().empty());
+  world.Run(DurationMs(100));
+  CHECK(world.Stated() == std::set<Epoch>{Epoch(9)});
+  SECTION("again when it holds another one") {
+    world.RemoveHolder("e2");
+    world.SetHolder("e2", "n1", 20);
+    world.Run(kWait + DurationMs(50));
+    CHECK(world.Stated() == std::set<Epoch>{Epoch(9), Epoch(20)});
+  }
+  SECTION("again after the store was restored") {
+    world.SetHolderInSecondEra("e1", 9);
+    world.Run(DurationMs(1'000));
+    CHECK(world.Stated() ==
+          std::set<Epoch>{FencingNumber(StoreEra(2), Revision(9))});
+  }
+}
+
 // A node that was once restarted within its lease ordered engines at once that
 // another node had held a moment before.
 TEST_CASE("A restarted node waits before it orders engines of other holders",
@@ -213,6 +287,7 @@
           "[fleet][holder]") {
   HolderWorld world;
   world.SetHolder("e1", "n1", 9);
+  world.SetOrdering({Epoch(9)});
   world.Adopt();
   world.Run(DurationMs(500));
   world.ForgetOrders();
--- a/unittests/transport/fleet/fake_fleet_store.h
+++ b/unittests/transport/fleet/fake_fleet_store.h
@@ -46,7 +46,11 @@
     created.push_back(key + "=" + value);
     writes.push_back(std::move(done));
   }
-
+  void WriteRecord(std::string key, std::string value, StoreLease /*lease*/,
+                   std::function<void(WriteReply)> done) override {
+    written.push_back(key + "=" + value);
+    writes.push_back(std::move(done));
+  }
   void PutRecord(std::string key, std::string value, Revision /*expected*/,
                  std::function<void(WriteReply)> done) override {
     put.push_back(key + "=" + value);
@@ -63,6 +67,7 @@
   std::vector<StoreLease> renewed;
   std::vector<std::function<void(StoreStatus)>> renewals;
   std::vector<std::string> created;
+  std::vector<std::string> written;
   std::vector<std::string> put;
   std::vector<std::function<void(WriteReply)>> writes;
 };
