--- a/include/yuccamoor/transport/fleet/lease_keeper.h
+++ b/include/yuccamoor/transport/fleet/lease_keeper.h
@@ -5,7 +5,6 @@
 #ifndef YUCCAMOOR_TRANSPORT_FLEET_LEASE_KEEPER_H_
 #define YUCCAMOOR_TRANSPORT_FLEET_LEASE_KEEPER_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -31,6 +30,9 @@
   /// number given to another node: it counts only if the record that is read
   /// anew names it.
   void OnStoreRestored();
+  /// Makes the next call to the store when it is due. Must be called several
+  /// times a second.
+  void OnTick(TimeMs now);
   bool has_begun() const { return m_has_begun; }
 
   /// The lease, while its records surely stand if nobody takes them away.
@@ -71,7 +73,8 @@
   NodeContext& m_context;
   FleetStore& m_store;
   std::function<void()> m_on_change;
-  boost::asio::steady_timer m_timer;
+  // Empty while a call is under way.
+  std::optional<TimeMs> m_next_call;
   bool m_has_begun = false;
   // Answers to calls of earlier eras are passed over.
   std::uint64_t m_era_count = 0;
--- a/lib/transport/fleet/lease_keeper.cc
+++ b/lib/transport/fleet/lease_keeper.cc
@@ -1,6 +1,5 @@
 #include "yuccamoor/transport/fleet/lease_keeper.h"
 
-#include <chrono>
 #include <string>
 #include <utility>
 
@@ -19,18 +18,16 @@
 
 LeaseKeeper::LeaseKeeper(NodeContext& context, FleetStore& store,
                          std::function<void()> on_change)
-    : m_context(context),
-      m_store(store),
-      m_on_change(std::move(on_change)),
-      m_timer(context.io) {}
+    : m_context(context), m_store(store), m_on_change(std::move(on_change)) {}
 
 void LeaseKeeper::KeepAfter(DurationMs pause) {
-  m_timer.expires_after(std::chrono::milliseconds(pause.ms()));
-  m_timer.async_wait(
-      [this, era = m_era_count](boost::system::error_code error) {
-        // An expired timer's handler may run although it was cancelled.
-        if (!error && era == m_era_count) Keep();
-      });
+  m_next_call = m_context.clock.Now() + pause;
+}
+
+void LeaseKeeper::OnTick(TimeMs now) {
+  if (!m_next_call || now < *m_next_call) return;
+  m_next_call.reset();
+  Keep();
 }
 
 // A process that starts again on its VM within the lease's time goes on with
@@ -54,7 +51,7 @@
   if (!m_has_begun) return;
   m_has_begun = false;
   ++m_era_count;
-  m_timer.cancel();
+  m_next_call.reset();
   Drop("store restored");
 }
 
--- a/lib/transport/fleet/node.cc
+++ b/lib/transport/fleet/node.cc
@@ -234,6 +234,7 @@
                     m_dispatcher.MaxLoadsElsewhere(),
                     large ? EngineUseReports::kRepeatInterval : kTellInterval,
                     large ? DurationMs(0) : kRetireTime});
+  m_lease.OnTick(now);
   m_holder.OnTick(now);
   m_permits.OnTick(now);
   m_permit_server.OnTick(now);
