Let nodes without the store bring back no right that has lapsed

Callers: after a cut, a restore and an outage in series, a holder that was replaced meanwhile orders its engine again, with a lower fencing number or within 3,000 ms of the other holder.

Cause: a holder without the store goes on while all others confirm it, and nodes that don't reach the store contradict nothing.

Change: such nodes only prolong a right that the node had less than the separation of holders ago; a next holder gives no order sooner. Later it takes a renewal, or a node that sees the records unchanged.

Test changed: "What was said before a suspension confirms nothing" asked that a node that was suspended for 4 s go on by the word of such nodes, which is the fault. Its suspension is now 2 s, and a new test asks for the opposite after 3 s.

The new test fails with the decision as before and passes now.

--- a/include/yuccamoor/coordination/fleet/order_right.h
+++ b/include/yuccamoor/coordination/fleet/order_right.h
@@ -39,13 +39,17 @@
 /// When the store is unreachable, the right lasts while every other node has
 /// recently reported that it holds none of the holder's engines, and every node
 /// that reaches the store has reported that the holder's records are unchanged.
+/// Nodes without the store cannot bring back a right that has lapsed: another
+/// node may have held the engines in between.
 class OrderRight {
  public:
   /// A holder that has not renewed its lease for this long gives no orders on
   /// the lease alone: its records may have been removed without notice.
   static constexpr DurationMs kLeaseValidity{1'500};
 
-  explicit OrderRight(NodeId self) : m_self(std::move(self)) {}
+  /// Orders of two holders have to be \p separation apart.
+  OrderRight(NodeId self, DurationMs separation)
+      : m_self(std::move(self)), m_separation(separation) {}
 
   /// Records a report received directly from \p node. Relayed reports must not
   /// be passed in: they may have been delayed and do not show the node's
@@ -54,6 +58,9 @@
   /// Must be called several times a second. A longer gap means that the VM was
   /// suspended and that the reports read next may be stale.
   void OnTick(TimeMs now);
+  /// Notes that MayOrder gives the right now. Must be called several times a
+  /// second while it does.
+  void OnRight(TimeMs now) { m_last_right = now; }
 
   /// Returns whether the lease alone gives the right to order. \p renewed is as
   /// for MayOrder.
@@ -81,8 +88,10 @@
                                 std::size_t nodes);
 
   NodeId m_self;
+  DurationMs m_separation;
   std::map<NodeId, ReceivedReport> m_reports;
   std::optional<TimeMs> m_last_tick;
+  std::optional<TimeMs> m_last_right;
   TimeMs m_ignore_reports_until;
 };
 
--- a/lib/coordination/fleet/order_right.cc
+++ b/lib/coordination/fleet/order_right.cc
@@ -41,14 +41,17 @@
 bool OrderRight::PeersConfirm(const std::map<EndpointId, Epoch>& held,
                               const std::set<NodeId>& nodes, TimeMs now) const {
   if (!m_last_tick || now - *m_last_tick > kMaxTickInterval) return false;
+  // A next holder, which this node need not know of, gives no order sooner.
+  bool none_between = m_last_right && now - *m_last_right < m_separation;
   for (const NodeId& node : nodes) {
     if (node == m_self) continue;
     const auto it = m_reports.find(node);
     if (it == m_reports.end()) return false;
     if (now - it->second.received_at > kMaxReportAge) return false;
     if (!ConfirmsOwnership(it->second.report, held, nodes.size())) return false;
+    if (it->second.report.store.fresh) none_between = true;
   }
-  return !nodes.empty();
+  return none_between && !nodes.empty();
 }
 
 bool OrderRight::ConfirmsOwnership(const PeerReport& peer,
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -46,7 +46,7 @@
       m_announce(std::move(announce)),
       m_claims(context.settings.node),
       m_starts(context.settings.holder_separation),
-      m_right(context.settings.node) {}
+      m_right(context.settings.node, context.settings.holder_separation) {}
 
 bool EngineHolder::MayOrder(TimeMs now) const {
   std::optional<TimeMs> renewed;
@@ -133,6 +133,7 @@
 void EngineHolder::OnTick(TimeMs now) {
   m_right.OnTick(now);
   if (!MayOrder(now)) return;
+  m_right.OnRight(now);
   for (const auto& [engine, held] : m_held) {
     if (now >= held.orders_from) m_starts.OnOrdering(engine, now);
   }
--- a/unittests/coordination/fleet/order_right_test.cc
+++ b/unittests/coordination/fleet/order_right_test.cc
@@ -17,6 +17,7 @@
 const TimeMs kRenewed(0);
 // By this time the lease renewal is too old to give the right.
 const TimeMs kNow(5'000);
+constexpr DurationMs kSeparation{3'000};
 
 PeerReport WithoutStore() { return {}; }
 
@@ -28,10 +29,11 @@
   return report;
 }
 
-// Returns the state of a node that has just ticked and received reports from
-// both other nodes.
+// Returns the state of a node that had the right until a moment ago, has just
+// ticked, and received reports from both other nodes.
 OrderRight WithReports(const PeerReport& other, const PeerReport& third) {
-  OrderRight right(kSelf);
+  OrderRight right(kSelf, kSeparation);
+  right.OnRight(kNow - DurationMs(20));
   right.OnTick(kNow);
   right.OnPeerReport(kOther, other, kNow);
   right.OnPeerReport(kThird, third, kNow);
@@ -45,7 +47,7 @@
 }  // namespace
 
 TEST_CASE("A lease that was renewed lately gives the right", "[fleet][right]") {
-  const OrderRight right(kSelf);
+  const OrderRight right(kSelf, kSeparation);
   CHECK(right.MayOrder(TimeMs(0), kHeld, kNodes, TimeMs(1'499)));
   CHECK_FALSE(right.MayOrder(TimeMs(0), kHeld, kNodes, TimeMs(1'500)));
   CHECK_FALSE(right.MayOrder(std::nullopt, kHeld, kNodes, TimeMs(0)));
@@ -56,7 +58,8 @@
   CHECK(MayOrder(WithReports(WithoutStore(), WithoutStore())));
   CHECK(MayOrder(WithReports(WithStore(Epoch(7), 3), WithoutStore())));
 
-  OrderRight one(kSelf);
+  OrderRight one(kSelf, kSeparation);
+  one.OnRight(kNow);
   one.OnTick(kNow);
   one.OnPeerReport(kOther, WithoutStore(), kNow);
   CHECK_FALSE(MayOrder(one));
@@ -85,9 +88,9 @@
 
 TEST_CASE("What was said before a suspension confirms nothing",
           "[fleet][right]") {
-  // The VM was suspended for 4 s. Its socket still holds reports sent when the
+  // The VM was suspended for 2 s. Its socket still holds reports sent when the
   // suspension began; since then another node has taken over the engine.
-  const TimeMs resumed = kNow + DurationMs(4'000);
+  const TimeMs resumed = kNow + DurationMs(2'000);
   OrderRight right = WithReports(WithoutStore(), WithoutStore());
   SECTION("datagrams are read first") {
     right.OnPeerReport(kOther, WithoutStore(), resumed);
@@ -109,4 +112,33 @@
   CHECK(MayOrder(right, later));
 }
 
+// A node that was cut off, while another one held its engine and lost it again
+// in a restore, went on as soon as the others had no word of the store either.
+TEST_CASE("Nodes without the store bring back no right that has lapsed",
+          "[fleet][right]") {
+  const TimeMs later = kNow + DurationMs(3'000);
+  const auto hear = [](OrderRight& right, const PeerReport& third, TimeMs now) {
+    right.OnTick(now);
+    right.OnPeerReport(kOther, WithoutStore(), now);
+    right.OnPeerReport(kThird, third, now);
+    return MayOrder(right, now);
+  };
+  OrderRight right(kSelf, kSeparation);
+  right.OnRight(kNow);
+  SECTION("the other nodes said that it held the engine no more") {
+    PeerReport holder;
+    holder.held.insert(kEngine);
+    for (TimeMs now = kNow; now < later; now = now + DurationMs(250)) {
+      CHECK_FALSE(hear(right, holder, now));
+    }
+  }
+  SECTION("the VM was suspended") {
+    right.OnTick(kNow);
+    right.OnTick(later - DurationMs(250));
+  }
+  CHECK_FALSE(hear(right, WithoutStore(), later));
+  // The record has stood all along.
+  CHECK(hear(right, WithStore(Epoch(7), 3), later));
+}
+
 }  // namespace yuccamoor::fleet
