Go on with an engine after a restore only if no other node can order it

Cause, by reading: a node goes on at once with an engine that it ordered less than 3 s ago, as any other node waits longer after its claim. That node may have claimed it up to 1.5 s before the first one's last right (its lease was revoked), and after a restore it goes on for up to 1.5 s by its last renewal. So with a copy that names the first node, orders of both could meet between 2.65 and 3 s after that right. Nor did it matter that a node had seen another holder's record in the meantime.

Change: after a restore the time is 1.65 s; the fencing numbers tell the eras. A node that has seen another holder waits.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -44,6 +44,8 @@
 /// Returns the fencing number of the holder whose record was written so. The
 /// numbers of a later era are higher, although its revisions may be lower.
 Epoch FencingNumber(StoreEra era, Revision revision);
+/// Returns the era of the holder's record that the number was made of.
+StoreEra EraOf(Epoch fence);
 
 /// The node that may give orders to an engine.
 struct HolderRecord {
--- a/include/yuccamoor/coordination/fleet/order_starts.h
+++ b/include/yuccamoor/coordination/fleet/order_starts.h
@@ -58,8 +58,11 @@
   /// fencing number, names it. Of the same record, the answer stays.
   OrderStart TakeUp(const EndpointId& engine, Epoch fence,
                     const HolderEvidence& evidence, TimeMs now);
-  /// Notes that the node has the right to order the engine now.
-  void OnOrdering(const EndpointId& engine, TimeMs now);
+  /// Notes that the node has the right to order the engine now, with that
+  /// fencing number.
+  void OnOrdering(const EndpointId& engine, Epoch fence, TimeMs now);
+  /// Notes that another node holds the engine.
+  void OnOtherHolder(const EndpointId& engine) { m_ordered.erase(engine); }
   /// Forgets the starts of records that are not among \p holders.
   void RetainOnly(const std::map<EndpointId, HolderRecord>& holders);
   /// Forgets all starts, as the node has lost its lease.
@@ -70,15 +73,23 @@
   std::set<EndpointId> OrderedLately(TimeMs now) const;
 
  private:
-  bool WasOrderedLately(const EndpointId& engine, TimeMs now) const;
-  OrderStartReason ReasonFor(const EndpointId& engine,
+  // The node's last right to order an engine.
+  struct LastOrdered {
+    Epoch fence;
+    TimeMs at;
+  };
+
+  OrderStartReason ReasonFor(const EndpointId& engine, Epoch fence,
                              const HolderEvidence& evidence, TimeMs now) const;
+  // Whether no other node can order the engine from now on, since this one held
+  // it last, if the record with that fencing number names it again.
+  bool GoesOn(const LastOrdered& last, Epoch fence, TimeMs now) const;
+  DurationMs Wait() const;
 
   DurationMs m_separation;
   // Also of engines whose entries are missing.
   std::map<EndpointId, OrderStart> m_starts;
-  // When this node last had the right to order engines that it held.
-  std::map<EndpointId, TimeMs> m_ordered_at;
+  std::map<EndpointId, LastOrdered> m_ordered;
 };
 
 }  // namespace yuccamoor::fleet
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -16,6 +16,9 @@
 constexpr std::string_view kHolderPrefix = "holder/";
 constexpr std::string_view kOrderingPrefix = "ordering/";
 constexpr std::string_view kSharedPrefix = "shared/";
+// Revisions stay below this for decades, and the sum of thousands of eras stays
+// exact in any JSON reader.
+constexpr std::uint64_t kRevisionsPerEra = 1ULL << 40;
 // Holders that this view may have missed have given their last orders by then:
 // those of an earlier era of the store, or between two full reads.
 constexpr DurationMs kEarlierHolderTime{5'000};
@@ -33,12 +36,13 @@
 }  // namespace
 
 Epoch FencingNumber(StoreEra era, Revision revision) {
-  // Revisions stay below this for decades, and the sum of thousands of eras
-  // stays exact in any JSON reader.
-  constexpr std::uint64_t kRevisionsPerEra = 1ULL << 40;
   return Epoch(era.value() * kRevisionsPerEra + revision.value());
 }
 
+StoreEra EraOf(Epoch fence) {
+  return StoreEra(fence.value() / kRevisionsPerEra);
+}
+
 AdapterRevision HeldRevision(const Endpoint& engine,
                              const AdapterRef& adapter) {
   const auto held = engine.adapters.find(adapter);
--- a/lib/coordination/fleet/order_starts.cc
+++ b/lib/coordination/fleet/order_starts.cc
@@ -30,28 +30,46 @@
   if (known != m_starts.end() && known->second.fence == fence) {
     return known->second;
   }
-  OrderStart start{fence, now, ReasonFor(engine, evidence, now)};
-  // The holder before may have ordered until its own validity ended. Nobody
-  // else has held the engine since this node's record was written.
+  OrderStart start{fence, now, ReasonFor(engine, fence, evidence, now)};
   if (start.reason == OrderStartReason::kMayHaveHadHolder) {
-    start.from =
-        now + OrderRight::kLeaseValidity + m_separation + kHolderMargin;
+    start.from = now + Wait();
   }
   m_starts[engine] = start;
   return start;
 }
 
-OrderStartReason OrderStarts::ReasonFor(const EndpointId& engine,
+// The holder before may have ordered until its own validity ended. Nobody else
+// has held the engine since this node's record was written.
+DurationMs OrderStarts::Wait() const {
+  return OrderRight::kLeaseValidity + m_separation + kHolderMargin;
+}
+
+OrderStartReason OrderStarts::ReasonFor(const EndpointId& engine, Epoch fence,
                                         const HolderEvidence& evidence,
                                         TimeMs now) const {
   if (evidence.never_held) return OrderStartReason::kNeverHeld;
   if (evidence.earlier_process) return OrderStartReason::kEarlierProcess;
-  if (WasOrderedLately(engine, now)) return OrderStartReason::kOrderedLately;
+  const auto last = m_ordered.find(engine);
+  if (last != m_ordered.end() && GoesOn(last->second, fence, now)) {
+    return OrderStartReason::kOrderedLately;
+  }
   return OrderStartReason::kMayHaveHadHolder;
 }
 
-void OrderStarts::OnOrdering(const EndpointId& engine, TimeMs now) {
-  m_ordered_at[engine] = now;
+// Another node's claim may have come up to a lease's validity before the last
+// moment of this node's right. After a restore, that node goes on until its own
+// validity ends, so that its first order must not fall before that.
+bool OrderStarts::GoesOn(const LastOrdered& last, Epoch fence,
+                         TimeMs now) const {
+  const bool restored = EraOf(fence) != EraOf(last.fence);
+  const DurationMs most =
+      restored ? Wait() - OrderRight::kLeaseValidity * 2 : m_separation;
+  return now - last.at < most;
+}
+
+void OrderStarts::OnOrdering(const EndpointId& engine, Epoch fence,
+                             TimeMs now) {
+  m_ordered[engine] = {fence, now};
 }
 
 void OrderStarts::RetainOnly(
@@ -62,15 +80,10 @@
   });
 }
 
-bool OrderStarts::WasOrderedLately(const EndpointId& engine, TimeMs now) const {
-  const auto ordered = m_ordered_at.find(engine);
-  return ordered != m_ordered_at.end() && now - ordered->second < m_separation;
-}
-
 std::set<EndpointId> OrderStarts::OrderedLately(TimeMs now) const {
   std::set<EndpointId> engines;
-  for (const auto& [engine, ordered] : m_ordered_at) {
-    if (WasOrderedLately(engine, now)) engines.insert(engine);
+  for (const auto& [engine, last] : m_ordered) {
+    if (GoesOn(last, last.fence, now)) engines.insert(engine);
   }
   return engines;
 }
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -77,6 +77,9 @@
   const FleetView& view = m_context.view;
   if (!m_first_view) m_first_view = m_context.clock.Now();
   ForgetEndedRecords();
+  for (const auto& [engine, record] : view.holders()) {
+    if (record.node != m_context.settings.node) m_starts.OnOtherHolder(engine);
+  }
   std::erase_if(m_held, [&](const auto& item) {
     const auto record = view.holders().find(item.first);
     const bool ours = record != view.holders().end() &&
@@ -135,7 +138,9 @@
   if (!MayOrder(now)) return;
   m_right.OnRight(now);
   for (const auto& [engine, held] : m_held) {
-    if (now >= held.orders_from) m_starts.OnOrdering(engine, now);
+    if (now >= held.orders_from) {
+      m_starts.OnOrdering(engine, held.fence, now);
+    }
   }
   StateOrdering(now);
   ClaimNext(now);
