Ask nodes whose registration ended a moment ago before going on without the store

Callers: a node that is cut off just after a restore goes on ordering an engine that others have taken over; the orders of two holders meet.

Cause: a holder without the store asks the nodes that its view names. Leases that run out in an outage have the same effect.

Change: the view remembers nodes whose records have gone, and the right to order needs their word too, until the view is 5 s further on: those that live have registered again by then.

--- a/include/yuccamoor/coordination/fleet/fleet_view.h
+++ b/include/yuccamoor/coordination/fleet/fleet_view.h
@@ -142,6 +142,10 @@
   /// may be missing.
   std::set<Epoch> OrderingFences(const NodeId& node) const;
   std::set<NodeId> NodeIds() const;
+  /// Nodes whose records have gone a short time before the last moment that the
+  /// view holds: their leases have run out, or the store was restored from a
+  /// copy without them. They may live, and register again unseen.
+  std::set<NodeId> NodesGoneLately() const;
   std::map<EndpointId, NodeId> HolderIds() const;
   /// Engines to which no node can have given orders: this view saw each
   /// register, some time after changes that it may have missed, and has never
@@ -174,6 +178,7 @@
   // Whether a full read at \p now shows all holders there have been.
   bool ShowsAllHolders(TimeMs now) const;
 
+  void NoteNodeGone(const NodeId& node, TimeMs now);
   ViewUpdate ApplyChange(ConfigWritten change, TimeMs now);
   ViewUpdate ApplyChange(const AdapterRevisionPublished& change,
                          TimeMs written_from);
@@ -188,6 +193,8 @@
   RevisionTimes m_revision_times;
   std::map<AdapterRef, RevisionHistory> m_revisions;
   std::map<NodeId, NodeRecord> m_nodes;
+  // When the records of other nodes went.
+  std::map<NodeId, TimeMs> m_nodes_gone;
   std::map<EndpointId, HolderRecord> m_holders;
   std::map<NodeId, std::set<Epoch>> m_ordering;
   std::map<std::string, SharedRecord> m_shared;
--- a/include/yuccamoor/coordination/fleet/order_right.h
+++ b/include/yuccamoor/coordination/fleet/order_right.h
@@ -70,10 +70,11 @@
   /// Returns whether the node may order its engines. \p renewed is when the
   /// node's last lease renewal was sent, or nullopt without a lease. \p held
   /// maps the node's engines to their fencing numbers, \p nodes are all
-  /// registered nodes.
+  /// registered nodes, and \p gone others that were so a short time ago.
   bool MayOrder(std::optional<TimeMs> renewed,
                 const std::map<EndpointId, Epoch>& held,
-                const std::set<NodeId>& nodes, TimeMs now) const;
+                const std::set<NodeId>& nodes, const std::set<NodeId>& gone,
+                TimeMs now) const;
 
  private:
   struct ReceivedReport {
@@ -82,7 +83,8 @@
   };
 
   bool PeersConfirm(const std::map<EndpointId, Epoch>& held,
-                    const std::set<NodeId>& nodes, TimeMs now) const;
+                    const std::set<NodeId>& nodes, const std::set<NodeId>& gone,
+                    TimeMs now) const;
   static bool ConfirmsOwnership(const PeerReport& peer,
                                 const std::map<EndpointId, Epoch>& held,
                                 std::size_t nodes);
--- a/lib/coordination/fleet/fleet_view.cc
+++ b/lib/coordination/fleet/fleet_view.cc
@@ -22,6 +22,9 @@
 // Holders that this view may have missed have given their last orders by then:
 // those of an earlier era of the store, or between two full reads.
 constexpr DurationMs kEarlierHolderTime{5'000};
+// A node that lives has registered again by then: its earlier lease has run
+// out.
+constexpr DurationMs kRegisterAgainTime{5'000};
 // No holder's record of a fleet that has just started runs out sooner.
 constexpr DurationMs kLeastRecordTime{3'000};
 
@@ -157,7 +160,7 @@
 
 void FleetView::Reset(const std::vector<StoreChange>& changes, TimeMs now,
                       TimeMs written_from) {
-  m_nodes.clear();
+  const std::map<NodeId, NodeRecord> nodes_before = std::exchange(m_nodes, {});
   m_holders.clear();
   m_ordering.clear();
   m_shared.clear();
@@ -168,6 +171,9 @@
     }
     Apply(change, now, written_from);
   }
+  for (const auto& [node, record] : nodes_before) {
+    if (!m_nodes.contains(node)) NoteNodeGone(node, now);
+  }
   m_never_held_engines.clear();
   if (!ShowsAllHolders(now)) {
     m_never_held_from = std::max(m_never_held_from, now + kEarlierHolderTime);
@@ -176,6 +182,13 @@
   m_endpoints.RetainOnly(listed, now);
 }
 
+void FleetView::NoteNodeGone(const NodeId& node, TimeMs now) {
+  std::erase_if(m_nodes_gone, [now](const auto& item) {
+    return now - item.second >= kRegisterAgainTime;
+  });
+  m_nodes_gone[node] = now;
+}
+
 // Holders may have been added and removed between two reads, or before the
 // first one: their records run out with their leases, and they may still give
 // orders then. Only of a fleet that has just started is it known that there
@@ -232,6 +245,7 @@
   if (key.starts_with(kNodePrefix)) {
     const NodeId node(std::string(key.substr(kNodePrefix.size())));
     m_nodes[node] = DecodeNodeRecord(change.value);
+    m_nodes_gone.erase(node);
     return ViewUpdate::kNodeChanged;
   }
   if (key.starts_with(kHolderPrefix)) {
@@ -253,10 +267,11 @@
   return ViewUpdate::kUnchanged;
 }
 
-ViewUpdate FleetView::ApplyChange(const RecordRemoved& change, TimeMs /*now*/) {
+ViewUpdate FleetView::ApplyChange(const RecordRemoved& change, TimeMs now) {
   const std::string_view key = change.key;
   if (key.starts_with(kNodePrefix)) {
-    m_nodes.erase(NodeId(std::string(key.substr(kNodePrefix.size()))));
+    const NodeId node(std::string(key.substr(kNodePrefix.size())));
+    if (m_nodes.erase(node) > 0) NoteNodeGone(node, now);
     return ViewUpdate::kNodeChanged;
   }
   if (key.starts_with(kHolderPrefix)) {
@@ -316,6 +331,16 @@
   return ids;
 }
 
+std::set<NodeId> FleetView::NodesGoneLately() const {
+  std::set<NodeId> ids;
+  for (const auto& [node, gone] : m_nodes_gone) {
+    if (!m_current_at || *m_current_at - gone < kRegisterAgainTime) {
+      ids.insert(node);
+    }
+  }
+  return ids;
+}
+
 std::map<EndpointId, NodeId> FleetView::HolderIds() const {
   std::map<EndpointId, NodeId> ids;
   for (const auto& [engine, holder] : m_holders) ids[engine] = holder.node;
--- a/lib/coordination/fleet/order_right.cc
+++ b/lib/coordination/fleet/order_right.cc
@@ -33,17 +33,21 @@
 
 bool OrderRight::MayOrder(std::optional<TimeMs> renewed,
                           const std::map<EndpointId, Epoch>& held,
-                          const std::set<NodeId>& nodes, TimeMs now) const {
+                          const std::set<NodeId>& nodes,
+                          const std::set<NodeId>& gone, TimeMs now) const {
   if (!renewed) return false;
-  return IsRenewed(renewed, now) || PeersConfirm(held, nodes, now);
+  return IsRenewed(renewed, now) || PeersConfirm(held, nodes, gone, now);
 }
 
 bool OrderRight::PeersConfirm(const std::map<EndpointId, Epoch>& held,
-                              const std::set<NodeId>& nodes, TimeMs now) const {
+                              const std::set<NodeId>& nodes,
+                              const std::set<NodeId>& gone, TimeMs now) const {
   if (!m_last_tick || now - *m_last_tick > kMaxTickInterval) return false;
   // A next holder, which this node need not know of, gives no order sooner.
   bool none_between = m_last_right && now - *m_last_right < m_separation;
-  for (const NodeId& node : nodes) {
+  std::set<NodeId> asked = nodes;
+  asked.insert(gone.begin(), gone.end());
+  for (const NodeId& node : asked) {
     if (node == m_self) continue;
     const auto it = m_reports.find(node);
     if (it == m_reports.end()) return false;
--- a/lib/transport/fleet/engine_holder.cc
+++ b/lib/transport/fleet/engine_holder.cc
@@ -55,7 +55,9 @@
   if (OrderRight::IsRenewed(renewed, now)) return true;
   std::map<EndpointId, Epoch> held;
   for (const auto& [engine, item] : m_held) held[engine] = item.fence;
-  return m_right.MayOrder(renewed, held, m_context.view.NodeIds(), now);
+  const FleetView& view = m_context.view;
+  return m_right.MayOrder(renewed, held, view.NodeIds(), view.NodesGoneLately(),
+                          now);
 }
 
 void EngineHolder::OnPeerStatus(const NodeStatus& status, TimeMs now) {
--- a/unittests/coordination/fleet/fleet_view_test.cc
+++ b/unittests/coordination/fleet/fleet_view_test.cc
@@ -305,4 +305,26 @@
   CHECK(view.OrderingFences(node).empty());
 }
 
+TEST_CASE("Nodes whose records have gone are remembered for a while",
+          "[fleet][view]") {
+  FleetView view;
+  const NodeId node("n2");
+  const RecordWritten record{FleetView::NodeKey(node), "10.0.0.2:7380 7 a",
+                             Revision(5), StoreEra()};
+  view.Reset({record}, TimeMs(0), TimeMs(0));
+  SECTION("a lease ends") {
+    view.Apply(RecordRemoved{record.key}, TimeMs(100));
+  }
+  SECTION("a full read lacks them") {
+    view.Reset({}, TimeMs(100), TimeMs(100));
+  }
+  const std::set<NodeId> gone{node};
+  CHECK(view.NodesGoneLately() == gone);
+  // While the store does not answer, they may have registered again.
+  view.SetCurrentAt(TimeMs(5'099));
+  CHECK(view.NodesGoneLately() == gone);
+  view.SetCurrentAt(TimeMs(5'100));
+  CHECK(view.NodesGoneLately().empty());
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/coordination/fleet/order_right_test.cc
+++ b/unittests/coordination/fleet/order_right_test.cc
@@ -41,16 +41,16 @@
 }
 
 bool MayOrder(const OrderRight& right, TimeMs now = kNow) {
-  return right.MayOrder(kRenewed, kHeld, kNodes, now);
+  return right.MayOrder(kRenewed, kHeld, kNodes, {}, now);
 }
 
 }  // namespace
 
 TEST_CASE("A lease that was renewed lately gives the right", "[fleet][right]") {
   const OrderRight right(kSelf, kSeparation);
-  CHECK(right.MayOrder(TimeMs(0), kHeld, kNodes, TimeMs(1'499)));
-  CHECK_FALSE(right.MayOrder(TimeMs(0), kHeld, kNodes, TimeMs(1'500)));
-  CHECK_FALSE(right.MayOrder(std::nullopt, kHeld, kNodes, TimeMs(0)));
+  CHECK(right.MayOrder(TimeMs(0), kHeld, kNodes, {}, TimeMs(1'499)));
+  CHECK_FALSE(right.MayOrder(TimeMs(0), kHeld, kNodes, {}, TimeMs(1'500)));
+  CHECK_FALSE(right.MayOrder(std::nullopt, kHeld, kNodes, {}, TimeMs(0)));
 }
 
 TEST_CASE("Without the store all others must have confirmed",
@@ -141,4 +141,20 @@
   CHECK(hear(right, WithStore(Epoch(7), 3), later));
 }
 
+// A node whose copy of the store named itself alone went on without any other's
+// word, while those that had registered again took its engine over.
+TEST_CASE("Nodes whose records have gone a moment ago are asked as well",
+          "[fleet][right]") {
+  OrderRight right(kSelf, kSeparation);
+  right.OnRight(kNow);
+  right.OnTick(kNow);
+  const std::set<NodeId> nodes{kSelf};
+  const std::set<NodeId> gone{kOther};
+  CHECK_FALSE(right.MayOrder(kRenewed, kHeld, nodes, gone, kNow));
+  right.OnPeerReport(kOther, WithoutStore(), kNow);
+  CHECK(right.MayOrder(kRenewed, kHeld, nodes, gone, kNow));
+  right.OnPeerReport(kOther, WithStore(Epoch(7), 2), kNow);
+  CHECK_FALSE(right.MayOrder(kRenewed, kHeld, nodes, gone, kNow));
+}
+
 }  // namespace yuccamoor::fleet
--- a/unittests/transport/fleet/holder_fleet_test.cc
+++ b/unittests/transport/fleet/holder_fleet_test.cc
@@ -168,6 +168,7 @@
         m_parts.view.Apply(change, now);
       }
     }
+    m_parts.view.SetCurrentAt(now);
     if (!m_lease.has_begun()) m_lease.Begin();
     m_holder.OnViewChanged();
   }
