--- a/unittests/transport/fleet/holder_fleet_test.cc
+++ b/unittests/transport/fleet/holder_fleet_test.cc
@@ -375,8 +375,10 @@
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     HolderFleet fleet(seed);
     fleet.Run();
+    const std::vector<std::string> breaches = fleet.Breaches();
     INFO("seed " << seed << "\n" << Lines(fleet.troubles()));
-    CHECK(Lines(fleet.Breaches()) == "");
+    INFO(Lines(breaches));
+    CHECK(breaches.empty());
     CHECK(fleet.AllOrderedAtEnd());
   }
 }
