--- a/lib/coordination/fleet/order_starts.cc
+++ b/lib/coordination/fleet/order_starts.cc
@@ -6,6 +6,7 @@
 
 namespace {
 
+// The last order of the holder before may still be on its way.
 constexpr DurationMs kHolderMargin{150};
 
 }  // namespace
